--- /dev/null
+++ b/src/decay.rs
@@ -0,0 +1,21 @@
+//! A sum whose parts fade with age, brought up to date when it is read or added to.
+
+use crate::interface::Tenths;
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Decay {
+    sum: f64,
+    at: Tenths,
+}
+
+impl Decay {
+    /// The sum as it stands at `now`, each part halved for every `half_life` since it came.
+    pub(crate) fn read(&self, now: Tenths, half_life: Tenths) -> f64 {
+        self.sum * (-((now - self.at).max(0) as f64) / half_life.max(1) as f64).exp2()
+    }
+
+    pub(crate) fn add(&mut self, now: Tenths, half_life: Tenths, amount: f64) {
+        self.sum = self.read(now, half_life) + amount;
+        self.at = self.at.max(now);
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,794 @@
+//! Every decision of the router, with every tuned value: the one policy file.
+//!
+//! Start a [`Router`] with the settings, its seed and the time. Tell it what happens (`command_arrived`,
+//! `command_left`, `dispatch_ended`, `probe_ended`, `members_changed`, `list_failed`): that only updates
+//! what is known. Then pull `next_decision(now)` until there is none and come back at `wake_at()`, or with
+//! news. The types at the border are in `interface.rs`, what is held in `state.rs`, the reasons in
+//! `docs/design.md`.
+
+use crate::decay::Decay;
+use crate::interface::*;
+use crate::state::*;
+use crate::told::{is, list, need, pick, tenths};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const SECOND: Tenths = 10_000;
+/// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
+const PAUSE: Tenths = 1_000;
+const BACKOFF_MAX: Tenths = 5 * SECOND;
+/// Half-life of what is learned of a member's speed, of usual latencies, and of work done.
+const SPEED_HALF: Tenths = 3 * SECOND / 2;
+const USUAL_HALF: Tenths = 10 * SECOND;
+const WORK_HALF: Tenths = 3 * SECOND;
+/// Until seen, an unhurried answer is taken to need this share of the response target.
+const USUAL_GUESS: f64 = 0.2;
+/// Latency over response target above which an answer shrinks its member's window; below, it grows.
+const CROWDED: f64 = 0.45;
+const WINDOW_START: f64 = 4.0;
+const WINDOW_LOSS: f64 = 0.5;
+/// A command is worth sending while it has this many usual latencies left.
+const TIME_TO_RUN: f64 = 1.2;
+/// Second copies are paid from an allowance that arrivals fill, so they fade under load.
+const COPY_SHARE: f64 = 0.05;
+const COPY_MOST: f64 = 8.0;
+/// Parts of the primary's window open to reads that replicas could serve, and to those that none can.
+const PRIMARY_SPARE: f64 = 0.4;
+const PRIMARY_NEEDED: f64 = 0.6;
+
+#[derive(Default)]
+pub struct Router {
+    told: Told,
+    groups: Vec<CommandGroup>,
+    kinds: BTreeMap<String, usize>,
+    order: Vec<usize>,
+    shares: BTreeMap<String, f64>,
+    traffic: BTreeMap<String, Decay>,
+    all_traffic: Decay,
+    rng: Chance,
+    members: Vec<Member>,
+    nodes: BTreeMap<Id, Node>,
+    sets: BTreeMap<i64, MemberSet>,
+    open: BTreeMap<u64, Open>,
+    by_id: BTreeMap<Id, u64>,
+    next_key: u64,
+    agenda: BTreeSet<(Tenths, Task)>,
+    dirty: BTreeSet<i64>,
+    ready: VecDeque<Decision>,
+    session_writes: BTreeMap<String, Tenths>,
+    copies: f64,
+    slow: Decay,
+    slow_weight: Decay,
+    list_fails: u32,
+    node_checks: bool,
+    tick: Tenths,
+    tightest: Tenths,
+    most: u32,
+}
+
+impl Router {
+    pub fn start(told: Told, seed: u64, now: Tenths) -> Result<Router, String> {
+        let count: usize = need(&told, "request_classes.count")?;
+        let (reads, bounds) =
+            (list(&told, "family_info.class_read"), list(&told, "family_info.lag_allowed_ms"));
+        let (mut groups, mut kinds, mut tightest) = (Vec::new(), BTreeMap::new(), SECOND);
+        for i in 0..count {
+            let key = |name: &str| format!("request_classes.{i}.{name}");
+            let bound = bounds.get(i).and_then(|b| b.parse().ok()).map_or(0, tenths);
+            // What is not told is read the cautious way: primary only, and never twice.
+            let access = match reads.get(i).copied() {
+                Some("any") => Access::Any,
+                Some("bounded") => Access::Bounded(bound),
+                Some("session") => Access::Session,
+                Some("fresh") => Access::Fresh,
+                _ => Access::Write,
+            };
+            if let Access::Bounded(bound) = access {
+                tightest = if tightest == SECOND { bound } else { tightest.min(bound) };
+            }
+            let scope = pick(&told, &key("group"), String::new())?;
+            let window = tenths(pick(&told, &key("window_ms"), 0.0)?);
+            let (everywhere, by_zone) = (scope == "all", scope == "zone");
+            let effect = match told.get(&key("semantics")).map(String::as_str) {
+                Some("pure") => Effect::Replayable,
+                Some("token") => Effect::Keyed { everywhere, by_zone, window },
+                _ => Effect::Mutating,
+            };
+            let timeout: f64 = need(&told, &key("hard_limit_ms"))?;
+            let target = tenths(pick(&told, &key("aim_ms"), timeout)?).max(1);
+            let late_share = pick(&told, &key("late_value"), 0.0)?;
+            let benefit = pick(&told, &key("importance"), 1.0)?;
+            let (latency, answers) = Default::default();
+            kinds.insert(need::<String>(&told, &key("name"))?, i);
+            groups.push(CommandGroup { access, effect, target, late_share, benefit, latency, answers });
+        }
+        let mut order: Vec<usize> = (0..count).collect();
+        let density = |i: usize| groups[i].benefit / groups[i].target as f64;
+        order.sort_by(|a, b| density(*b).total_cmp(&density(*a)));
+        let mut shares = BTreeMap::new();
+        for i in 0..pick(&told, "projects.count", 0)? {
+            let name: String = need(&told, &format!("projects.{i}.name"))?;
+            shares.insert(name, pick(&told, &format!("projects.{i}.share"), 1.0)?);
+        }
+        let checks = "family_info.server_checks";
+        let mut agenda = BTreeSet::new();
+        if !is(&told, "membership_mode", "automatic") {
+            agenda.insert((now, Task::Watch));
+        }
+        Ok(Router {
+            tick: tenths(pick(&told, "tick_ms", 1.0)?).max(1),
+            most: pick(&told, "permissions.max_attempts", 1)?,
+            node_checks: is(&told, checks, "refuse") || is(&told, checks, "wait"),
+            told,
+            groups,
+            kinds,
+            order,
+            shares,
+            rng: Chance::from(seed),
+            agenda,
+            copies: COPY_MOST,
+            tightest,
+            ..Router::default()
+        })
+    }
+
+    fn number(&self, name: &str, or: f64) -> f64 {
+        pick(&self.told, name, or).unwrap_or(or)
+    }
+
+    fn allows(&self, name: &str) -> bool {
+        is(&self.told, name, "true")
+    }
+
+    // ---- what the host tells: what is known is brought up to date, nothing is decided ----
+
+    pub fn command_arrived(&mut self, now: Tenths, command: Command) -> Result<(), String> {
+        let kind = *self.kinds.get(&command.command_group).ok_or("command of a group not in the settings")?;
+        let group = &self.groups[kind];
+        let (timeout, target) = (now + command.time_left, now + group.target);
+        // Without late benefit nothing is spent past the response target, nor ended past it.
+        let ends = if group.late_share > 0.0 { timeout } else { timeout.min(target) } - 2 * self.tick;
+        let remembered = is(&self.told, "family_info.token_mode", "remembered");
+        let needs = match (group.access, command.token_age) {
+            (Access::Session, _) if remembered => {
+                command.session.as_ref().and_then(|s| self.session_writes.get(s)).copied().unwrap_or(0)
+            }
+            (Access::Session, Some(0)) => 0,
+            (Access::Session, age) => now + 1 - age.unwrap_or(0),
+            _ => now + 1,
+        };
+        let over_share = command.customer.as_ref().is_some_and(|c| self.beyond_share(now, c));
+        let rank = 2 * over_share as u8 + command.repeat as u8;
+        let key = self.next_key;
+        self.next_key += 1;
+        self.copies = (self.copies + COPY_SHARE).min(COPY_MOST);
+        self.by_id.insert(command.id.clone(), key);
+        let (id, set, session) = (command.id, command.set, command.session);
+        self.open.insert(key, Open { id, kind, set, rank, ends, needs, session, ..Open::default() });
+        self.agenda.insert((now, Task::Settle(key)));
+        self.agenda.insert((ends, Task::GiveUp(key)));
+        Ok(())
+    }
+
+    pub fn command_left(&mut self, id: &str) {
+        if let Some(&key) = self.by_id.get(id) {
+            self.close(key);
+        }
+    }
+
+    pub fn dispatch_ended(&mut self, now: Tenths, id: &str, end: DispatchEnd) {
+        let DispatchEnd { dispatch, ending, took, over, note, report } = end;
+        let Some(&key) = self.by_id.get(id) else { return };
+        let Some(cmd) = self.open.get_mut(&key) else { return };
+        let Some((node, sent)) = cmd.out.remove(&dispatch) else { return };
+        let write = self.groups[cmd.kind].access == Access::Write;
+        let answered = ending == Ending::Answered;
+        if matches!(ending, Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff) {
+            cmd.maybe_ran.get_or_insert((node, sent));
+        }
+        cmd.broken_round |= matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
+        if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
+            let commit = self.session_writes.entry(session).or_insert(0);
+            *commit = (note.position + 1).max(*commit);
+        }
+        self.dirty.insert(cmd.set);
+        let group = &mut self.groups[cmd.kind];
+        let target = group.target as f64;
+        let ratio = took as f64 / target;
+        if answered {
+            group.latency.add(now, USUAL_HALF, took as f64);
+            group.answers.add(now, USUAL_HALF, 1.0);
+        }
+        if over {
+            self.close(key);
+        } else if cmd.closed {
+            self.forget(key);
+        } else {
+            self.agenda.insert((now, Task::Settle(key)));
+        }
+        self.learn_report(now, node, report);
+        let m = &mut self.members[node];
+        m.out.remove(&(key, dispatch));
+        if !(write && answered) {
+            m.position = m.position.max(note.position);
+        }
+        if matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full) {
+            m.heard = now;
+        }
+        if let Some(primary) = note.primary {
+            (m.noted, m.noted_at) = (Some(primary), now);
+            self.learn_role(node, primary);
+        }
+        let m = &mut self.members[node];
+        match ending {
+            Ending::Answered => {
+                m.fails = 0;
+                m.done_work.add(now, WORK_HALF, target);
+                if m.state == State::TransportError {
+                    m.state = State::Unknown;
+                    self.check_later(node, now);
+                }
+            }
+            Ending::Miss if !write => m.lagging = true,
+            Ending::Full => {
+                // Danger: a full member turned to again at once, by every waiting command in turn.
+                m.window = (m.window / 2.0).max(1.0);
+                m.shy_until = now + PAUSE / 2;
+            }
+            Ending::ConnectFailed | Ending::Reset => self.break_member(now, node),
+            _ => {}
+        }
+        if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
+            self.slow.add(now, SPEED_HALF, ratio);
+            self.slow_weight.add(now, SPEED_HALF, 1.0);
+            let m = &mut self.members[node];
+            m.slow.add(now, SPEED_HALF, ratio);
+            m.slow_weight.add(now, SPEED_HALF, 1.0);
+            // The window follows the member's latency against the response target.
+            if ratio > CROWDED {
+                m.window = (m.window - WINDOW_LOSS * (ratio.min(1.0) - CROWDED)).max(1.0);
+            } else if m.out.len() as f64 + 1.0 >= m.window * 0.6 {
+                m.window += (CROWDED - ratio) / m.window.sqrt();
+            }
+        }
+    }
+
+    pub fn probe_ended(&mut self, now: Tenths, node: &str, ending: Ending, report: Report) {
+        let Some(&node) = self.nodes.get(node) else { return };
+        self.dirty.insert(self.members[node].set);
+        self.learn_report(now, node, report);
+        let m = &mut self.members[node];
+        m.probing = false;
+        if ending != Ending::Answered {
+            return self.break_member(now, node);
+        }
+        m.checked_at = now;
+        if m.state == State::TransportError {
+            // Back after it broke: it may be cold, so it starts with the smallest window.
+            (m.state, m.window) = (State::Unknown, 1.0);
+            if let Some(primary) = report.primary {
+                self.learn_role(node, primary);
+            }
+            self.check_later(node, now + PAUSE);
+        }
+    }
+
+    pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
+        self.list_fails = 0;
+        let removal_binds = !self.allows("rules.soft_removal");
+        if whole && removal_binds {
+            for m in &mut self.members {
+                m.shut |= !entries.iter().any(|e| e.node == m.id);
+            }
+        }
+        for e in entries {
+            let fresh = !self.nodes.contains_key(&e.node);
+            if fresh && e.phase == Phase::Removed {
+                continue;
+            }
+            let node = *self.nodes.entry(e.node.clone()).or_insert(self.members.len());
+            if fresh {
+                let (id, zone, machine) = (e.node.clone(), e.zone.clone(), e.machine.clone());
+                let window = if e.started > 0 { 1.0 } else { WINDOW_START };
+                let (set, started) = (e.set, e.started);
+                let m = Member { id, zone, machine, set, started, window, heard: now, ..Member::default() };
+                self.members.push(m);
+                let s = self.sets.entry(set).or_default();
+                s.nodes.push(node);
+            }
+            let m = &mut self.members[node];
+            m.listed_primary = e.primary;
+            m.been_primary |= e.primary;
+            m.shut = match e.phase {
+                Phase::Up => false,
+                Phase::Draining => true,
+                // A removal that does not bind leaves an earlier drain in force.
+                Phase::Removed => removal_binds || m.shut,
+            };
+            let restarted = e.started > m.started;
+            if restarted {
+                (m.started, m.window) = (e.started, 1.0);
+                if m.heard < e.started {
+                    m.state = State::Unknown;
+                }
+            }
+            if fresh || restarted {
+                // A fresh router, or one that meets a new member, probes it once for position and role.
+                m.checked_at = now - SECOND;
+                self.check_later(node, now);
+            }
+        }
+        let me: usize = pick(&self.told, "me", 0).unwrap_or(0);
+        for (&number, set) in &mut self.sets {
+            self.dirty.insert(number);
+            set.nodes.sort_by(|a, b| self.members[*a].id.cmp(&self.members[*b].id));
+            let count = set.nodes.len();
+            for (i, &node) in set.nodes.iter().enumerate() {
+                self.members[node].tie = (i + count - me % count) % count;
+            }
+        }
+    }
+
+    /// A watch or a fetch failed: ask again after a backoff, well inside the stated interval.
+    pub fn list_failed(&mut self, now: Tenths) {
+        let most = tenths(self.number("rules.ask_every_ms", 5_000.0)) / 2;
+        let wait = self.jittered((PAUSE << self.list_fails.min(6)).min(most));
+        self.list_fails += 1;
+        self.agenda.insert((now + wait, Task::Watch));
+    }
+
+    fn learn_report(&mut self, now: Tenths, node: Node, report: Report) {
+        let Some(position) = report.position else { return };
+        let m = &mut self.members[node];
+        m.position = m.position.max(position);
+        m.checked_at = now;
+        m.lagging &= position + self.tightest <= now;
+        // A report older than the last answer's note proves nothing against that note. A primary stands
+        // at the present, so its position dates its report; a replica's report is no older than its own.
+        if let (Some(primary), true) = (report.primary, position > m.noted_at) {
+            self.learn_role(node, primary);
+        }
+    }
+
+    fn learn_role(&mut self, node: Node, primary: bool) {
+        let m = &mut self.members[node];
+        m.been_primary |= primary;
+        if !primary {
+            if m.state != State::TransportError {
+                m.state = State::TopologyReject;
+            }
+            return;
+        }
+        m.state = State::Healthy;
+        let Some(set) = self.sets.get_mut(&m.set) else { return };
+        (set.broken_rounds, set.round_at) = (0, 0);
+        // One primary a set: whoever was held for it before is a replica by now, or broken.
+        for &other in set.nodes.iter().filter(|n| **n != node) {
+            if self.members[other].state == State::Healthy {
+                self.members[other].state = State::Unknown;
+            }
+        }
+    }
+
+    /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
+    fn break_member(&mut self, now: Tenths, node: Node) {
+        let m = &mut self.members[node];
+        m.state = State::TransportError;
+        let wait = (PAUSE << m.fails.min(6)).min(BACKOFF_MAX);
+        m.fails += 1;
+        let at = now + self.jittered(wait);
+        self.members[node].retry_at = at;
+        self.check_later(node, at);
+    }
+
+    /// True for a customer whose part of this router's recent traffic is well above its share.
+    fn beyond_share(&mut self, now: Tenths, customer: &str) -> bool {
+        let Some(&share) = self.shares.get(customer) else { return false };
+        self.all_traffic.add(now, USUAL_HALF, 1.0);
+        let mine = self.traffic.entry(customer.to_owned()).or_default();
+        mine.add(now, USUAL_HALF, 1.0);
+        mine.read(now, USUAL_HALF) > 1.2 * share * self.all_traffic.read(now, USUAL_HALF)
+    }
+
+    fn jittered(&mut self, base: Tenths) -> Tenths {
+        base + self.rng.below(base)
+    }
+
+    fn check_later(&mut self, node: Node, at: Tenths) {
+        self.members[node].check_at = at;
+        self.agenda.insert((at, Task::Check(node)));
+    }
+
+    fn close(&mut self, key: u64) {
+        let Some(cmd) = self.open.get_mut(&key) else { return };
+        cmd.closed = true;
+        self.dirty.insert(cmd.set);
+        if let Some(set) = self.sets.get_mut(&cmd.set) {
+            if let Some(queue) = set.waiting.get_mut(cmd.kind) {
+                queue.remove(&(cmd.rank, Reverse(key)));
+            }
+            set.scout = set.scout.filter(|s| *s != key);
+        }
+        // An answer that nobody waits for any more is called off, so that waiting work is dropped.
+        if is(&self.told, "permissions.cancel", "true") {
+            for &dispatch in cmd.out.keys() {
+                self.ready.push_back(Decision::CallOff { command: cmd.id.clone(), dispatch });
+            }
+        }
+        self.forget(key);
+    }
+
+    fn forget(&mut self, key: u64) {
+        if self.open.get(&key).is_some_and(|c| c.closed && c.out.is_empty())
+            && let Some(cmd) = self.open.remove(&key)
+        {
+            self.by_id.remove(&cmd.id);
+        }
+    }
+
+    // ---- what the host pulls ----
+
+    pub fn wake_at(&self) -> Option<Tenths> {
+        self.agenda.first().map(|(at, _)| *at)
+    }
+
+    pub fn next_decision(&mut self, now: Tenths) -> Option<Decision> {
+        loop {
+            if let Some(decision) = self.ready.pop_front() {
+                return Some(decision);
+            }
+            if self.agenda.first().is_some_and(|(at, _)| *at <= now) {
+                match self.agenda.pop_first()?.1 {
+                    Task::Settle(key) => self.settle(now, key),
+                    Task::GiveUp(key) => self.give_up(now, key),
+                    Task::Overdue(key, dispatch) => self.overdue(now, key, dispatch),
+                    Task::Look(set) => _ = self.dirty.insert(set),
+                    Task::Check(node) => self.check(now, node),
+                    Task::Watch => self.ready.push_back(Decision::WatchList),
+                }
+            } else {
+                let set = self.dirty.pop_first()?;
+                self.serve(now, set);
+            }
+        }
+    }
+
+    /// A command with nothing out waits for its turn, or is answered at once if it may not be sent again.
+    fn settle(&mut self, now: Tenths, key: u64) {
+        let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
+        let ran = cmd.maybe_ran.is_some() && self.groups[cmd.kind].effect == Effect::Mutating;
+        let late = cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths;
+        if cmd.dispatches >= self.most || ran || now + self.tick >= cmd.ends {
+            return self.give_up(now, key);
+        }
+        let set = self.sets.entry(cmd.set).or_default();
+        set.waiting.resize(self.groups.len(), BTreeSet::new());
+        set.waiting[cmd.kind].insert((cmd.rank, Reverse(key)));
+        self.dirty.insert(cmd.set);
+        self.agenda.insert((late.max(now + self.tick), Task::GiveUp(key)));
+    }
+
+    /// The final answer of a command that is given up: throttled where a repeat is harmless, else failed.
+    fn give_up(&mut self, now: Tenths, key: u64) {
+        let Some(cmd) = self.open.get(&key) else { return };
+        if cmd.closed || (!cmd.out.is_empty() && now < cmd.ends) {
+            return;
+        }
+        let untouched = cmd.maybe_ran.is_none() && cmd.out.is_empty();
+        let harmless = match self.groups[cmd.kind].effect {
+            Effect::Replayable => true,
+            Effect::Keyed { everywhere, .. } => everywhere || untouched,
+            Effect::Mutating => untouched,
+        };
+        let command = cmd.id.clone();
+        let hold_off = if self.allows("permissions.retry_after") { PAUSE } else { 0 };
+        self.ready.push_back(match harmless {
+            true => Decision::Throttle { command, hold_off },
+            false => Decision::Fail { command },
+        });
+        self.close(key);
+    }
+
+    /// Offers the set's waiting commands to its members, dearest command group first, newest first.
+    fn serve(&mut self, now: Tenths, number: i64) {
+        let mut left = false;
+        for i in 0..self.order.len() {
+            let kind = self.order[i];
+            let most = if self.groups[kind].access == Access::Session { 8 } else { 1 };
+            while let Some(queue) = self.sets.get(&number).and_then(|s| s.waiting.get(kind)) {
+                let heads: Vec<Place> = queue.iter().take(most).copied().collect();
+                let Some(&place) = heads.iter().find(|p| self.offer(now, number, p.1.0)) else {
+                    left |= !heads.is_empty();
+                    break;
+                };
+                if let Some(set) = self.sets.get_mut(&number) {
+                    set.waiting[kind].remove(&place);
+                }
+            }
+        }
+        let soon = now + PAUSE / 4;
+        if let Some(set) = self.sets.get_mut(&number).filter(|s| left && s.look_at <= now) {
+            set.look_at = soon;
+            self.agenda.insert((soon, Task::Look(number)));
+        }
+    }
+
+    /// True if the command was sent.
+    fn offer(&mut self, now: Tenths, number: i64, key: u64) -> bool {
+        let node = match self.groups[self.open[&key].kind].access {
+            Access::Write | Access::Fresh => match self.primary(number) {
+                Some(primary) => Some(primary).filter(|p| self.has_room(now, *p, 1.0)),
+                None => {
+                    self.seek(now, number);
+                    self.scout(now, number, key)
+                }
+            },
+            _ => self.pick_reader(now, number, key),
+        };
+        node.is_some_and(|node| self.send(now, key, node))
+    }
+
+    fn primary(&self, number: i64) -> Option<Node> {
+        let healthy = |n: &&Node| self.members[**n].state == State::Healthy && !self.members[**n].shut;
+        self.sets.get(&number)?.nodes.iter().find(healthy).copied()
+    }
+
+    /// The walk of a held write: first by state, ties by listed role, then rotated ids. One write of a set
+    /// scouts and the rest wait on its find, so that an election does not cost each a round of misses.
+    fn scout(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
+        let can_probe = self.allows("permissions.may_probe");
+        let set = self.sets.get_mut(&number)?;
+        let cmd = self.open.get_mut(&key)?;
+        let write = self.groups[cmd.kind].access == Access::Write;
+        if !write || set.scout.is_some_and(|s| s != key) || set.round_at > now {
+            return None;
+        }
+        let open = |m: &Member| match m.state {
+            // Where probes are allowed they find out, and a write is not risked.
+            State::TransportError => !can_probe && m.retry_at <= now,
+            State::TopologyReject => !can_probe || m.noted_at + 5 * PAUSE < now,
+            _ => true,
+        };
+        let walk = set.nodes.iter().copied().filter(|n| {
+            let m = &self.members[*n];
+            !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < self.most.div_ceil(2)
+        });
+        let first = walk.min_by_key(|n| {
+            let m = &self.members[*n];
+            (m.state, !m.listed_primary, m.tie)
+        });
+        if let Some(node) = first {
+            cmd.tried.push(node);
+            set.scout = Some(key);
+            return Some(node);
+        }
+        // The round is over: misses cost the fixed pause, transport errors a backoff with equal jitter.
+        cmd.tried.clear();
+        set.scout = None;
+        let broken = std::mem::take(&mut cmd.broken_round);
+        set.broken_rounds = if broken { set.broken_rounds + 1 } else { 0 };
+        let base = (PAUSE << (set.broken_rounds.clamp(1, 7) - 1)).min(BACKOFF_MAX);
+        let wait = if broken { self.jittered(base) } else { PAUSE };
+        self.sets.get_mut(&number)?.round_at = now + wait;
+        None
+    }
+
+    /// While no primary is known, probes look for it, one round a pause.
+    fn seek(&mut self, now: Tenths, number: i64) {
+        let Some(set) = self.sets.get_mut(&number).filter(|s| s.seek_at <= now) else { return };
+        set.seek_at = now + PAUSE;
+        for node in set.nodes.clone() {
+            if self.members[node].state != State::TransportError {
+                self.probe(node);
+            }
+        }
+    }
+
+    fn probe(&mut self, node: Node) {
+        let allowed = self.allows("permissions.may_probe");
+        let m = &mut self.members[node];
+        if allowed && !m.probing && !m.shut {
+            m.probing = true;
+            self.ready.push_back(Decision::Probe { node: m.id.clone() });
+        }
+    }
+
+    /// The standing check of a member: a broken one is tried again, a replica's position is kept known.
+    fn check(&mut self, now: Tenths, node: Node) {
+        let m = &mut self.members[node];
+        if m.check_at > now {
+            return;
+        }
+        if m.state == State::TransportError {
+            if !is(&self.told, "permissions.may_probe", "true") {
+                (m.state, m.window) = (State::Unknown, 1.0);
+            }
+            return self.probe(node);
+        }
+        // Where nodes check for themselves a miss tells of lag, and only lagging members are reprobed.
+        let spacing = if self.node_checks { (2 * self.tightest).max(5 * PAUSE) } else { self.tightest / 2 };
+        let stale = m.checked_at + spacing <= now + self.tick;
+        let first = m.position == 0;
+        if stale && (first || m.state != State::Healthy && (!self.node_checks || m.lagging)) {
+            self.probe(node);
+        }
+        let next = if stale { now + spacing } else { self.members[node].checked_at + spacing };
+        self.check_later(node, next.max(now + self.tick));
+    }
+
+    fn has_room(&self, now: Tenths, node: Node, part: f64) -> bool {
+        let m = &self.members[node];
+        m.shy_until <= now && (m.out.len() as f64) < (m.window * part).max(1.0)
+    }
+
+    /// The usual latency of a command group's answers; the guess counts as two of them.
+    fn usual(&self, now: Tenths, kind: usize) -> f64 {
+        let group = &self.groups[kind];
+        let guess = group.target as f64 * USUAL_GUESS;
+        (group.latency.read(now, USUAL_HALF) + 2.0 * guess) / (group.answers.read(now, USUAL_HALF) + 2.0)
+    }
+
+    /// A member's mean latency over response target, leaning on its peers' while little is seen.
+    fn slowness(&self, now: Tenths, node: Node) -> f64 {
+        let m = &self.members[node];
+        let (sum, weight) = (m.slow.read(now, SPEED_HALF), m.slow_weight.read(now, SPEED_HALF));
+        (sum + 2.0 * self.peers(now)) / (weight + 2.0)
+    }
+
+    fn peers(&self, now: Tenths) -> f64 {
+        let (sum, weight) = (self.slow.read(now, SPEED_HALF), self.slow_weight.read(now, SPEED_HALF));
+        (sum + 2.0 * USUAL_GUESS) / (weight + 2.0)
+    }
+
+    /// Takes turns over the replicas that are fresh enough and have room; a slow one gets fewer turns.
+    fn pick_reader(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
+        let cmd = &self.open[&key];
+        let group = &self.groups[cmd.kind];
+        // Danger: a read that may outlast the tightest bound can stop a replica applying. Such reads all
+        // go to the same replicas, first by id, so that the others stay fresh.
+        let long = group.access == Access::Any && group.target > self.tightest;
+        let set = self.sets.get(&number)?;
+        let mut best: Option<(f64, Node)> = None;
+        let (mut any_fresh, mut top) = (false, 0.0f64);
+        for (i, &node) in set.nodes.iter().enumerate() {
+            let m = &self.members[node];
+            top = top.max(m.turn);
+            let replica = !m.shut && !matches!(m.state, State::TransportError | State::Healthy);
+            if !replica || cmd.out.values().any(|o| o.0 == node) || !self.fresh_enough(now, cmd, m) {
+                continue;
+            }
+            any_fresh = true;
+            let rank = if long { i as f64 } else { m.turn };
+            if self.has_room(now, node, 1.0) && best.is_none_or(|b| rank < b.0) && self.lawful(now, key, node)
+            {
+                best = Some((rank, node));
+            }
+        }
+        if let Some((_, node)) = best {
+            let weight = (self.peers(now) / self.slowness(now, node)).clamp(0.2, 1.2).powi(2);
+            let m = &mut self.members[node];
+            m.turn = m.turn.max(top - 4.0) + 1.0 / weight;
+            return Some(node);
+        }
+        // No replica qualifies or has room: the primary, as far as that leaves room for writes.
+        let primary = self.primary(number).or_else(|| self.assumed_primary(number))?;
+        let part = if any_fresh { PRIMARY_SPARE } else { PRIMARY_NEEDED };
+        let twice = cmd.out.values().any(|o| o.0 == primary);
+        (!twice && self.has_room(now, primary, part)).then_some(primary)
+    }
+
+    /// Until an answer says otherwise, the listed primary of a set not yet known may stand for it.
+    fn assumed_primary(&self, number: i64) -> Option<Node> {
+        let listed = |n: &&Node| {
+            let m = &self.members[**n];
+            m.listed_primary && m.noted != Some(false) && m.state == State::Unknown && !m.shut
+        };
+        self.sets.get(&number)?.nodes.iter().find(listed).copied()
+    }
+
+    /// Known position against bound or token. Where nodes check for themselves, a miss stands for it.
+    fn fresh_enough(&self, now: Tenths, cmd: &Open, m: &Member) -> bool {
+        match self.groups[cmd.kind].access {
+            Access::Any => true,
+            Access::Bounded(_) if self.node_checks => !m.lagging,
+            Access::Bounded(bound) => m.position > now - bound,
+            Access::Session => m.position >= cmd.needs || (self.node_checks && !m.lagging),
+            Access::Fresh | Access::Write => false,
+        }
+    }
+
+    /// The one gate of every send: the rules on the final answer, effects, drains, age and cold members.
+    fn lawful(&self, now: Tenths, key: u64, node: Node) -> bool {
+        let (cmd, m) = (&self.open[&key], &self.members[node]);
+        let group = &self.groups[cmd.kind];
+        let answer = !cmd.closed && now < cmd.ends && cmd.dispatches < self.most && m.set == cmd.set;
+        let first = cmd.out.values().chain(&cmd.maybe_ran).min_by_key(|o| o.1);
+        let once = cmd.out.is_empty() || self.allows("permissions.second_copies");
+        let effect = match group.effect {
+            Effect::Replayable => true,
+            Effect::Mutating => first.is_none(),
+            Effect::Keyed { everywhere, by_zone, window } => first.is_none_or(|&(at, sent)| {
+                let near = everywhere || !by_zone || self.members[at].zone == m.zone;
+                near && now + self.tick < sent + window
+            }),
+        };
+        let primary = m.state == State::Healthy || (m.been_primary && m.noted != Some(false));
+        let unaged = self.node_checks || matches!(group.access, Access::Any | Access::Write);
+        let age = unaged || primary || self.fresh_enough(now, cmd, m);
+        answer && once && effect && !m.shut && age && self.spares_cold(now, group.target, node)
+    }
+
+    /// Danger: all routers together push over a member that has just started. Each keeps its own sends,
+    /// over the stated span, to what warm members of the kind answer it, times the part that the cold one
+    /// can do by now; the parts add up to less than its capacity, however unequal the routers are.
+    fn spares_cold(&self, now: Tenths, work: Tenths, node: Node) -> bool {
+        let m = &self.members[node];
+        let warm_after = tenths(self.number("rules.warm_after_ms", 20_000.0));
+        if m.started == 0 || now >= m.started + warm_after {
+            return true;
+        }
+        let from = self.number("rules.start_capacity", 0.1);
+        let able = from + (1.0 - from) * ((now - m.started).max(0) as f64 / warm_after as f64);
+        let span = tenths(self.number("rules.fall_ms", 1000.0));
+        let peers = self.members.iter().filter(|o| o.machine == m.machine && now >= o.started + warm_after);
+        let (sum, count) =
+            peers.fold((0.0, 0.0), |(s, c), o| (s + o.done_work.read(now, WORK_HALF), c + 1.0));
+        let rate = sum / f64::max(count, 1.0) / (WORK_HALF as f64 * std::f64::consts::LOG2_E);
+        // What decays with the span's half-life counts at least half while it is inside the span.
+        let spent = m.cold_work.read(now, span);
+        let multiple = self.number("rules.tip_multiple", 1.0).min(2.0);
+        let cheap = self.groups.iter().map(|g| g.target).min().unwrap_or(0) * 3;
+        spent + work as f64 <= rate * span as f64 * able * multiple / 2.0
+            || (spent < 0.1 * work as f64 && work <= cheap)
+    }
+
+    /// Every dispatch goes out here, and only through the gate.
+    fn send(&mut self, now: Tenths, key: u64, node: Node) -> bool {
+        if !self.lawful(now, key, node) {
+            return false;
+        }
+        let cmd = self.open.get_mut(&key).expect("lawful sends are of open commands");
+        let (kind, dispatch, limit) = (cmd.kind, cmd.dispatches, (cmd.ends - now).max(1));
+        cmd.dispatches += 1;
+        cmd.out.insert(dispatch, (node, now));
+        let (command, to) = (cmd.id.clone(), self.members[node].id.clone());
+        self.ready.push_back(Decision::Dispatch { command, node: to, limit });
+        let patience = (self.usual(now, kind) * 2.5) as Tenths;
+        self.agenda.insert((now + patience.max(2 * self.tick), Task::Overdue(key, dispatch)));
+        let span = tenths(self.number("rules.fall_ms", 1000.0));
+        let m = &mut self.members[node];
+        m.out.insert((key, dispatch), now);
+        m.cold_work.add(now, span, self.groups[kind].target as f64);
+        true
+    }
+
+    /// A dispatch is out for longer than usual: the member may be silent, and a second copy may help.
+    fn overdue(&mut self, now: Tenths, key: u64, dispatch: u32) {
+        let Some(cmd) = self.open.get(&key).filter(|c| !c.closed) else { return };
+        let Some(&(node, sent)) = cmd.out.get(&dispatch) else { return };
+        let (number, ends, copied) = (cmd.set, cmd.ends, cmd.out.len() > 1);
+        let access = self.groups[cmd.kind].access;
+        let usual = (self.usual(now, cmd.kind) as Tenths).max(self.tick);
+        let m = &self.members[node];
+        let late = m.out.values().filter(|at| **at + 2 * usual < now).count();
+        // Danger: a member that takes work and answers nothing (hung, cut off). Told from one heavy
+        // command by others that are overdue beside it, or by silence beyond any usual length.
+        if m.heard < sent && m.state != State::TransportError && (late >= 3 || now - sent > 7 * usual) {
+            self.break_member(now, node);
+            self.probe(node);
+            self.dirty.insert(number);
+        }
+        if copied || matches!(access, Access::Write | Access::Fresh) {
+            self.agenda.insert((now + 2 * usual, Task::Overdue(key, dispatch)));
+        } else if self.copies >= 1.0
+            && now + usual < ends
+            && let Some(other) = self.pick_reader(now, number, key)
+            && self.send(now, key, other)
+        {
+            self.copies -= 1.0;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/decide/tests.rs
@@ -0,0 +1,346 @@
+//! Each test builds the state that it needs and calls one function.
+
+use super::*;
+use rstest::rstest;
+
+const NOW: Tenths = 1_000_000;
+const KINDS: [&str; 5] = ["any", "bounded", "session", "fresh", "write"];
+
+/// A router with one set of three members, `a` the listed primary, and a command group for each access.
+fn router(extra: &[(&str, &str)]) -> Router {
+    let mut told = Told::new();
+    let mut tell = |name: &str, value: &str| _ = told.insert(name.to_owned(), value.to_owned());
+    tell("request_classes.count", "5");
+    tell("family_info.class_read", "any,bounded,session,fresh,write");
+    tell("family_info.lag_allowed_ms", "0,300,0,0,0");
+    for (i, kind) in KINDS.iter().enumerate() {
+        tell(&format!("request_classes.{i}.name"), kind);
+        tell(&format!("request_classes.{i}.aim_ms"), "250");
+        tell(&format!("request_classes.{i}.hard_limit_ms"), "3000");
+        tell(&format!("request_classes.{i}.late_value"), "0.5");
+        tell(&format!("request_classes.{i}.semantics"), if i == 4 { "side_effect" } else { "pure" });
+    }
+    for name in ["cancel", "may_probe", "second_copies", "retry_after"] {
+        tell(&format!("permissions.{name}"), "true");
+    }
+    tell("permissions.max_attempts", "6");
+    tell("membership_mode", "automatic");
+    for (name, value) in extra {
+        tell(name, value);
+    }
+    let mut router = Router::start(told, 7, NOW - SECOND).expect("complete settings");
+    let entries: Vec<Entry> = ["a", "b", "c"].iter().map(|id| entry(id, Phase::Up, 0)).collect();
+    router.members_changed(NOW - SECOND, true, &entries);
+    router
+}
+
+fn entry(id: &str, phase: Phase, started: Tenths) -> Entry {
+    let primary = id == "a";
+    Entry { node: id.into(), zone: "z".into(), machine: "m".into(), set: 1, phase, started, primary }
+}
+
+/// An open command of the access, known under the key 0.
+fn open(router: &mut Router, kind: &str) {
+    let kind = KINDS.iter().position(|k| *k == kind).expect("a known kind");
+    let cmd = Open { id: "cmd".into(), kind, set: 1, ends: NOW + 20_000, needs: NOW, ..Open::default() };
+    router.by_id.insert("cmd".into(), 0);
+    router.open.insert(0, cmd);
+}
+
+fn ended(ending: Ending, primary: Option<bool>) -> DispatchEnd {
+    let note = Note { primary, position: 0 };
+    DispatchEnd { dispatch: 0, ending, took: 100, over: false, note, report: Report::default() }
+}
+
+#[rstest]
+#[case("a", 0.0)]
+#[case("b", 1.0)]
+fn decaying_sum_halves(#[case] _name: &str, #[case] halves: f64) {
+    let mut sum = Decay::default();
+    sum.add(NOW, 100, 8.0);
+    assert_eq!(sum.read(NOW + (100.0 * halves) as Tenths, 100), 8.0 / halves.exp2());
+}
+
+#[rstest]
+#[case::miss(Ending::Miss, Some(false), State::TopologyReject)]
+#[case::answer_of_a_primary(Ending::Answered, Some(true), State::Healthy)]
+#[case::connection(Ending::ConnectFailed, None, State::TransportError)]
+#[case::reset(Ending::Reset, None, State::TransportError)]
+#[case::time_out_proves_nothing(Ending::TimedOut, None, State::Unknown)]
+fn endings_rank_members(#[case] ending: Ending, #[case] role: Option<bool>, #[case] state: State) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    r.dispatch_ended(NOW, "cmd", ended(ending, role));
+    assert_eq!(r.members[1].state, state);
+}
+
+#[rstest]
+#[case::listed_primary_first([State::Unknown; 3], &[], Some(0))]
+#[case::walks_past_the_tried([State::TopologyReject, State::Unknown, State::Unknown], &[0], Some(1))]
+#[case::state_before_list([State::TopologyReject, State::TopologyReject, State::Unknown], &[], Some(2))]
+#[case::round_over([State::Unknown; 3], &[0, 1, 2], None)]
+fn write_walks_by_rank(#[case] states: [State; 3], #[case] tried: &[Node], #[case] first: Option<Node>) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().tried = tried.to_vec();
+    for (m, state) in r.members.iter_mut().zip(states) {
+        m.state = state;
+    }
+    assert_eq!(r.scout(NOW, 1, 0), first);
+}
+
+#[rstest]
+#[case::misses(false, PAUSE, PAUSE)]
+#[case::broken(true, PAUSE, 2 * PAUSE - 1)]
+fn held_round_pauses(#[case] broken: bool, #[case] least: Tenths, #[case] most: Tenths) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.tried, cmd.broken_round) = (vec![0, 1, 2], broken);
+    r.scout(NOW, 1, 0);
+    assert!((NOW + least..=NOW + most).contains(&r.sets[&1].round_at));
+}
+
+#[rstest]
+fn held_writes_wait_on_one_scout() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.sets.get_mut(&1).unwrap().scout = Some(9);
+    assert_eq!(r.scout(NOW, 1, 0), None);
+}
+
+#[rstest]
+fn half_the_dispatches_end_a_round() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().dispatches = 3;
+    assert_eq!(r.scout(NOW, 1, 0), None);
+}
+
+#[rstest]
+#[case::fresh_enough(NOW - 2_999, true)]
+#[case::at_the_bound(NOW - 3_000, false)]
+#[case::old(NOW - 9_000, false)]
+fn bounded_reads_need_a_proven_position(#[case] position: Tenths, #[case] lawful: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[1].position = position;
+    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+}
+
+#[rstest]
+#[case::behind_the_token(-1, false)]
+#[case::at_the_token(0, true)]
+fn session_reads_need_their_token(#[case] past: Tenths, #[case] lawful: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "session");
+    r.members[1].position = NOW + past;
+    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+}
+
+#[rstest]
+#[case::carried("carried", Some(500), NOW + 1 - 500)]
+#[case::carried_none("carried", Some(0), 0)]
+#[case::carried_left_out("carried", None, NOW + 1)]
+#[case::remembered("remembered", None, 77)]
+fn token_becomes_a_position(#[case] mode: &str, #[case] age: Option<Tenths>, #[case] needs: Tenths) {
+    let mut r = router(&[("family_info.token_mode", mode)]);
+    r.session_writes.insert("s".into(), 77);
+    let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
+    let (customer, time_left, token_age) = (None, 9_000, age);
+    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat: false };
+    r.command_arrived(NOW, cmd).unwrap();
+    assert_eq!(r.open[&0].needs, needs);
+}
+
+#[rstest]
+fn commit_of_an_answered_write_is_remembered() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.session, cmd.out) = (Some("s".into()), BTreeMap::from([(0, (0, NOW))]));
+    let note = Note { primary: Some(true), position: 500 };
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { note, ..ended(Ending::Answered, None) });
+    assert_eq!(r.session_writes["s"], 501);
+}
+
+#[rstest]
+#[case::untouched(None, true)]
+#[case::may_have_run(Some((0, NOW)), false)]
+fn mutating_is_not_sent_again(#[case] ran: Option<(Node, Tenths)>, #[case] lawful: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().maybe_ran = ran;
+    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+}
+
+#[rstest]
+#[case::miss(Ending::Miss, None)]
+#[case::full(Ending::Full, None)]
+#[case::connection(Ending::ConnectFailed, None)]
+#[case::never_sent(Ending::NeverSent, None)]
+#[case::error(Ending::Error, Some((1, NOW)))]
+#[case::time_out(Ending::TimedOut, Some((1, NOW)))]
+#[case::reset(Ending::Reset, Some((1, NOW)))]
+fn endings_prove_what_ran(#[case] ending: Ending, #[case] ran: Option<(Node, Tenths)>) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    r.dispatch_ended(NOW, "cmd", ended(ending, None));
+    assert_eq!(r.open[&0].maybe_ran, ran);
+}
+
+#[rstest]
+#[case::in_window("token", "cell", 10, true)]
+#[case::past_window("token", "cell", 60_000, false)]
+fn keyed_keeps_to_its_window(
+    #[case] effect: &str,
+    #[case] group: &str,
+    #[case] age: Tenths,
+    #[case] ok: bool,
+) {
+    let class = |name: &str| format!("request_classes.4.{name}");
+    let (a, b, c) = (class("semantics"), class("group"), class("window_ms"));
+    let mut r = router(&[(&a, effect), (&b, group), (&c, "5000")]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().maybe_ran = Some((0, NOW - age));
+    assert_eq!(r.lawful(NOW, 0, 1), ok);
+}
+
+#[rstest]
+#[case::untouched(None, true)]
+#[case::may_have_run(Some((0, NOW)), false)]
+fn given_up_writes_are_throttled_only_when_harmless(
+    #[case] ran: Option<(Node, Tenths)>,
+    #[case] harmless: bool,
+) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().maybe_ran = ran;
+    r.give_up(NOW, 0);
+    assert_eq!(matches!(r.ready[0], Decision::Throttle { .. }), harmless);
+}
+
+#[rstest]
+#[case::drains(Phase::Draining, "false", true)]
+#[case::gone(Phase::Removed, "false", true)]
+#[case::gone_but_not_binding(Phase::Removed, "true", false)]
+fn told_members_get_nothing_new(#[case] phase: Phase, #[case] soft: &str, #[case] shut: bool) {
+    let mut r = router(&[("rules.soft_removal", soft)]);
+    r.members_changed(NOW, false, &[entry("b", phase, 0)]);
+    open(&mut r, "any");
+    assert_eq!(r.lawful(NOW, 0, 1), !shut);
+}
+
+#[rstest]
+#[case::left_out_of_a_full_list(true, true)]
+#[case::left_out_of_a_change(false, false)]
+fn absent_members_are_gone(#[case] whole: bool, #[case] shut: bool) {
+    let mut r = router(&[]);
+    r.members_changed(NOW, whole, &[entry("a", Phase::Up, 0)]);
+    assert_eq!(r.members[1].shut, shut);
+}
+
+#[rstest]
+#[case::warm(0, 9e9, true)]
+#[case::budget_left(NOW - 10, 10.0, true)]
+#[case::budget_spent(NOW - 10, 9e9, false)]
+fn cold_members_have_a_budget(#[case] started: Tenths, #[case] spent: f64, #[case] lawful: bool) {
+    let mut r = router(&[("rules.start_capacity", "0.2"), ("rules.warm_after_ms", "18000")]);
+    open(&mut r, "any");
+    r.members[1].started = started;
+    r.members[1].cold_work.add(NOW, SECOND, spent);
+    for warm in [0, 2] {
+        r.members[warm].done_work.add(NOW, WORK_HALF, 4e6);
+    }
+    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+}
+
+#[rstest]
+fn turns_pass_over_replicas() {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.members[0].state = State::Healthy;
+    r.members[1].turn = 1.0;
+    assert_eq!(r.pick_reader(NOW, 1, 0), Some(2));
+}
+
+#[rstest]
+#[case::primary_when_none_qualifies(NOW - 9_000, Some(0))]
+#[case::replica_when_one_does(NOW - 9, Some(1))]
+fn reads_fall_to_the_primary_last(#[case] position: Tenths, #[case] node: Option<Node>) {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[0].state = State::Healthy;
+    r.members[1].position = position;
+    assert_eq!(r.pick_reader(NOW, 1, 0), node);
+}
+
+#[rstest]
+#[case::newer_than_the_note(NOW + 1, State::Healthy)]
+#[case::older_than_the_note(NOW - 1, State::TopologyReject)]
+fn note_outweighs_an_older_report(#[case] position: Tenths, #[case] state: State) {
+    let mut r = router(&[]);
+    (r.members[1].noted_at, r.members[1].state) = (NOW, State::TopologyReject);
+    r.learn_report(NOW + 2, 1, Report { primary: Some(true), position: Some(position) });
+    assert_eq!(r.members[1].state, state);
+}
+
+#[rstest]
+#[case::one_heavy_command(1, State::Healthy)]
+#[case::several_overdue(3, State::TransportError)]
+fn silence_is_told_from_one_heavy_command(#[case] overdue: u32, #[case] state: State) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    (r.members[0].state, r.members[0].heard) = (State::Healthy, NOW - 9_000);
+    let sent = NOW - (r.usual(NOW, 4) * 3.0) as Tenths;
+    r.open.get_mut(&0).unwrap().out.insert(0, (0, sent));
+    r.members[0].out = (0..overdue).map(|i| ((0, i), sent)).collect();
+    r.overdue(NOW, 0, 0);
+    assert_eq!(r.members[0].state, state);
+}
+
+#[rstest]
+fn full_member_is_rested() {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Full, None));
+    assert!(!r.has_room(NOW, 1, 1.0));
+}
+
+#[rstest]
+#[case::answered_late(Ending::Answered, 3_000, false)]
+#[case::answered_early(Ending::Answered, 100, true)]
+fn window_follows_latency(#[case] ending: Ending, #[case] took: Tenths, #[case] grows: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    r.members[1].window = 1.5;
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { took, ..ended(ending, None) });
+    assert_eq!(r.members[1].window > 1.5, grows);
+}
+
+#[rstest]
+fn failed_list_is_asked_for_again() {
+    let mut r = router(&[]);
+    r.list_failed(NOW);
+    assert!(r.agenda.iter().any(|(at, task)| *task == Task::Watch && *at > NOW && *at < NOW + SECOND));
+}
+
+#[rstest]
+#[case::departed("left")]
+#[case::unknown("never seen")]
+fn news_of_what_is_over_changes_nothing(#[case] id: &str) {
+    let mut r = router(&[]);
+    r.dispatch_ended(NOW, id, ended(Ending::Answered, Some(true)));
+    assert_eq!(r.members[0].state, State::Unknown);
+}
+
+#[rstest]
+fn unreadable_setting_is_named() {
+    let told = Told::from([("request_classes.count".to_owned(), "many".to_owned())]);
+    let why = Router::start(told, 1, NOW).err().expect("no start");
+    assert!(why.contains("request_classes.count") && why.contains("many"));
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,100 @@
+//! The plain types at the border of [`crate::Router`]. Nothing is decided here.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A time or a length of time in whole tenths of a millisecond.
+pub type Tenths = i64;
+
+/// An id as the wire gives it.
+pub type Id = Arc<str>;
+
+/// The settings that an instance starts with: names to values, as told.
+pub type Told = BTreeMap<String, String>;
+
+/// A command as it reaches the router.
+#[derive(Clone, Debug)]
+pub struct Command {
+    pub id: Id,
+    pub command_group: String,
+    pub customer: Option<String>,
+    /// The set of members that holds its data.
+    pub set: i64,
+    /// Time until the client gives up on this try.
+    pub time_left: Tenths,
+    /// Age of the session's last write, where clients carry tokens.
+    pub token_age: Option<Tenths>,
+    pub session: Option<String>,
+    /// Known to be a client's further try.
+    pub repeat: bool,
+}
+
+/// How a dispatch or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Answered,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    CalledOff,
+    NeverSent,
+    Miss,
+}
+
+/// What a member said of itself with an answer: role, and a position (0 if left out).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Note {
+    pub primary: Option<bool>,
+    pub position: Tenths,
+}
+
+/// What a member's report said, as old as the report is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub primary: Option<bool>,
+    pub position: Option<Tenths>,
+}
+
+/// How a dispatch came to its end, and what came with that.
+#[derive(Clone, Copy, Debug)]
+pub struct DispatchEnd {
+    pub dispatch: u32,
+    pub ending: Ending,
+    pub took: Tenths,
+    /// The command is over: nothing is owed for it any more.
+    pub over: bool,
+    pub note: Note,
+    pub report: Report,
+}
+
+/// One line of the member list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub node: Id,
+    pub zone: Id,
+    pub machine: Id,
+    pub set: i64,
+    pub phase: Phase,
+    pub started: Tenths,
+    pub primary: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Up,
+    Draining,
+    Removed,
+}
+
+/// What the router wants done next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    Dispatch { command: Id, node: Id, limit: Tenths },
+    Throttle { command: Id, hold_off: Tenths },
+    Fail { command: Id },
+    CallOff { command: Id, dispatch: u32 },
+    Probe { node: Id },
+    WatchList,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! vetchkeel decides where each command of a sharded, replicated database goes.
+//! The decisions are in `decide`, the types at their border in `interface`.
+
+mod decay;
+mod decide;
+mod interface;
+mod state;
+mod told;
+
+pub use decide::Router;
+pub use interface::*;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,151 @@
+//! What a router holds. Nothing is decided here: `decide` alone reads and changes it.
+
+use crate::decay::Decay;
+use crate::interface::{Id, Tenths};
+use nanorand::{Rng, WyRand};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A member's place in the router's table.
+pub(crate) type Node = usize;
+
+/// The paper's states, best first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum State {
+    Healthy,
+    #[default]
+    Unknown,
+    TransportError,
+    TopologyReject,
+}
+
+/// How new a command group's data must be; a bound where there is one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Access {
+    Any,
+    Bounded(Tenths),
+    Session,
+    Fresh,
+    Write,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    Replayable,
+    Keyed { everywhere: bool, by_zone: bool, window: Tenths },
+    Mutating,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct CommandGroup {
+    pub access: Access,
+    pub effect: Effect,
+    pub target: Tenths,
+    pub late_share: f64,
+    pub benefit: f64,
+    pub latency: Decay,
+    pub answers: Decay,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Member {
+    pub id: Id,
+    pub set: i64,
+    pub zone: Id,
+    pub machine: Id,
+    pub tie: usize,
+    pub listed_primary: bool,
+    /// Told as draining or gone.
+    pub shut: bool,
+    pub started: Tenths,
+    pub state: State,
+    pub been_primary: bool,
+    /// The role in the last answer's note, and when that came.
+    pub noted: Option<bool>,
+    pub noted_at: Tenths,
+    /// Proven: all commits up to here are applied.
+    pub position: Tenths,
+    pub checked_at: Tenths,
+    pub lagging: bool,
+    pub heard: Tenths,
+    /// Dispatches out: command and number, with the time of each.
+    pub out: BTreeMap<(u64, u32), Tenths>,
+    pub window: f64,
+    pub shy_until: Tenths,
+    pub slow: Decay,
+    pub slow_weight: Decay,
+    pub done_work: Decay,
+    pub cold_work: Decay,
+    pub turn: f64,
+    pub probing: bool,
+    pub fails: u32,
+    pub retry_at: Tenths,
+    pub check_at: Tenths,
+}
+
+/// A waiting command: what goes behind has the higher rank, and the newest goes first.
+pub(crate) type Place = (u8, Reverse<u64>);
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct MemberSet {
+    pub nodes: Vec<Node>,
+    /// Waiting commands, a queue for each command group.
+    pub waiting: Vec<BTreeSet<Place>>,
+    pub scout: Option<u64>,
+    pub seek_at: Tenths,
+    pub look_at: Tenths,
+    pub broken_rounds: u32,
+    pub round_at: Tenths,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Open {
+    pub id: Id,
+    pub kind: usize,
+    pub set: i64,
+    pub rank: u8,
+    /// When the last use of an answer ends.
+    pub ends: Tenths,
+    /// The position that a session or fresh read must see.
+    pub needs: Tenths,
+    pub session: Option<String>,
+    pub dispatches: u32,
+    pub out: BTreeMap<u32, (Node, Tenths)>,
+    /// The first dispatch that may have run.
+    pub maybe_ran: Option<(Node, Tenths)>,
+    pub tried: Vec<Node>,
+    pub broken_round: bool,
+    pub closed: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Task {
+    Settle(u64),
+    GiveUp(u64),
+    Overdue(u64, u32),
+    Look(i64),
+    Check(Node),
+    Watch,
+}
+
+/// The instance's chance, from its seed alone.
+pub(crate) struct Chance(WyRand);
+
+impl Default for Chance {
+    fn default() -> Chance {
+        Chance::from(0)
+    }
+}
+
+impl From<u64> for Chance {
+    fn from(seed: u64) -> Chance {
+        Chance(WyRand::new_seed(seed))
+    }
+}
+
+impl Chance {
+    /// A length of time from 0 up to, but not including, `most`.
+    pub(crate) fn below(&mut self, most: Tenths) -> Tenths {
+        self.0.generate_range(0..most.max(1) as u64) as Tenths
+    }
+}
