Windows below one pace sends where many routers share a member

Change: a window may fall below one, which becomes a pause between sends; a start shares its window out over the routers that the settings name. Also answers connection limits and small members. It may hurt where a router's traffic comes in rare bursts.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,7 +25,9 @@
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
 const CROWDED: f64 = 0.45;
-const WINDOW_START: f64 = 4.0;
+/// Dispatches out to one member, over all routers, that a start supposes; the least for one router.
+const WINDOW_START: f64 = 10.0;
+const WINDOW_LEAST: f64 = 0.1;
 const WINDOW_LOSS: f64 = 0.5;
 /// A command is worth sending while it has this many usual latencies left.
 const TIME_TO_RUN: f64 = 1.2;
@@ -193,7 +195,7 @@
         }
         self.dirty.insert(cmd.set);
         let group = &mut self.groups[cmd.kind];
-        let target = group.target as f64;
+        let (kind, target) = (cmd.kind, group.target as f64);
         let ratio = took as f64 / target;
         if answered {
             group.latency.add(now, USUAL_HALF, took as f64);
@@ -206,6 +208,7 @@
         } else {
             self.agenda.insert((now, Task::Settle(key)));
         }
+        let usual = self.usual(now, kind);
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.out.remove(&(key, dispatch));
@@ -232,23 +235,29 @@
             Ending::Miss if !write => m.lagging = true,
             Ending::Full => {
                 // Danger: a full member turned to again at once, by every waiting command in turn.
-                m.window = (m.window / 2.0).max(1.0);
+                m.window = (m.window / 2.0).max(WINDOW_LEAST);
                 m.shy_until = now + PAUSE / 2;
             }
             Ending::ConnectFailed | Ending::Reset => self.break_member(now, node),
             _ => {}
         }
+        let m = &mut self.members[node];
+        // Danger: many routers, each with one dispatch out, crowd a small member between them. A window
+        // below one is a pause between sends, so that on the mean so much less than one is out.
+        if m.window < 1.0 {
+            m.shy_until = m.shy_until.max(now + (usual * (1.0 / m.window - 1.0)) as Tenths);
+        }
         if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
             self.slow.add(now, SPEED_HALF, ratio);
             self.slow_weight.add(now, SPEED_HALF, 1.0);
-            let m = &mut self.members[node];
             m.slow.add(now, SPEED_HALF, ratio);
             m.slow_weight.add(now, SPEED_HALF, 1.0);
             // The window follows the member's latency against the response target.
             if ratio > CROWDED {
-                m.window = (m.window - WINDOW_LOSS * (ratio.min(1.0) - CROWDED)).max(1.0);
+                let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
+                m.window = f64::max(m.window - loss * m.window.min(1.0), WINDOW_LEAST);
             } else if m.out.len() as f64 + 1.0 >= m.window * 0.6 {
-                m.window += (CROWDED - ratio) / m.window.sqrt();
+                m.window += (CROWDED - ratio) / m.window.max(1.0).sqrt() * m.window.min(1.0).sqrt();
             }
         }
     }
@@ -275,6 +284,7 @@
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
+        let start = (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST);
         let removal_binds = !self.allows("rules.soft_removal");
         if whole && removal_binds {
             for m in &mut self.members {
@@ -289,7 +299,7 @@
             let node = *self.nodes.entry(e.node.clone()).or_insert(self.members.len());
             if fresh {
                 let (id, zone, machine) = (e.node.clone(), e.zone.clone(), e.machine.clone());
-                let window = if e.started > 0 { 1.0 } else { WINDOW_START };
+                let window = if e.started > 0 { start.min(1.0) } else { start };
                 let (set, started) = (e.set, e.started);
                 let m = Member { id, zone, machine, set, started, window, heard: now, ..Member::default() };
                 self.members.push(m);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -322,6 +322,18 @@
     assert_eq!(r.members[1].window > 1.5, grows);
 }
 
+#[rstest]
+#[case::one(1.0, true)]
+#[case::a_half(0.5, false)]
+fn window_below_one_is_a_pause(#[case] window: f64, #[case] room: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    r.members[1].window = window;
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { took: 2_000, ..ended(Ending::Answered, None) });
+    assert_eq!(r.has_room(NOW, 1, 1.0), room);
+}
+
 #[rstest]
 fn failed_list_is_asked_for_again() {
     let mut r = router(&[]);
