Long reads keep to one replica a set, so that the others go on applying

Told from slow applying by the positions: they stood still, for as long as such reads were out, on members that answered in 50 ms. Change: such reads (response target over the tightest bound) wait for the set's first replica by id, the same at all routers; copies too. It may hurt where long reads are more than one replica can carry; then the primary's spare room takes some.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -654,24 +654,30 @@
     fn pick_reader(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
         let cmd = &self.open[&key];
         let group = &self.groups[cmd.kind];
-        // Danger: a read that may outlast the tightest bound can stop a replica applying. Such reads all
-        // go to the same replicas, first by id, so that the others stay fresh.
+        // Danger: a read that may outlast the tightest bound can stop a replica applying. Such reads wait
+        // for the first replica by id, the same for all routers, and the others stay fresh.
         let long = group.access == Access::Any && group.target > self.tightest;
         let set = self.sets.get(&number)?;
         let mut best: Option<(f64, Node)> = None;
         let (mut any_fresh, mut top) = (false, 0.0f64);
-        for (i, &node) in set.nodes.iter().enumerate() {
+        for &node in &set.nodes {
             let m = &self.members[node];
             top = top.max(m.turn);
             let replica = !m.shut && !matches!(m.state, State::TransportError | State::Healthy);
-            if !replica || cmd.out.values().any(|o| o.0 == node) || !self.fresh_enough(now, cmd, m) {
+            if !replica || !self.fresh_enough(now, cmd, m) {
                 continue;
             }
             any_fresh = true;
-            let rank = if long { i as f64 } else { m.turn };
-            if self.has_room(now, node, 1.0) && best.is_none_or(|b| rank < b.0) && self.lawful(now, key, node)
+            let again = cmd.out.values().any(|o| o.0 == node);
+            if !again
+                && self.has_room(now, node, 1.0)
+                && best.is_none_or(|b| m.turn < b.0)
+                && self.lawful(now, key, node)
             {
-                best = Some((rank, node));
+                best = Some((m.turn, node));
+            }
+            if long {
+                break;
             }
         }
         if let Some((_, node)) = best {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -266,6 +266,17 @@
     assert_eq!(r.pick_reader(NOW, 1, 0), Some(2));
 }
 
+#[rstest]
+#[case::first_has_room(0, Some(1))]
+#[case::first_is_full(NOW + 1, None)]
+fn long_reads_keep_to_one_replica(#[case] shy_until: Tenths, #[case] node: Option<Node>) {
+    let mut r = router(&[("request_classes.0.aim_ms", "2000")]);
+    open(&mut r, "any");
+    (r.members[0].state, r.members[0].shy_until) = (State::Healthy, NOW + 1);
+    (r.members[1].turn, r.members[1].shy_until) = (9.0, shy_until);
+    assert_eq!(r.pick_reader(NOW, 1, 0), node);
+}
+
 #[rstest]
 #[case::primary_when_none_qualifies(NOW - 9_000, Some(0))]
 #[case::replica_when_one_does(NOW - 9, Some(1))]
