--- a/src/decay.rs
+++ b/src/decay.rs
@@ -19,3 +19,22 @@
         self.at = self.at.max(now);
     }
 }
+
+/// A mean whose parts fade with age.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Mean {
+    sum: Decay,
+    weight: Decay,
+}
+
+impl Mean {
+    /// The mean as it stands at `now`, with `guess` counted as two more parts.
+    pub(crate) fn read(&self, now: Tenths, half_life: Tenths, guess: f64) -> f64 {
+        (self.sum.read(now, half_life) + 2.0 * guess) / (self.weight.read(now, half_life) + 2.0)
+    }
+
+    pub(crate) fn add(&mut self, now: Tenths, half_life: Tenths, part: f64) {
+        self.sum.add(now, half_life, part);
+        self.weight.add(now, half_life, 1.0);
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,10 +6,10 @@
 //! news. The types at the border are in `interface.rs`, what is held in `state.rs`, the reasons in
 //! `docs/design.md`.
 
-use crate::decay::Decay;
+use crate::decay::{Decay, Mean};
 use crate::interface::*;
 use crate::state::*;
-use crate::told::{is, list, need, pick, tenths};
+use crate::told::{command_group, is, need, pick, tenths};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -24,7 +24,7 @@
 /// Until seen, an unhurried answer is taken to need this share of the response target.
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
-const CROWDED: f64 = 0.45;
+const CROWDED: f64 = 0.33;
 /// Dispatches out to one member, over all routers, that a start supposes; the least for one router.
 const WINDOW_START: f64 = 10.0;
 const WINDOW_LEAST: f64 = 0.1;
@@ -59,8 +59,7 @@
     ready: VecDeque<Decision>,
     session_writes: BTreeMap<String, Tenths>,
     copies: f64,
-    slow: Decay,
-    slow_weight: Decay,
+    slow: Mean,
     list_fails: u32,
     node_checks: bool,
     tick: Tenths,
@@ -71,39 +70,17 @@
 impl Router {
     pub fn start(told: Told, seed: u64, now: Tenths) -> Result<Router, String> {
         let count: usize = need(&told, "request_classes.count")?;
-        let (reads, bounds) =
-            (list(&told, "family_info.class_read"), list(&told, "family_info.lag_allowed_ms"));
-        let (mut groups, mut kinds, mut tightest) = (Vec::new(), BTreeMap::new(), SECOND);
+        let (mut groups, mut kinds) = (Vec::new(), BTreeMap::new());
         for i in 0..count {
-            let key = |name: &str| format!("request_classes.{i}.{name}");
-            let bound = bounds.get(i).and_then(|b| b.parse().ok()).map_or(0, tenths);
-            // What is not told is read the cautious way: primary only, and never twice.
-            let access = match reads.get(i).copied() {
-                Some("any") => Access::Any,
-                Some("bounded") => Access::Bounded(bound),
-                Some("session") => Access::Session,
-                Some("fresh") => Access::Fresh,
-                _ => Access::Write,
-            };
-            if let Access::Bounded(bound) = access {
-                tightest = if tightest == SECOND { bound } else { tightest.min(bound) };
-            }
-            let scope = pick(&told, &key("group"), String::new())?;
-            let window = tenths(pick(&told, &key("window_ms"), 0.0)?);
-            let (everywhere, by_zone) = (scope == "all", scope == "zone");
-            let effect = match told.get(&key("semantics")).map(String::as_str) {
-                Some("pure") => Effect::Replayable,
-                Some("token") => Effect::Keyed { everywhere, by_zone, window },
-                _ => Effect::Mutating,
-            };
-            let timeout: f64 = need(&told, &key("hard_limit_ms"))?;
-            let target = tenths(pick(&told, &key("aim_ms"), timeout)?).max(1);
-            let late_share = pick(&told, &key("late_value"), 0.0)?;
-            let benefit = pick(&told, &key("importance"), 1.0)?;
-            let (latency, answers) = Default::default();
-            kinds.insert(need::<String>(&told, &key("name"))?, i);
-            groups.push(CommandGroup { access, effect, target, late_share, benefit, latency, answers });
+            let (name, group) = command_group(&told, i)?;
+            kinds.insert(name, i);
+            groups.push(group);
         }
+        let bounds = groups.iter().filter_map(|g| match g.access {
+            Access::Bounded(bound) => Some(bound),
+            _ => None,
+        });
+        let tightest = bounds.min().unwrap_or(SECOND);
         let mut order: Vec<usize> = (0..count).collect();
         let density = |i: usize| groups[i].benefit / groups[i].target as f64;
         order.sort_by(|a, b| density(*b).total_cmp(&density(*a)));
@@ -199,7 +176,6 @@
         let ratio = took as f64 / target;
         if answered {
             group.latency.add(now, USUAL_HALF, took as f64);
-            group.answers.add(now, USUAL_HALF, 1.0);
         }
         if over {
             self.close(key);
@@ -249,9 +225,7 @@
         }
         if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
             self.slow.add(now, SPEED_HALF, ratio);
-            self.slow_weight.add(now, SPEED_HALF, 1.0);
             m.slow.add(now, SPEED_HALF, ratio);
-            m.slow_weight.add(now, SPEED_HALF, 1.0);
             // The window follows the member's latency against the response target.
             if ratio > CROWDED {
                 let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
@@ -631,23 +605,19 @@
         m.shy_until <= now && (m.out.len() as f64) < (m.window * part).max(1.0)
     }
 
-    /// The usual latency of a command group's answers; the guess counts as two of them.
+    /// The usual latency of a command group's answers.
     fn usual(&self, now: Tenths, kind: usize) -> f64 {
         let group = &self.groups[kind];
-        let guess = group.target as f64 * USUAL_GUESS;
-        (group.latency.read(now, USUAL_HALF) + 2.0 * guess) / (group.answers.read(now, USUAL_HALF) + 2.0)
+        group.latency.read(now, USUAL_HALF, group.target as f64 * USUAL_GUESS)
     }
 
     /// A member's mean latency over response target, leaning on its peers' while little is seen.
     fn slowness(&self, now: Tenths, node: Node) -> f64 {
-        let m = &self.members[node];
-        let (sum, weight) = (m.slow.read(now, SPEED_HALF), m.slow_weight.read(now, SPEED_HALF));
-        (sum + 2.0 * self.peers(now)) / (weight + 2.0)
+        self.members[node].slow.read(now, SPEED_HALF, self.peers(now))
     }
 
     fn peers(&self, now: Tenths) -> f64 {
-        let (sum, weight) = (self.slow.read(now, SPEED_HALF), self.slow_weight.read(now, SPEED_HALF));
-        (sum + 2.0 * USUAL_GUESS) / (weight + 2.0)
+        self.slow.read(now, SPEED_HALF, USUAL_GUESS)
     }
 
     /// Takes turns over the replicas that are fresh enough and have room; a slow one gets fewer turns.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a router holds. Nothing is decided here: `decide` alone reads and changes it.
 
-use crate::decay::Decay;
+use crate::decay::{Decay, Mean};
 use crate::interface::{Id, Tenths};
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
@@ -43,8 +43,7 @@
     pub target: Tenths,
     pub late_share: f64,
     pub benefit: f64,
-    pub latency: Decay,
-    pub answers: Decay,
+    pub latency: Mean,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -72,8 +71,7 @@
     pub out: BTreeMap<(u64, u32), Tenths>,
     pub window: f64,
     pub shy_until: Tenths,
-    pub slow: Decay,
-    pub slow_weight: Decay,
+    pub slow: Mean,
     pub done_work: Decay,
     pub cold_work: Decay,
     pub turn: f64,
--- a/src/told.rs
+++ b/src/told.rs
@@ -1,6 +1,7 @@
 //! Reads values out of the settings as told.
 
 use crate::interface::{Tenths, Told};
+use crate::state::{Access, CommandGroup, Effect};
 use std::str::FromStr;
 
 pub(crate) fn tenths(ms: f64) -> Tenths {
@@ -17,9 +18,36 @@
     value.parse().map_err(|_| format!("setting {name}: cannot read '{value}'"))
 }
 
-/// The values of a plain list; empty where none is told.
-pub(crate) fn list<'a>(told: &'a Told, name: &str) -> Vec<&'a str> {
-    told.get(name).map(|v| v.split(',').collect()).unwrap_or_default()
+/// One value of a plain list.
+fn item<'a>(told: &'a Told, name: &str, at: usize) -> Option<&'a str> {
+    told.get(name)?.split(',').nth(at)
+}
+
+/// A command group and its name. What is not told is read the cautious way: primary only, never twice.
+pub(crate) fn command_group(told: &Told, at: usize) -> Result<(String, CommandGroup), String> {
+    let key = |name: &str| format!("request_classes.{at}.{name}");
+    let bound = item(told, "family_info.lag_allowed_ms", at).and_then(|b| b.parse().ok()).map_or(0, tenths);
+    let access = match item(told, "family_info.class_read", at) {
+        Some("any") => Access::Any,
+        Some("bounded") => Access::Bounded(bound),
+        Some("session") => Access::Session,
+        Some("fresh") => Access::Fresh,
+        _ => Access::Write,
+    };
+    let scope = pick(told, &key("group"), String::new())?;
+    let window = tenths(pick(told, &key("window_ms"), 0.0)?);
+    let (everywhere, by_zone) = (scope == "all", scope == "zone");
+    let effect = match told.get(&key("semantics")).map(String::as_str) {
+        Some("pure") => Effect::Replayable,
+        Some("token") => Effect::Keyed { everywhere, by_zone, window },
+        _ => Effect::Mutating,
+    };
+    let timeout: f64 = need(told, &key("hard_limit_ms"))?;
+    let target = tenths(pick(told, &key("aim_ms"), timeout)?).max(1);
+    let late_share = pick(told, &key("late_value"), 0.0)?;
+    let benefit = pick(told, &key("importance"), 1.0)?;
+    let group = CommandGroup { access, effect, target, late_share, benefit, latency: Default::default() };
+    Ok((need(told, &key("name"))?, group))
 }
 
 pub(crate) fn is(told: &Told, name: &str, value: &str) -> bool {
