--- a/src/decide.rs
+++ b/src/decide.rs
@@ -240,6 +240,7 @@
         let Some(&node) = self.nodes.get(node) else { return };
         self.dirty.insert(self.members[node].set);
         self.learn_report(now, node, report);
+        let back = self.back_window();
         let m = &mut self.members[node];
         m.probing = false;
         if ending != Ending::Answered {
@@ -247,8 +248,7 @@
         }
         m.checked_at = now;
         if m.state == State::TransportError {
-            // Back after it broke: it may be cold, so it starts with the smallest window.
-            (m.state, m.window) = (State::Unknown, 1.0);
+            (m.state, m.window) = (State::Unknown, back);
             if let Some(primary) = report.primary {
                 self.learn_role(node, primary);
             }
@@ -258,7 +258,7 @@
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
-        let start = (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST);
+        let (start, back) = (self.start_window(), self.back_window());
         let removal_binds = !self.allows("rules.soft_removal");
         if whole && removal_binds {
             for m in &mut self.members {
@@ -273,7 +273,7 @@
             let node = *self.nodes.entry(e.node.clone()).or_insert(self.members.len());
             if fresh {
                 let (id, zone, machine) = (e.node.clone(), e.zone.clone(), e.machine.clone());
-                let window = if e.started > 0 { start.min(1.0) } else { start };
+                let window = if e.started > 0 { back } else { start };
                 let (set, started) = (e.set, e.started);
                 let m = Member { id, zone, machine, set, started, window, heard: now, ..Member::default() };
                 self.members.push(m);
@@ -291,7 +291,7 @@
             };
             let restarted = e.started > m.started;
             if restarted {
-                (m.started, m.window) = (e.started, 1.0);
+                (m.started, m.window) = (e.started, m.window.min(back));
                 if m.heard < e.started {
                     m.state = State::Unknown;
                 }
@@ -579,13 +579,14 @@
 
     /// The standing check of a member: a broken one is tried again, a replica's position is kept known.
     fn check(&mut self, now: Tenths, node: Node) {
+        let back = self.back_window();
         let m = &mut self.members[node];
         if m.check_at > now {
             return;
         }
         if m.state == State::TransportError {
             if !is(&self.told, "permissions.may_probe", "true") {
-                (m.state, m.window) = (State::Unknown, 1.0);
+                (m.state, m.window) = (State::Unknown, back);
             }
             return self.probe(node);
         }
@@ -600,6 +601,16 @@
         self.check_later(node, next.max(now + self.tick));
     }
 
+    /// A member's first window, shared out over all routers.
+    fn start_window(&self) -> f64 {
+        (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST)
+    }
+
+    /// Danger: a member that is back after it broke may have restarted, and the list says so seconds later.
+    fn back_window(&self) -> f64 {
+        (self.start_window() * self.number("rules.start_capacity", 0.1)).max(WINDOW_LEAST)
+    }
+
     fn has_room(&self, now: Tenths, node: Node, part: f64) -> bool {
         let m = &self.members[node];
         m.shy_until <= now && (m.out.len() as f64) < (m.window * part).max(1.0)
@@ -716,15 +727,16 @@
         let from = self.number("rules.start_capacity", 0.1);
         let able = from + (1.0 - from) * ((now - m.started).max(0) as f64 / warm_after as f64);
         let span = tenths(self.number("rules.fall_ms", 1000.0));
-        let peers = self.members.iter().filter(|o| o.machine == m.machine && now >= o.started + warm_after);
+        let warm = |o: &&Member| now >= o.started + warm_after && o.state != State::TransportError;
+        let peers = self.members.iter().filter(|o| o.machine == m.machine).filter(warm);
         let (sum, count) =
             peers.fold((0.0, 0.0), |(s, c), o| (s + o.done_work.read(now, WORK_HALF), c + 1.0));
         let rate = sum / f64::max(count, 1.0) / (WORK_HALF as f64 * std::f64::consts::LOG2_E);
         // What decays with the span's half-life counts at least half while it is inside the span.
         let spent = m.cold_work.read(now, span);
-        let multiple = self.number("rules.tip_multiple", 1.0).min(2.0);
+        let multiple = self.number("rules.tip_multiple", 1.0);
         let cheap = self.groups.iter().map(|g| g.target).min().unwrap_or(0) * 3;
-        spent + work as f64 <= rate * span as f64 * able * multiple / 2.0
+        spent + work as f64 <= rate * span as f64 * able * multiple * 0.45
             || (spent < 0.1 * work as f64 && work <= cheap)
     }
 
