--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,7 +31,7 @@
 const WINDOW_LOSS: f64 = 0.5;
 /// A command is worth sending while it has this many usual latencies left.
 const TIME_TO_RUN: f64 = 1.2;
-/// Second copies are paid from an allowance that arrivals fill, so they fade under load.
+/// Second copies are paid from an allowance that arrivals fill.
 const COPY_SHARE: f64 = 0.05;
 const COPY_MOST: f64 = 8.0;
 /// Parts of the primary's window open to reads that replicas could serve, and to those that none can.
@@ -771,7 +771,8 @@
         let late = m.out.values().filter(|at| **at + 2 * usual < now).count();
         // Danger: a member that takes work and answers nothing (hung, cut off). Told from one heavy
         // command by others that are overdue beside it, or by silence beyond any usual length.
-        if m.heard < sent && m.state != State::TransportError && (late >= 3 || now - sent > 7 * usual) {
+        let silent = m.heard < sent;
+        if silent && m.state != State::TransportError && (late >= 3 || now - sent > 7 * usual) {
             self.break_member(now, node);
             self.probe(node);
             self.dirty.insert(number);
@@ -779,6 +780,8 @@
         if copied || matches!(access, Access::Write | Access::Fresh) {
             self.agenda.insert((now + 2 * usual, Task::Overdue(key, dispatch)));
         } else if self.copies >= 1.0
+            && silent
+            && self.peers(now) < 0.75 * CROWDED
             && now + usual < ends
             && let Some(other) = self.pick_reader(now, number, key)
             && self.send(now, key, other)
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -312,6 +312,21 @@
     assert_eq!(r.members[0].state, state);
 }
 
+#[rstest]
+#[case::silent_member(NOW - 9_000, 0.1, 1)]
+#[case::member_that_answers_others(NOW, 0.1, 0)]
+#[case::crowded_fleet(NOW - 9_000, 0.9, 0)]
+fn copies_are_for_silence_alone(#[case] heard: Tenths, #[case] peers: f64, #[case] copies: usize) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    let sent = NOW - 2_000;
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, sent));
+    (r.open.get_mut(&0).unwrap().dispatches, r.members[1].heard) = (1, heard);
+    (0..20).for_each(|_| r.slow.add(NOW, SPEED_HALF, peers));
+    r.overdue(NOW, 0, 0);
+    assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Dispatch { .. })).count(), copies);
+}
+
 #[rstest]
 fn full_member_is_rested() {
     let mut r = router(&[]);
