While no replica is proven fresh enough, a waiting read has them checked at once

The same wait ends lag late. It may hurt where probes are dear: at most one a pause and member, and only while reads wait.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -667,6 +667,17 @@
             m.turn = m.turn.max(top - 4.0) + 1.0 / weight;
             return Some(node);
         }
+        // Danger: reads that wait for the standing check while a replica is fresh enough already: at a start,
+        // or after lag. While none is proven, those not heard of for a pause are checked for the read's sake.
+        if !any_fresh && !self.node_checks && group.access != Access::Any {
+            for node in set.nodes.clone() {
+                let m = &self.members[node];
+                if m.state != State::TransportError && m.checked_at + PAUSE <= now {
+                    self.probe(node);
+                }
+            }
+        }
+        let cmd = &self.open[&key];
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
         let primary = self.primary(number).or_else(|| self.assumed_primary(number))?;
         let part = if any_fresh { PRIMARY_SPARE } else { PRIMARY_NEEDED };
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -288,6 +288,17 @@
     assert_eq!(r.pick_reader(NOW, 1, 0), node);
 }
 
+#[rstest]
+#[case::none_proven(NOW - 9_000, 3)]
+#[case::one_proven(NOW - 9, 0)]
+fn waiting_reads_have_replicas_checked(#[case] position: Tenths, #[case] probes: usize) {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[1].position = position;
+    r.pick_reader(NOW, 1, 0);
+    assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Probe { .. })).count(), probes);
+}
+
 #[rstest]
 #[case::newer_than_the_note(NOW + 1, State::Healthy)]
 #[case::older_than_the_note(NOW - 1, State::TopologyReject)]
