Members count as crowded from 0.28 of the response target, now that copies are rare

Cause of the rest: an unhurried answer takes 0.14 to 0.25 of the target by command group, so one mark for all is crude.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,7 +24,7 @@
 /// Until seen, an unhurried answer is taken to need this share of the response target.
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
-const CROWDED: f64 = 0.33;
+const CROWDED: f64 = 0.28;
 /// Dispatches out to one member, over all routers, that a start supposes; the least for one router.
 const WINDOW_START: f64 = 10.0;
 const WINDOW_LEAST: f64 = 0.1;
