A small window is slower to blame for late answers, so that a slow fleet keeps working

Told from crowding by windows that shrank without answers getting quicker. Change: the mark rises as a window falls below its start; with that, the mark itself can be lower, 0.24 of the response target. Covers slow fleets, slow sets, lost answers and dear command groups; it may hurt where many small routers crowd one member.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,11 +24,13 @@
 /// Until seen, an unhurried answer is taken to need this share of the response target.
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
-const CROWDED: f64 = 0.28;
+const CROWDED: f64 = 0.24;
 /// Dispatches out to one member, over all routers, that a start supposes; the least for one router.
 const WINDOW_START: f64 = 10.0;
 const WINDOW_LEAST: f64 = 0.1;
 const WINDOW_LOSS: f64 = 0.5;
+/// How much higher the mark of crowding is for a window near nothing.
+const SMALL_GRACE: f64 = 1.4;
 /// A command is worth sending while it has this many usual latencies left.
 const TIME_TO_RUN: f64 = 1.2;
 /// Second copies are paid from an allowance that arrivals fill.
@@ -184,7 +186,7 @@
         } else {
             self.agenda.insert((now, Task::Settle(key)));
         }
-        let usual = self.usual(now, kind);
+        let (usual, start) = (self.usual(now, kind), self.start_window());
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.out.remove(&(key, dispatch));
@@ -226,12 +228,14 @@
         if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
             self.slow.add(now, SPEED_HALF, ratio);
             m.slow.add(now, SPEED_HALF, ratio);
-            // The window follows the member's latency against the response target.
-            if ratio > CROWDED {
-                let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
+            // The window follows the member's latency against the response target. Danger: a fleet that is slow
+            // as a whole drives all windows to nothing. The smaller one is, the less it is to blame.
+            let mark = CROWDED * (1.0 + SMALL_GRACE * (1.0 - m.window / start).max(0.0));
+            if ratio > mark {
+                let loss = WINDOW_LOSS * (ratio.min(1.0) - mark);
                 m.window = f64::max(m.window - loss * m.window.min(1.0), WINDOW_LEAST);
             } else if m.out.len() as f64 + 1.0 >= m.window * 0.6 {
-                m.window += (CROWDED - ratio) / m.window.max(1.0).sqrt() * m.window.min(1.0).sqrt();
+                m.window += (mark - ratio) / m.window.max(1.0).sqrt() * m.window.min(1.0).sqrt();
             }
         }
     }
@@ -277,8 +281,7 @@
                 let (set, started) = (e.set, e.started);
                 let m = Member { id, zone, machine, set, started, window, heard: now, ..Member::default() };
                 self.members.push(m);
-                let s = self.sets.entry(set).or_default();
-                s.nodes.push(node);
+                self.sets.entry(set).or_default().nodes.push(node);
             }
             let m = &mut self.members[node];
             m.listed_primary = e.primary;
@@ -348,9 +351,8 @@
         (set.broken_rounds, set.round_at) = (0, 0);
         // One primary a set: whoever was held for it before is a replica by now, or broken.
         for &other in set.nodes.iter().filter(|n| **n != node) {
-            if self.members[other].state == State::Healthy {
-                self.members[other].state = State::Unknown;
-            }
+            let state = &mut self.members[other].state;
+            *state = if *state == State::Healthy { State::Unknown } else { *state };
         }
     }
 
@@ -388,9 +390,7 @@
         cmd.closed = true;
         self.dirty.insert(cmd.set);
         if let Some(set) = self.sets.get_mut(&cmd.set) {
-            if let Some(queue) = set.waiting.get_mut(cmd.kind) {
-                queue.remove(&(cmd.rank, Reverse(key)));
-            }
+            set.waiting.get_mut(cmd.kind).map(|queue| queue.remove(&(cmd.rank, Reverse(key))));
             set.scout = set.scout.filter(|s| *s != key);
         }
         // An answer that nobody waits for any more is called off, so that waiting work is dropped.
@@ -649,12 +649,8 @@
                 continue;
             }
             any_fresh = true;
-            let again = cmd.out.values().any(|o| o.0 == node);
-            if !again
-                && self.has_room(now, node, 1.0)
-                && best.is_none_or(|b| m.turn < b.0)
-                && self.lawful(now, key, node)
-            {
+            let first = !cmd.out.values().any(|o| o.0 == node) && best.is_none_or(|b| m.turn < b.0);
+            if first && self.has_room(now, node, 1.0) && self.lawful(now, key, node) {
                 best = Some((m.turn, node));
             }
             if long {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -359,6 +359,19 @@
     assert_eq!(r.members[1].window > 1.5, grows);
 }
 
+#[rstest]
+#[case::large_window_shrinks(9.0, false)]
+#[case::small_window_grows(0.5, true)]
+fn small_windows_are_slower_to_blame(#[case] window: f64, #[case] grows: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    r.members[1].window = window;
+    let took = (2_500.0 * CROWDED * 1.2) as Tenths;
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { took, ..ended(Ending::Answered, None) });
+    assert_eq!(r.members[1].window > window, grows);
+}
+
 #[rstest]
 #[case::one(1.0, true)]
 #[case::a_half(0.5, false)]
