Lost answers and lost probes no longer shut a primary or fill its window

Two things followed: one lost write on a quiet link marked the primary as silent, one lost probe as broken, and the walk went over replicas; and a lost write held a router's only place at the primary for 3 s. Told from crowding by the same loss for every command group, whether its limit was 240 ms or 3 s, and on all pairs of router and member. Change: silence needs two overdue dispatches, until then the member is checked; one timed-out probe is asked again; a dispatch past its target at a member that answers others or probes leaves the window. Covers cut and lossy links and heavy commands; a hung member that answers probes is marked at the third loss. It may hurt where heavy commands are many. The listed primary no longer stands in before the first answer: the probe at the start finds it as soon.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -164,9 +164,8 @@
         let Some((node, sent)) = cmd.out.remove(&dispatch) else { return };
         let write = self.groups[cmd.kind].access == Access::Write;
         let answered = ending == Ending::Answered;
-        if matches!(ending, Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff) {
-            cmd.maybe_ran.get_or_insert((node, sent));
-        }
+        let unproven = matches!(ending, Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff);
+        cmd.maybe_ran = cmd.maybe_ran.or(unproven.then_some((node, sent)));
         cmd.broken_round |= matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
         if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
             let commit = self.session_writes.entry(session).or_insert(0);
@@ -194,7 +193,7 @@
             m.position = m.position.max(note.position);
         }
         if matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full) {
-            m.heard = now;
+            (m.heard, m.unheard) = (now, 0);
         }
         if let Some(primary) = note.primary {
             (m.noted, m.noted_at) = (Some(primary), now);
@@ -228,8 +227,8 @@
         if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
             self.slow.add(now, SPEED_HALF, ratio);
             m.slow.add(now, SPEED_HALF, ratio);
-            // The window follows the member's latency against the response target. Danger: a fleet that is slow
-            // as a whole drives all windows to nothing. The smaller one is, the less it is to blame.
+            // The window follows the member's latency against the response target. Danger: a fleet slow as a
+            // whole drives all windows to nothing. The smaller one is, the less it is to blame.
             let mark = CROWDED * (1.0 + SMALL_GRACE * (1.0 - m.window / start).max(0.0));
             if ratio > mark {
                 let loss = WINDOW_LOSS * (ratio.min(1.0) - mark);
@@ -247,16 +246,22 @@
         let back = self.back_window();
         let m = &mut self.members[node];
         m.probing = false;
+        if ending == Ending::TimedOut && m.fails == 0 && m.state != State::TransportError {
+            // One lost probe proves nothing: it is asked once more.
+            m.fails = 1;
+            self.agenda.insert((now, Task::Ask(node)));
+            return;
+        }
         if ending != Ending::Answered {
             return self.break_member(now, node);
         }
         m.checked_at = now;
         if m.state == State::TransportError {
             (m.state, m.window) = (State::Unknown, back);
-            if let Some(primary) = report.primary {
-                self.learn_role(node, primary);
-            }
+            report.primary.into_iter().for_each(|primary| self.learn_role(node, primary));
             self.check_later(node, now + PAUSE);
+        } else {
+            m.fails = 0;
         }
     }
 
@@ -318,7 +323,7 @@
 
     /// A watch or a fetch failed: ask again after a backoff, well inside the stated interval.
     pub fn list_failed(&mut self, now: Tenths) {
-        let most = tenths(self.number("rules.ask_every_ms", 5_000.0)) / 2;
+        let most = tenths(self.number("rules.ask_every_ms", 5_000.0)) / 4;
         let wait = self.jittered((PAUSE << self.list_fails.min(6)).min(most));
         self.list_fails += 1;
         self.agenda.insert((now + wait, Task::Watch));
@@ -358,12 +363,9 @@
 
     /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
     fn break_member(&mut self, now: Tenths, node: Node) {
+        let at = now + self.jittered((PAUSE << self.members[node].fails.min(6)).min(BACKOFF_MAX));
         let m = &mut self.members[node];
-        m.state = State::TransportError;
-        let wait = (PAUSE << m.fails.min(6)).min(BACKOFF_MAX);
-        m.fails += 1;
-        let at = now + self.jittered(wait);
-        self.members[node].retry_at = at;
+        (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
         self.check_later(node, at);
     }
 
@@ -428,6 +430,7 @@
                     Task::Overdue(key, dispatch) => self.overdue(now, key, dispatch),
                     Task::Look(set) => _ = self.dirty.insert(set),
                     Task::Check(node) => self.check(now, node),
+                    Task::Ask(node) => self.probe(node),
                     Task::Watch => self.ready.push_back(Decision::WatchList),
                 }
             } else {
@@ -675,21 +678,12 @@
         }
         let cmd = &self.open[&key];
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
-        let primary = self.primary(number).or_else(|| self.assumed_primary(number))?;
+        let primary = self.primary(number)?;
         let part = if any_fresh { PRIMARY_SPARE } else { PRIMARY_NEEDED };
         let twice = cmd.out.values().any(|o| o.0 == primary);
         (!twice && self.has_room(now, primary, part)).then_some(primary)
     }
 
-    /// Until an answer says otherwise, the listed primary of a set not yet known may stand for it.
-    fn assumed_primary(&self, number: i64) -> Option<Node> {
-        let listed = |n: &&Node| {
-            let m = &self.members[**n];
-            m.listed_primary && m.noted != Some(false) && m.state == State::Unknown && !m.shut
-        };
-        self.sets.get(&number)?.nodes.iter().find(listed).copied()
-    }
-
     /// Known position against bound or token. Where nodes check for themselves, a miss stands for it.
     fn fresh_enough(&self, now: Tenths, cmd: &Open, m: &Member) -> bool {
         match self.groups[cmd.kind].access {
@@ -772,24 +766,32 @@
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed) else { return };
         let Some(&(node, sent)) = cmd.out.get(&dispatch) else { return };
         let (number, ends, copied) = (cmd.set, cmd.ends, cmd.out.len() > 1);
-        let access = self.groups[cmd.kind].access;
+        let (access, target) = (self.groups[cmd.kind].access, self.groups[cmd.kind].target);
         let usual = (self.usual(now, cmd.kind) as Tenths).max(self.tick);
         let m = &self.members[node];
-        let late = m.out.values().filter(|at| **at + 2 * usual < now).count();
-        // Danger: a member that takes work and answers nothing (hung, cut off). Told from one heavy
-        // command by others that are overdue beside it, or by silence beyond any usual length.
+        let late = m.unheard + m.out.values().filter(|at| **at + 2 * usual < now).count();
+        // Danger: a member that takes work and answers nothing (hung, cut off). Told from one heavy command
+        // or one lost answer by others that are overdue beside it; until then it is only checked.
         let silent = m.heard < sent;
-        if silent && m.state != State::TransportError && (late >= 3 || now - sent > 7 * usual) {
-            self.break_member(now, node);
+        if silent && m.state != State::TransportError {
+            if late >= 3 || (late >= 2 && now - sent > 7 * usual) {
+                self.break_member(now, node);
+                self.dirty.insert(number);
+            }
             self.probe(node);
+        }
+        // Danger: answers that get lost on the way fill windows that nothing empties. A dispatch past its
+        // target at a member that answers others, or probes, counts as lost; so may a heavy one.
+        let m = &mut self.members[node];
+        if now - sent > target.max(4 * usual) && (!silent || m.checked_at > sent) {
+            m.unheard += m.out.remove(&(key, dispatch)).is_some() as usize * silent as usize;
             self.dirty.insert(number);
         }
-        if copied || matches!(access, Access::Write | Access::Fresh) {
-            self.agenda.insert((now + 2 * usual, Task::Overdue(key, dispatch)));
-        } else if self.copies >= 1.0
-            && silent
-            && self.peers(now) < 0.75 * CROWDED
-            && now + usual < ends
+        self.agenda.insert((now + 2 * usual, Task::Overdue(key, dispatch)));
+        // Danger: a copy of what waits in a queue lengthens it. Only silence in a calm fleet calls for one.
+        let read = !matches!(access, Access::Write | Access::Fresh);
+        let calm = self.copies >= 1.0 && self.peers(now) < 0.75 * CROWDED;
+        if (silent && read && calm && !copied && now + usual < ends)
             && let Some(other) = self.pick_reader(now, number, key)
             && self.send(now, key, other)
         {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -338,6 +338,30 @@
     assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Dispatch { .. })).count(), copies);
 }
 
+#[rstest]
+#[case::probes_answer(NOW - 10, true)]
+#[case::nothing_answers(NOW - 50_000, false)]
+fn lost_dispatches_leave_the_window(#[case] checked_at: Tenths, #[case] left: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let sent = NOW - 10_000;
+    r.open.get_mut(&0).unwrap().out.insert(0, (0, sent));
+    r.members[0].out.insert((0, 0), sent);
+    (r.members[0].heard, r.members[0].checked_at) = (sent - 1, checked_at);
+    r.overdue(NOW, 0, 0);
+    assert_eq!(r.members[0].out.is_empty(), left);
+}
+
+#[rstest]
+#[case::first(0, State::Healthy)]
+#[case::second(1, State::TransportError)]
+fn one_lost_probe_proves_nothing(#[case] fails: u32, #[case] state: State) {
+    let mut r = router(&[]);
+    (r.members[0].state, r.members[0].fails) = (State::Healthy, fails);
+    r.probe_ended(NOW, "a", Ending::TimedOut, Report::default());
+    assert_eq!(r.members[0].state, state);
+}
+
 #[rstest]
 fn full_member_is_rested() {
     let mut r = router(&[]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,8 @@
     pub checked_at: Tenths,
     pub lagging: bool,
     pub heard: Tenths,
+    /// Dispatches counted as lost since it was last heard.
+    pub unheard: usize,
     /// Dispatches out: command and number, with the time of each.
     pub out: BTreeMap<(u64, u32), Tenths>,
     pub window: f64,
@@ -123,6 +125,7 @@
     Overdue(u64, u32),
     Look(i64),
     Check(Node),
+    Ask(Node),
     Watch,
 }
 
