--- a/src/decide.rs
+++ b/src/decide.rs
@@ -468,7 +468,8 @@
             Effect::Mutating => untouched,
         };
         let command = cmd.id.clone();
-        let hold_off = if self.allows("permissions.retry_after") { PAUSE } else { 0 };
+        let target = self.groups[cmd.kind].target;
+        let hold_off = if self.allows("permissions.retry_after") { target } else { 0 };
         self.ready.push_back(match harmless {
             true => Decision::Throttle { command, hold_off },
             false => Decision::Fail { command },
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -222,6 +222,34 @@
     assert_eq!(matches!(r.ready[0], Decision::Throttle { .. }), harmless);
 }
 
+#[rstest]
+#[case::allowed("true", 2_500)]
+#[case::not_allowed("false", 0)]
+fn throttled_clients_are_told_when_to_come_back(#[case] allowed: &str, #[case] expected: Tenths) {
+    let mut r = router(&[("permissions.retry_after", allowed)]);
+    open(&mut r, "any");
+    r.give_up(NOW, 0);
+    assert_eq!(r.ready[0], Decision::Throttle { command: "cmd".into(), hold_off: expected });
+}
+
+#[rstest]
+#[case::first_tries(false, false, 0)]
+#[case::repeat(true, false, 1)]
+#[case::beyond_its_share(false, true, 2)]
+fn repeats_and_excess_wait_behind(#[case] repeat: bool, #[case] excess: bool, #[case] rank: u8) {
+    let settings = [("projects.count", "1"), ("projects.0.name", "p"), ("projects.0.share", "0.5")];
+    let mut r = router(&settings);
+    for _ in 0..20 {
+        r.beyond_share(NOW, if excess { "p" } else { "other" });
+        r.all_traffic.add(NOW, USUAL_HALF, if excess { 0.0 } else { 1.0 });
+    }
+    let (id, command_group, customer) = ("x".into(), "any".into(), Some("p".into()));
+    let (set, time_left, token_age, session) = (1, 9_000, None, None);
+    let cmd = Command { id, command_group, customer, set, time_left, token_age, session, repeat };
+    r.command_arrived(NOW, cmd).unwrap();
+    assert_eq!(r.open[&0].rank, rank);
+}
+
 #[rstest]
 #[case::drains(Phase::Draining, "false", true)]
 #[case::gone(Phase::Removed, "false", true)]
