--- a/src/decide.rs
+++ b/src/decide.rs
@@ -369,13 +369,13 @@
         self.check_later(node, at);
     }
 
-    /// True for a customer whose part of this router's recent traffic is well above its share.
+    /// True for a customer whose part of this router's recent traffic is above its share.
     fn beyond_share(&mut self, now: Tenths, customer: &str) -> bool {
         let Some(&share) = self.shares.get(customer) else { return false };
         self.all_traffic.add(now, USUAL_HALF, 1.0);
         let mine = self.traffic.entry(customer.to_owned()).or_default();
         mine.add(now, USUAL_HALF, 1.0);
-        mine.read(now, USUAL_HALF) > 1.2 * share * self.all_traffic.read(now, USUAL_HALF)
+        mine.read(now, USUAL_HALF) > share * self.all_traffic.read(now, USUAL_HALF)
     }
 
     fn jittered(&mut self, base: Tenths) -> Tenths {
