--- a/src/decide.rs
+++ b/src/decide.rs
@@ -583,7 +583,7 @@
 
     /// The standing check of a member: a broken one is tried again, a replica's position is kept known.
     fn check(&mut self, now: Tenths, node: Node) {
-        let back = self.back_window();
+        let (back, routers) = (self.back_window(), self.number("balancers", 1.0) as Tenths);
         let m = &mut self.members[node];
         if m.check_at > now {
             return;
@@ -595,7 +595,8 @@
             return self.probe(node);
         }
         // Where nodes check for themselves a miss tells of lag, and only lagging members are reprobed.
-        let spacing = if self.node_checks { (2 * self.tightest).max(5 * PAUSE) } else { self.tightest / 2 };
+        let spacing =
+            if self.node_checks { routers * PAUSE.max(self.tightest / 2) } else { self.tightest / 2 };
         let stale = m.checked_at + spacing <= now + self.tick;
         let first = m.position == 0;
         if stale && (first || m.state != State::Healthy && (!self.node_checks || m.lagging)) {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -327,6 +327,16 @@
     assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Probe { .. })).count(), probes);
 }
 
+#[rstest]
+#[case::few_routers("2", 2)]
+#[case::many_routers("20", 20)]
+fn checks_of_lag_are_spread_over_routers(#[case] routers: &str, #[case] spacings: Tenths) {
+    let mut r = router(&[("family_info.server_checks", "wait"), ("balancers", routers)]);
+    (r.members[1].lagging, r.members[1].position, r.members[1].checked_at) = (true, 1, NOW);
+    r.check(NOW, 1);
+    assert_eq!(r.members[1].check_at, NOW + spacings * 1_500);
+}
+
 #[rstest]
 #[case::newer_than_the_note(NOW + 1, State::Healthy)]
 #[case::older_than_the_note(NOW - 1, State::TopologyReject)]
