Plain turns again: the weight for slow replicas came out, as it gained nothing

A slow replica's window gives it less already, and the design's plain turns are the smaller departure.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,7 +17,7 @@
 /// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
 const PAUSE: Tenths = 1_000;
 const BACKOFF_MAX: Tenths = 5 * SECOND;
-/// Half-life of what is learned of a member's speed, of usual latencies, and of work done.
+/// Half-life of what is learned of the fleet's speed, of usual latencies, and of work done.
 const SPEED_HALF: Tenths = 3 * SECOND / 2;
 const USUAL_HALF: Tenths = 10 * SECOND;
 const WORK_HALF: Tenths = 3 * SECOND;
@@ -226,7 +226,6 @@
         }
         if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
             self.slow.add(now, SPEED_HALF, ratio);
-            m.slow.add(now, SPEED_HALF, ratio);
             // The window follows the member's latency against the response target. Danger: a fleet slow as a
             // whole drives all windows to nothing. The smaller one is, the less it is to blame.
             let mark = CROWDED * (1.0 + SMALL_GRACE * (1.0 - m.window / start).max(0.0));
@@ -627,16 +626,12 @@
         group.latency.read(now, USUAL_HALF, group.target as f64 * USUAL_GUESS)
     }
 
-    /// A member's mean latency over response target, leaning on its peers' while little is seen.
-    fn slowness(&self, now: Tenths, node: Node) -> f64 {
-        self.members[node].slow.read(now, SPEED_HALF, self.peers(now))
-    }
-
+    /// The mean latency over response target, of all members.
     fn peers(&self, now: Tenths) -> f64 {
         self.slow.read(now, SPEED_HALF, USUAL_GUESS)
     }
 
-    /// Takes turns over the replicas that are fresh enough and have room; a slow one gets fewer turns.
+    /// Takes turns over the replicas that are fresh enough and have room; a slow one has less room.
     fn pick_reader(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
         let cmd = &self.open[&key];
         let group = &self.groups[cmd.kind];
@@ -663,9 +658,8 @@
             }
         }
         if let Some((_, node)) = best {
-            let weight = (self.peers(now) / self.slowness(now, node)).clamp(0.2, 1.2).powi(2);
             let m = &mut self.members[node];
-            m.turn = m.turn.max(top - 4.0) + 1.0 / weight;
+            m.turn = m.turn.max(top - 4.0) + 1.0;
             return Some(node);
         }
         // Danger: reads that wait for the standing check while a replica is fresh enough already: at a start,
--- a/src/state.rs
+++ b/src/state.rs
@@ -73,7 +73,6 @@
     pub out: BTreeMap<(u64, u32), Tenths>,
     pub window: f64,
     pub shy_until: Tenths,
-    pub slow: Mean,
     pub done_work: Decay,
     pub cold_work: Decay,
     pub turn: f64,
