--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -53,9 +53,9 @@
 }
 
 #[rstest]
-#[case("a", 0.0)]
-#[case("b", 1.0)]
-fn decaying_sum_halves(#[case] _name: &str, #[case] halves: f64) {
+#[case(0.0)]
+#[case(1.0)]
+fn decaying_sum_halves(#[case] halves: f64) {
     let mut sum = Decay::default();
     sum.add(NOW, 100, 8.0);
     assert_eq!(sum.read(NOW + (100.0 * halves) as Tenths, 100), 8.0 / halves.exp2());
