--- a/src/decide.rs
+++ b/src/decide.rs
@@ -213,7 +213,6 @@
             Ending::Full => {
                 // Danger: a full member turned to again at once, by every waiting command in turn.
                 m.window = (m.window / 2.0).max(WINDOW_LEAST);
-                m.shy_until = now + PAUSE / 2;
             }
             Ending::ConnectFailed | Ending::Reset => self.break_member(now, node),
             _ => {}
