Keyed commands past their window are answered at once; cautious readings in the module

A keyed command that may have run and whose window is over waited in its queue until little time was left; it is now failed at once, with a test. The cautious readings of settings not told moved from told.rs to the module, where decisions belong. Permissions are read one way throughout.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,8 +3,7 @@
 //! Start a [`Router`] with the settings, its seed and the time. Tell it what happens (`command_arrived`,
 //! `command_left`, `dispatch_ended`, `probe_ended`, `members_changed`, `list_failed`): that only updates
 //! what is known. Then pull `next_decision(now)` until there is none and come back at `wake_at()`, or with
-//! news. The types at the border are in `interface.rs`, what is held in `state.rs`, the reasons in
-//! `docs/design.md`.
+//! news. Border types: `interface.rs`; what is held: `state.rs`; reasons: `docs/design.md`.
 
 use crate::decay::{Decay, Mean};
 use crate::interface::*;
@@ -74,7 +73,8 @@
         let count: usize = need(&told, "request_classes.count")?;
         let (mut groups, mut kinds) = (Vec::new(), BTreeMap::new());
         for i in 0..count {
-            let (name, group) = command_group(&told, i)?;
+            // What is not told is read the cautious way: the primary alone, and never twice.
+            let (name, group) = command_group(&told, i, Access::Write, Effect::Mutating)?;
             kinds.insert(name, i);
             groups.push(group);
         }
@@ -386,6 +386,7 @@
     }
 
     fn close(&mut self, key: u64) {
+        let may_cancel = self.allows("permissions.cancel");
         let Some(cmd) = self.open.get_mut(&key) else { return };
         cmd.closed = true;
         self.dirty.insert(cmd.set);
@@ -394,7 +395,7 @@
             set.scout = set.scout.filter(|s| *s != key);
         }
         // An answer that nobody waits for any more is called off, so that waiting work is dropped.
-        if is(&self.told, "permissions.cancel", "true") {
+        if may_cancel {
             for &dispatch in cmd.out.keys() {
                 self.ready.push_back(Decision::CallOff { command: cmd.id.clone(), dispatch });
             }
@@ -441,7 +442,11 @@
     /// A command with nothing out waits for its turn, or is answered at once if it may not be sent again.
     fn settle(&mut self, now: Tenths, key: u64) {
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
-        let ran = cmd.maybe_ran.is_some() && self.groups[cmd.kind].effect == Effect::Mutating;
+        let ran = cmd.maybe_ran.is_some_and(|(_, sent)| match self.groups[cmd.kind].effect {
+            Effect::Replayable => false,
+            Effect::Keyed { window, .. } => now + self.tick >= sent + window,
+            Effect::Mutating => true,
+        });
         let late = cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths;
         if cmd.dispatches >= self.most || ran || now + self.tick >= cmd.ends {
             return self.give_up(now, key);
@@ -465,8 +470,7 @@
             Effect::Keyed { everywhere, .. } => everywhere || untouched,
             Effect::Mutating => untouched,
         };
-        let command = cmd.id.clone();
-        let target = self.groups[cmd.kind].target;
+        let (command, target) = (cmd.id.clone(), self.groups[cmd.kind].target);
         let hold_off = if self.allows("permissions.retry_after") { target } else { 0 };
         self.ready.push_back(match harmless {
             true => Decision::Throttle { command, hold_off },
@@ -581,13 +585,14 @@
 
     /// The standing check of a member: a broken one is tried again, a replica's position is kept known.
     fn check(&mut self, now: Tenths, node: Node) {
-        let (back, routers) = (self.back_window(), self.number("balancers", 1.0) as Tenths);
+        let (back, can_probe) = (self.back_window(), self.allows("permissions.may_probe"));
+        let routers = self.number("balancers", 1.0) as Tenths;
         let m = &mut self.members[node];
         if m.check_at > now {
             return;
         }
         if m.state == State::TransportError {
-            if !is(&self.told, "permissions.may_probe", "true") {
+            if !can_probe {
                 (m.state, m.window) = (State::Unknown, back);
             }
             return self.probe(node);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -208,6 +208,19 @@
     assert_eq!(r.lawful(NOW, 0, 1), ok);
 }
 
+#[rstest]
+#[case::in_window(10, 0)]
+#[case::past_window(60_000, 1)]
+fn keyed_past_its_window_is_answered_at_once(#[case] age: Tenths, #[case] answers: usize) {
+    let class = |name: &str| format!("request_classes.4.{name}");
+    let (a, b, c) = (class("semantics"), class("group"), class("window_ms"));
+    let mut r = router(&[(&a, "token"), (&b, "cell"), (&c, "5000")]);
+    open(&mut r, "write");
+    r.open.get_mut(&0).unwrap().maybe_ran = Some((0, NOW - age));
+    r.settle(NOW, 0);
+    assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Fail { .. })).count(), answers);
+}
+
 #[rstest]
 #[case::untouched(None, true)]
 #[case::may_have_run(Some((0, NOW)), false)]
--- a/src/told.rs
+++ b/src/told.rs
@@ -23,8 +23,13 @@
     told.get(name)?.split(',').nth(at)
 }
 
-/// A command group and its name. What is not told is read the cautious way: primary only, never twice.
-pub(crate) fn command_group(told: &Told, at: usize) -> Result<(String, CommandGroup), String> {
+/// A command group and its name; `access` and `effect` stand where none is told.
+pub(crate) fn command_group(
+    told: &Told,
+    at: usize,
+    access: Access,
+    effect: Effect,
+) -> Result<(String, CommandGroup), String> {
     let key = |name: &str| format!("request_classes.{at}.{name}");
     let bound = item(told, "family_info.lag_allowed_ms", at).and_then(|b| b.parse().ok()).map_or(0, tenths);
     let access = match item(told, "family_info.class_read", at) {
@@ -32,7 +37,8 @@
         Some("bounded") => Access::Bounded(bound),
         Some("session") => Access::Session,
         Some("fresh") => Access::Fresh,
-        _ => Access::Write,
+        Some("write") => Access::Write,
+        _ => access,
     };
     let scope = pick(told, &key("group"), String::new())?;
     let window = tenths(pick(told, &key("window_ms"), 0.0)?);
@@ -40,7 +46,8 @@
     let effect = match told.get(&key("semantics")).map(String::as_str) {
         Some("pure") => Effect::Replayable,
         Some("token") => Effect::Keyed { everywhere, by_zone, window },
-        _ => Effect::Mutating,
+        Some("side_effect") => Effect::Mutating,
+        _ => effect,
     };
     let timeout: f64 = need(told, &key("hard_limit_ms"))?;
     let target = tenths(pick(told, &key("aim_ms"), timeout)?).max(1);
