Members are asked about only for a read that waits, not by standing checks

Now one probe for the member whose turn a waiting read finds unproven or broken. Should also help against router restarts in numbers and lag that ends. May hurt where every read waits for its probe on a slow network.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -206,7 +206,6 @@
                 m.done_work.add(now, WORK_HALF, target);
                 if m.state == State::TransportError {
                     m.state = State::Unknown;
-                    self.check_later(node, now);
                 }
             }
             Ending::Miss if !write => m.lagging = true,
@@ -257,7 +256,6 @@
         if m.state == State::TransportError {
             (m.state, m.window) = (State::Unknown, back);
             report.primary.into_iter().for_each(|primary| self.learn_role(node, primary));
-            self.check_later(node, now + PAUSE);
         } else {
             m.fails = 0;
         }
@@ -304,8 +302,7 @@
             }
             if fresh || restarted {
                 // A fresh router, or one that meets a new member, probes it once for position and role.
-                m.checked_at = now - SECOND;
-                self.check_later(node, now);
+                self.agenda.insert((now, Task::Ask(node)));
             }
         }
         let me: usize = pick(&self.told, "me", 0).unwrap_or(0);
@@ -364,7 +361,6 @@
         let at = now + self.jittered((PAUSE << self.members[node].fails.min(6)).min(BACKOFF_MAX));
         let m = &mut self.members[node];
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
-        self.check_later(node, at);
     }
 
     /// True for a customer whose part of this router's recent traffic is above its share.
@@ -380,11 +376,6 @@
         base + self.rng.below(base)
     }
 
-    fn check_later(&mut self, node: Node, at: Tenths) {
-        self.members[node].check_at = at;
-        self.agenda.insert((at, Task::Check(node)));
-    }
-
     fn close(&mut self, key: u64) {
         let may_cancel = self.allows("permissions.cancel");
         let Some(cmd) = self.open.get_mut(&key) else { return };
@@ -428,7 +419,6 @@
                     Task::GiveUp(key) => self.give_up(now, key),
                     Task::Overdue(key, dispatch) => self.overdue(now, key, dispatch),
                     Task::Look(set) => _ = self.dirty.insert(set),
-                    Task::Check(node) => self.check(now, node),
                     Task::Ask(node) => self.probe(node),
                     Task::Watch => self.ready.push_back(Decision::WatchList),
                 }
@@ -568,7 +558,7 @@
         let Some(set) = self.sets.get_mut(&number).filter(|s| s.seek_at <= now) else { return };
         set.seek_at = now + PAUSE;
         for node in set.nodes.clone() {
-            if self.members[node].state != State::TransportError {
+            if self.members[node].state != State::TransportError || self.members[node].retry_at <= now {
                 self.probe(node);
             }
         }
@@ -580,33 +570,23 @@
         if allowed && !m.probing && !m.shut {
             m.probing = true;
             self.ready.push_back(Decision::Probe { node: m.id.clone() });
+        } else if !allowed && m.state == State::TransportError {
+            m.state = State::Unknown;
         }
     }
 
-    /// The standing check of a member: a broken one is tried again, a replica's position is kept known.
-    fn check(&mut self, now: Tenths, node: Node) {
-        let (back, can_probe) = (self.back_window(), self.allows("permissions.may_probe"));
-        let routers = self.number("balancers", 1.0) as Tenths;
-        let m = &mut self.members[node];
-        if m.check_at > now {
-            return;
-        }
+    /// True if a read whose turn it is may have the member asked: a broken one after its backoff, else one
+    /// whose position has run out. Danger: standing checks by all routers of all members outgrow commands.
+    /// So a member is asked about only for a read that waits, and one far behind less often.
+    fn ask_due(&self, now: Tenths, m: &Member) -> bool {
         if m.state == State::TransportError {
-            if !can_probe {
-                (m.state, m.window) = (State::Unknown, back);
-            }
-            return self.probe(node);
-        }
-        // Where nodes check for themselves a miss tells of lag, and only lagging members are reprobed.
-        let spacing =
-            if self.node_checks { routers * PAUSE.max(self.tightest / 2) } else { self.tightest / 2 };
-        let stale = m.checked_at + spacing <= now + self.tick;
-        let first = m.position == 0;
-        if stale && (first || m.state != State::Healthy && (!self.node_checks || m.lagging)) {
-            self.probe(node);
+            return m.retry_at <= now;
+        }
+        if m.position == 0 {
+            return m.checked_at + PAUSE <= now;
         }
-        let next = if stale { now + spacing } else { self.members[node].checked_at + spacing };
-        self.check_later(node, next.max(now + self.tick));
+        let behind = (m.checked_at - m.position - self.tightest).clamp(0, 2 * SECOND);
+        m.checked_at + PAUSE.max(self.tightest / 2).max(behind / 4) <= now
     }
 
     /// A member's first window, shared out over all routers.
@@ -643,13 +623,18 @@
         // for the first replica by id, the same for all routers, and the others stay fresh.
         let long = group.access == Access::Any && group.target > self.tightest;
         let set = self.sets.get(&number)?;
-        let mut best: Option<(f64, Node)> = None;
+        let (mut best, mut ask): (Option<(f64, Node)>, Option<(f64, Node)>) = (None, None);
         let (mut any_fresh, mut top) = (false, 0.0f64);
         for &node in &set.nodes {
             let m = &self.members[node];
             top = top.max(m.turn);
-            let replica = !m.shut && !matches!(m.state, State::TransportError | State::Healthy);
-            if !replica || !self.fresh_enough(now, cmd, m) {
+            if m.shut || m.state == State::Healthy {
+                continue;
+            }
+            if m.state == State::TransportError || !self.fresh_enough(now, cmd, m) {
+                if !m.probing && self.ask_due(now, m) && ask.is_none_or(|a| m.turn < a.0) {
+                    ask = Some((m.turn, node));
+                }
                 continue;
             }
             any_fresh = true;
@@ -661,21 +646,14 @@
                 break;
             }
         }
+        if let Some((_, node)) = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0)) {
+            self.probe(node);
+        }
         if let Some((_, node)) = best {
             let m = &mut self.members[node];
             m.turn = m.turn.max(top - 4.0) + 1.0;
             return Some(node);
         }
-        // Danger: reads that wait for the standing check while a replica is fresh enough already: at a start,
-        // or after lag. While none is proven, those not heard of for a pause are checked for the read's sake.
-        if !any_fresh && !self.node_checks && group.access != Access::Any {
-            for node in set.nodes.clone() {
-                let m = &self.members[node];
-                if m.state != State::TransportError && m.checked_at + PAUSE <= now {
-                    self.probe(node);
-                }
-            }
-        }
         let cmd = &self.open[&key];
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
         let primary = self.primary(number)?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,7 +79,6 @@
     pub probing: bool,
     pub fails: u32,
     pub retry_at: Tenths,
-    pub check_at: Tenths,
 }
 
 /// A waiting command: what goes behind has the higher rank, and the newest goes first.
@@ -123,7 +122,6 @@
     GiveUp(u64),
     Overdue(u64, u32),
     Look(i64),
-    Check(Node),
     Ask(Node),
     Watch,
 }
