Cold members get a credit by chance, refused connections are no death, fewer probes

Cause: (1) quick refusals (under 5 ms, against 250 ms and more where a member cannot be reached) broke working members; each router's idle connections were missed at others. Now a probe decides, and idle connections are let go while refusals of working members are seen. (2) Each router's one cheap command pushed cold members over, and deaths that the list does not tell were not counted. Now a credit in proportion to usual work, started by chance, also after a death this router saw. (3) Held writes probed a whole set each pause and each late dispatch its member: one probe now. Should also catch full connection tables, mass restarts, members that fail by turns. May hurt: a member that refuses and hangs is taken as working until its probe fails; all members cold at once earn little credit.

--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -373,6 +373,7 @@
         Decision::Fail { command } => writeln!(reply, "end_failed\t{inst}\t{command}"),
         Decision::CallOff { command, dispatch } => writeln!(reply, "withdraw\t{inst}\t{command}\t{dispatch}"),
         Decision::Probe { node } => writeln!(reply, "health_check\t{inst}\t{node}"),
+        Decision::LetGo { node } => writeln!(reply, "close_idle\t{inst}\t{node}"),
         Decision::WatchList => writeln!(reply, "track\t{inst}\t1"),
     };
     written.expect("writing to a string");
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! what is known. Then pull `next_decision(now)` until there is none and come back at `wake_at()`, or with
 //! news. Border types: `interface.rs`; what is held: `state.rs`; reasons: `docs/design.md`.
 
-use crate::decay::{Decay, Mean};
+use crate::decay::Decay;
 use crate::interface::*;
 use crate::state::*;
 use crate::told::{command_group, is, need, pick, tenths};
@@ -16,10 +16,8 @@
 /// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
 const PAUSE: Tenths = 1_000;
 const BACKOFF_MAX: Tenths = 5 * SECOND;
-/// Half-life of what is learned of the fleet's speed, of usual latencies, and of work done.
-const SPEED_HALF: Tenths = 3 * SECOND / 2;
+/// Half-life of what is learned of usual latencies, work and refusals.
 const USUAL_HALF: Tenths = 10 * SECOND;
-const WORK_HALF: Tenths = 3 * SECOND;
 /// Until seen, an unhurried answer is taken to need this share of the response target.
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
@@ -30,11 +28,10 @@
 const WINDOW_LOSS: f64 = 0.5;
 /// How much higher the mark of crowding is for a window near nothing.
 const SMALL_GRACE: f64 = 1.4;
+/// A cold member's part of the ordinary load, times what it can do and the multiple that pushes it over.
+const COLD_PART: f64 = 0.45;
 /// A command is worth sending while it has this many usual latencies left.
 const TIME_TO_RUN: f64 = 1.2;
-/// Second copies are paid from an allowance that arrivals fill.
-const COPY_SHARE: f64 = 0.05;
-const COPY_MOST: f64 = 8.0;
 /// Parts of the primary's window open to reads that replicas could serve, and to those that none can.
 const PRIMARY_SPARE: f64 = 0.4;
 const PRIMARY_NEEDED: f64 = 0.6;
@@ -58,12 +55,17 @@
     agenda: BTreeSet<(Tenths, Task)>,
     dirty: BTreeSet<i64>,
     ready: VecDeque<Decision>,
+    used: BTreeSet<Node>,
+    scarce: Decay,
     session_writes: BTreeMap<String, Tenths>,
-    copies: f64,
-    slow: Mean,
     list_fails: u32,
     node_checks: bool,
+    done_work: Decay,
+    up: usize,
+    warm_after: Tenths,
+    cheap: Tenths,
     tick: Tenths,
+    dial: Tenths,
     tightest: Tenths,
     most: u32,
 }
@@ -98,6 +100,9 @@
         }
         Ok(Router {
             tick: tenths(pick(&told, "tick_ms", 1.0)?).max(1),
+            warm_after: tenths(pick(&told, "rules.warm_after_ms", 20_000.0)?).max(1),
+            cheap: groups.iter().map(|g| g.target).min().unwrap_or(0) * 3,
+            dial: tenths(pick(&told, "permissions.dial_timeout_ms", 0.0)?),
             most: pick(&told, "permissions.max_attempts", 1)?,
             node_checks: is(&told, checks, "refuse") || is(&told, checks, "wait"),
             told,
@@ -107,7 +112,6 @@
             shares,
             rng: Chance::from(seed),
             agenda,
-            copies: COPY_MOST,
             tightest,
             ..Router::default()
         })
@@ -142,7 +146,6 @@
         let rank = 2 * over_share as u8 + command.repeat as u8;
         let key = self.next_key;
         self.next_key += 1;
-        self.copies = (self.copies + COPY_SHARE).min(COPY_MOST);
         self.by_id.insert(command.id.clone(), key);
         let (id, set, session) = (command.id, command.set, command.session);
         self.open.insert(key, Open { id, kind, set, rank, ends, needs, session, ..Open::default() });
@@ -172,6 +175,7 @@
             *commit = (note.position + 1).max(*commit);
         }
         self.dirty.insert(cmd.set);
+        self.used.insert(node);
         let group = &mut self.groups[cmd.kind];
         let (kind, target) = (cmd.kind, group.target as f64);
         let ratio = took as f64 / target;
@@ -202,18 +206,25 @@
         let m = &mut self.members[node];
         match ending {
             Ending::Answered => {
-                m.fails = 0;
-                m.done_work.add(now, WORK_HALF, target);
+                self.scarce.add(now, USUAL_HALF, m.refused.min(1) as f64);
+                (m.fails, m.refused) = (0, 0);
+                self.done_work.add(now, USUAL_HALF, target);
                 if m.state == State::TransportError {
                     m.state = State::Unknown;
+                    if m.died {
+                        self.restarted(now, now, node);
+                    }
                 }
             }
             Ending::Miss if !write => m.lagging = true,
-            Ending::Full => {
-                // Danger: a full member turned to again at once, by every waiting command in turn.
-                m.window = (m.window / 2.0).max(WINDOW_LEAST);
+            // Danger: a full member turned to again at once, by every waiting command in turn.
+            Ending::Full => m.window = (m.window / 2.0).max(WINDOW_LEAST),
+            Ending::ConnectFailed if 2 * took < self.dial => self.refused(now, node),
+            Ending::ConnectFailed | Ending::Reset => {
+                // Danger: a member that died is back before the list says so, or unlisted, and cold.
+                m.died |= ending == Ending::Reset;
+                self.break_member(now, node);
             }
-            Ending::ConnectFailed | Ending::Reset => self.break_member(now, node),
             _ => {}
         }
         let m = &mut self.members[node];
@@ -223,7 +234,6 @@
             m.shy_until = m.shy_until.max(now + (usual * (1.0 / m.window - 1.0)) as Tenths);
         }
         if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
-            self.slow.add(now, SPEED_HALF, ratio);
             // The window follows the member's latency against the response target. Danger: a fleet slow as a
             // whole drives all windows to nothing. The smaller one is, the less it is to blame.
             let mark = CROWDED * (1.0 + SMALL_GRACE * (1.0 - m.window / start).max(0.0));
@@ -240,7 +250,6 @@
         let Some(&node) = self.nodes.get(node) else { return };
         self.dirty.insert(self.members[node].set);
         self.learn_report(now, node, report);
-        let back = self.back_window();
         let m = &mut self.members[node];
         m.probing = false;
         if ending == Ending::TimedOut && m.fails == 0 && m.state != State::TransportError {
@@ -250,11 +259,15 @@
             return;
         }
         if ending != Ending::Answered {
+            m.died |= m.refused > 0;
             return self.break_member(now, node);
         }
         m.checked_at = now;
         if m.state == State::TransportError {
-            (m.state, m.window) = (State::Unknown, back);
+            m.state = State::Unknown;
+            if m.died {
+                self.restarted(now, now, node);
+            }
             report.primary.into_iter().for_each(|primary| self.learn_role(node, primary));
         } else {
             m.fails = 0;
@@ -263,7 +276,7 @@
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
-        let (start, back) = (self.start_window(), self.back_window());
+        let start = self.start_window();
         let removal_binds = !self.allows("rules.soft_removal");
         if whole && removal_binds {
             for m in &mut self.members {
@@ -277,11 +290,10 @@
             }
             let node = *self.nodes.entry(e.node.clone()).or_insert(self.members.len());
             if fresh {
-                let (id, zone, machine) = (e.node.clone(), e.zone.clone(), e.machine.clone());
-                let window = if e.started > 0 { back } else { start };
-                let (set, started) = (e.set, e.started);
-                let m = Member { id, zone, machine, set, started, window, heard: now, ..Member::default() };
-                self.members.push(m);
+                let (id, zone) = (e.node.clone(), e.zone.clone());
+                let set = e.set;
+                let (window, heard) = (start, now);
+                self.members.push(Member { id, zone, set, window, heard, ..Member::default() });
                 self.sets.entry(set).or_default().nodes.push(node);
             }
             let m = &mut self.members[node];
@@ -295,16 +307,17 @@
             };
             let restarted = e.started > m.started;
             if restarted {
-                (m.started, m.window) = (e.started, m.window.min(back));
                 if m.heard < e.started {
                     m.state = State::Unknown;
                 }
+                self.restarted(now, e.started, node);
             }
             if fresh || restarted {
                 // A fresh router, or one that meets a new member, probes it once for position and role.
                 self.agenda.insert((now, Task::Ask(node)));
             }
         }
+        self.up = self.members.iter().filter(|m| !m.shut).count();
         let me: usize = pick(&self.told, "me", 0).unwrap_or(0);
         for (&number, set) in &mut self.sets {
             self.dirty.insert(number);
@@ -356,6 +369,22 @@
         }
     }
 
+    /// Danger: a member that takes no more connections is taken for dead, and a working primary is demoted by
+    /// all. A connection refused at once is asked about by a probe; while that is answered the member keeps
+    /// its state and gets a pause, longer with each refusal. Catches full tables and squeezed limits.
+    fn refused(&mut self, now: Tenths, node: Node) {
+        if !self.allows("permissions.may_probe") {
+            return self.break_member(now, node);
+        }
+        let m = &mut self.members[node];
+        m.refused += 1;
+        let pause = (PAUSE / 8) << m.refused.min(5);
+        m.shy_until = now + pause + self.rng.below(pause);
+        if m.refused.is_power_of_two() {
+            self.agenda.insert((now, Task::Ask(node)));
+        }
+    }
+
     /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
     fn break_member(&mut self, now: Tenths, node: Node) {
         let at = now + self.jittered((PAUSE << self.members[node].fails.min(6)).min(BACKOFF_MAX));
@@ -422,9 +451,14 @@
                     Task::Ask(node) => self.probe(node),
                     Task::Watch => self.ready.push_back(Decision::WatchList),
                 }
-            } else {
-                let set = self.dirty.pop_first()?;
+            } else if let Some(set) = self.dirty.pop_first() {
                 self.serve(now, set);
+            } else {
+                let node = self.used.pop_first()?;
+                // Danger: connections that idle at one router are missed at others while members take few.
+                if self.scarce.read(now, USUAL_HALF) > 1.0 {
+                    return Some(Decision::LetGo { node: self.members[node].id.clone() });
+                }
             }
         }
     }
@@ -553,14 +587,15 @@
         None
     }
 
-    /// While no primary is known, probes look for it, one round a pause.
+    /// While no primary is known, probes look for it, one a pause, where none was asked for longest.
     fn seek(&mut self, now: Tenths, number: i64) {
         let Some(set) = self.sets.get_mut(&number).filter(|s| s.seek_at <= now) else { return };
         set.seek_at = now + PAUSE;
-        for node in set.nodes.clone() {
-            if self.members[node].state != State::TransportError || self.members[node].retry_at <= now {
-                self.probe(node);
-            }
+        let askable =
+            |m: &Member| !m.shut && !m.probing && (m.state != State::TransportError || m.retry_at <= now);
+        let open = set.nodes.iter().copied().filter(|n| askable(&self.members[*n]));
+        if let Some(node) = open.min_by_key(|n| (self.members[*n].checked_at, self.members[*n].tie)) {
+            self.probe(node);
         }
     }
 
@@ -594,11 +629,6 @@
         (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST)
     }
 
-    /// Danger: a member that is back after it broke may have restarted, and the list says so seconds later.
-    fn back_window(&self) -> f64 {
-        (self.start_window() * self.number("rules.start_capacity", 0.1)).max(WINDOW_LEAST)
-    }
-
     fn has_room(&self, now: Tenths, node: Node, part: f64) -> bool {
         let m = &self.members[node];
         m.shy_until <= now && (m.out.len() as f64) < (m.window * part).max(1.0)
@@ -610,11 +640,6 @@
         group.latency.read(now, USUAL_HALF, group.target as f64 * USUAL_GUESS)
     }
 
-    /// The mean latency over response target, of all members.
-    fn peers(&self, now: Tenths) -> f64 {
-        self.slow.read(now, SPEED_HALF, USUAL_GUESS)
-    }
-
     /// Takes turns over the replicas that are fresh enough and have room; a slow one has less room.
     fn pick_reader(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
         let cmd = &self.open[&key];
@@ -623,7 +648,7 @@
         // for the first replica by id, the same for all routers, and the others stay fresh.
         let long = group.access == Access::Any && group.target > self.tightest;
         let set = self.sets.get(&number)?;
-        let (mut best, mut ask): (Option<(f64, Node)>, Option<(f64, Node)>) = (None, None);
+        let (mut best, mut ask) = (None::<(f64, Node)>, None::<(f64, Node)>);
         let (mut any_fresh, mut top) = (false, 0.0f64);
         for &node in &set.nodes {
             let m = &self.members[node];
@@ -691,32 +716,34 @@
         let primary = m.state == State::Healthy || (m.been_primary && m.noted != Some(false));
         let unaged = self.node_checks || matches!(group.access, Access::Any | Access::Write);
         let age = unaged || primary || self.fresh_enough(now, cmd, m);
-        answer && once && effect && !m.shut && age && self.spares_cold(now, group.target, node)
+        answer && once && effect && !m.shut && age && self.spares_cold(now, group.target, m)
     }
 
-    /// Danger: all routers together push over a member that has just started. Each keeps its own sends,
-    /// over the stated span, to what warm members of the kind answer it, times the part that the cold one
-    /// can do by now; the parts add up to less than its capacity, however unequal the routers are.
-    fn spares_cold(&self, now: Tenths, work: Tenths, node: Node) -> bool {
-        let m = &self.members[node];
-        let warm_after = tenths(self.number("rules.warm_after_ms", 20_000.0));
-        if m.started == 0 || now >= m.started + warm_after {
-            return true;
-        }
+    /// Danger: all routers together push over a member that has just started, each with its little. So each
+    /// has a credit there that grows with what its own commands usually ask of a member, times what the cold
+    /// one can do by now, and starts by chance: whatever the routers' number and sizes, all of them together
+    /// send the ordinary load times that part. Catches mass restarts and members that fail by turns.
+    fn spares_cold(&self, now: Tenths, work: Tenths, m: &Member) -> bool {
+        now >= m.started + self.warm_after || m.started == 0 || self.cold_credit(now, m) >= work as f64
+    }
+
+    fn cold_credit(&self, now: Tenths, m: &Member) -> f64 {
         let from = self.number("rules.start_capacity", 0.1);
-        let able = from + (1.0 - from) * ((now - m.started).max(0) as f64 / warm_after as f64);
-        let span = tenths(self.number("rules.fall_ms", 1000.0));
-        let warm = |o: &&Member| now >= o.started + warm_after && o.state != State::TransportError;
-        let peers = self.members.iter().filter(|o| o.machine == m.machine).filter(warm);
-        let (sum, count) =
-            peers.fold((0.0, 0.0), |(s, c), o| (s + o.done_work.read(now, WORK_HALF), c + 1.0));
-        let rate = sum / f64::max(count, 1.0) / (WORK_HALF as f64 * std::f64::consts::LOG2_E);
-        // What decays with the span's half-life counts at least half while it is inside the span.
-        let spent = m.cold_work.read(now, span);
-        let multiple = self.number("rules.tip_multiple", 1.0);
-        let cheap = self.groups.iter().map(|g| g.target).min().unwrap_or(0) * 3;
-        spent + work as f64 <= rate * span as f64 * able * multiple * 0.45
-            || (spent < 0.1 * work as f64 && work <= cheap)
+        let able = from + (1.0 - from) * ((now - m.started).max(0) as f64 / self.warm_after as f64);
+        let part = able.min(1.0) * self.number("rules.tip_multiple", 1.0) * COLD_PART;
+        let usual = self.done_work.read(now, USUAL_HALF) / (USUAL_HALF as f64 * std::f64::consts::LOG2_E);
+        let pace = usual / self.up.max(1) as f64 * part;
+        let most = (pace * tenths(self.number("rules.fall_ms", 1000.0)) as f64).max(self.cheap as f64);
+        (m.credit + (now - m.credit_at) as f64 * pace).min(most)
+    }
+
+    /// A member that started at `at`, told or seen: its credit starts anew, by chance.
+    fn restarted(&mut self, now: Tenths, at: Tenths, node: Node) {
+        let credit = self.rng.below(self.cheap) as f64;
+        let window = self.start_window();
+        let m = &mut self.members[node];
+        (m.started, m.credit, m.credit_at, m.died) = (at, credit, now, false);
+        m.window = m.window.min(window);
     }
 
     /// Every dispatch goes out here, and only through the gate.
@@ -732,31 +759,34 @@
         self.ready.push_back(Decision::Dispatch { command, node: to, limit });
         let patience = (self.usual(now, kind) * 2.5) as Tenths;
         self.agenda.insert((now + patience.max(2 * self.tick), Task::Overdue(key, dispatch)));
-        let span = tenths(self.number("rules.fall_ms", 1000.0));
+        let credit = self.cold_credit(now, &self.members[node]);
         let m = &mut self.members[node];
         m.out.insert((key, dispatch), now);
-        m.cold_work.add(now, span, self.groups[kind].target as f64);
+        (m.credit, m.credit_at) = (credit - self.groups[kind].target as f64, now);
         true
     }
 
-    /// A dispatch is out for longer than usual: the member may be silent, and a second copy may help.
+    /// A dispatch is out for longer than usual: the member may be silent.
     fn overdue(&mut self, now: Tenths, key: u64, dispatch: u32) {
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed) else { return };
         let Some(&(node, sent)) = cmd.out.get(&dispatch) else { return };
-        let (number, ends, copied) = (cmd.set, cmd.ends, cmd.out.len() > 1);
-        let (access, target) = (self.groups[cmd.kind].access, self.groups[cmd.kind].target);
+        let number = cmd.set;
+        let target = self.groups[cmd.kind].target;
         let usual = (self.usual(now, cmd.kind) as Tenths).max(self.tick);
         let m = &self.members[node];
         let late = m.unheard + m.out.values().filter(|at| **at + 2 * usual < now).count();
         // Danger: a member that takes work and answers nothing (hung, cut off). Told from one heavy command
         // or one lost answer by others that are overdue beside it; until then it is only checked.
-        let silent = m.heard < sent;
+        let (silent, ask) = (m.heard < sent, m.checked_at < sent && now - sent > 4 * usual);
         if silent && m.state != State::TransportError {
             if late >= 3 || (late >= 2 && now - sent > 7 * usual) {
                 self.break_member(now, node);
                 self.dirty.insert(number);
             }
-            self.probe(node);
+            // Danger: heavy commands that each earn a probe. One that was answered since the send is enough.
+            if ask {
+                self.probe(node);
+            }
         }
         // Danger: answers that get lost on the way fill windows that nothing empties. A dispatch past its
         // target at a member that answers others, or probes, counts as lost; so may a heavy one.
@@ -766,15 +796,6 @@
             self.dirty.insert(number);
         }
         self.agenda.insert((now + 2 * usual, Task::Overdue(key, dispatch)));
-        // Danger: a copy of what waits in a queue lengthens it. Only silence in a calm fleet calls for one.
-        let read = !matches!(access, Access::Write | Access::Fresh);
-        let calm = self.copies >= 1.0 && self.peers(now) < 0.75 * CROWDED;
-        if (silent && read && calm && !copied && now + usual < ends)
-            && let Some(other) = self.pick_reader(now, number, key)
-            && self.send(now, key, other)
-        {
-            self.copies -= 1.0;
-        }
     }
 }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -284,18 +284,32 @@
 }
 
 #[rstest]
-#[case::warm(0, 9e9, true)]
-#[case::budget_left(NOW - 10, 10.0, true)]
-#[case::budget_spent(NOW - 10, 9e9, false)]
-fn cold_members_have_a_budget(#[case] started: Tenths, #[case] spent: f64, #[case] lawful: bool) {
+#[case::warm(0, 0.0, 0.0, true)]
+#[case::credit_left(NOW - 10, 2_500.0, 0.0, true)]
+#[case::credit_spent(NOW - 10, 2_400.0, 0.0, false)]
+#[case::credit_grown(NOW - 10, 2_400.0, 9e7, true)]
+fn cold_members_have_a_credit(
+    #[case] started: Tenths,
+    #[case] credit: f64,
+    #[case] usual: f64,
+    #[case] ok: bool,
+) {
     let mut r = router(&[("rules.start_capacity", "0.2"), ("rules.warm_after_ms", "18000")]);
     open(&mut r, "any");
-    r.members[1].started = started;
-    r.members[1].cold_work.add(NOW, SECOND, spent);
-    for warm in [0, 2] {
-        r.members[warm].done_work.add(NOW, WORK_HALF, 4e6);
-    }
-    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+    let m = &mut r.members[1];
+    (m.started, m.credit, m.credit_at) = (started, credit, NOW - 100);
+    r.done_work.add(NOW, USUAL_HALF, usual);
+    assert_eq!(r.lawful(NOW, 0, 1), ok);
+}
+
+#[rstest]
+#[case::seen_to_die(true, NOW)]
+#[case::silent_only(false, 0)]
+fn members_seen_to_die_come_back_cold(#[case] died: bool, #[case] started: Tenths) {
+    let mut r = router(&[]);
+    (r.members[1].state, r.members[1].died) = (State::TransportError, died);
+    r.probe_ended(NOW, "b", Ending::Answered, Report::default());
+    assert_eq!(r.members[1].started, started);
 }
 
 #[rstest]
@@ -382,18 +396,47 @@
 }
 
 #[rstest]
-#[case::silent_member(NOW - 9_000, 0.1, 1)]
-#[case::member_that_answers_others(NOW, 0.1, 0)]
-#[case::crowded_fleet(NOW - 9_000, 0.9, 0)]
-fn copies_are_for_silence_alone(#[case] heard: Tenths, #[case] peers: f64, #[case] copies: usize) {
+#[case::probe_due(NOW - 90_000, 1)]
+#[case::answered_a_probe_since(NOW, 0)]
+fn a_late_dispatch_earns_one_probe(#[case] checked_at: Tenths, #[case] probes: usize) {
     let mut r = router(&[]);
     open(&mut r, "any");
-    let sent = NOW - 2_000;
+    let sent = NOW - 3_000;
     r.open.get_mut(&0).unwrap().out.insert(0, (1, sent));
-    (r.open.get_mut(&0).unwrap().dispatches, r.members[1].heard) = (1, heard);
-    (0..20).for_each(|_| r.slow.add(NOW, SPEED_HALF, peers));
+    (r.members[1].heard, r.members[1].checked_at) = (NOW - 90_000, checked_at);
     r.overdue(NOW, 0, 0);
-    assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Dispatch { .. })).count(), copies);
+    assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Probe { .. })).count(), probes);
+}
+
+#[rstest]
+fn one_member_a_pause_is_asked_for_the_primary() {
+    let mut r = router(&[]);
+    r.members[0].checked_at = NOW;
+    (0..2).for_each(|_| r.seek(NOW, 1));
+    assert_eq!(r.ready, [Decision::Probe { node: "b".into() }]);
+}
+
+#[rstest]
+#[case::refused_at_once(1, State::Healthy)]
+#[case::not_reached(2_500, State::TransportError)]
+fn refused_connection_is_not_death(#[case] took: Tenths, #[case] state: State) {
+    let mut r = router(&[("permissions.dial_timeout_ms", "250")]);
+    open(&mut r, "write");
+    r.members[0].state = State::Healthy;
+    r.open.get_mut(&0).unwrap().out.insert(0, (0, NOW));
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { took, ..ended(Ending::ConnectFailed, None) });
+    assert_eq!((r.members[0].state, r.has_room(NOW, 0, 1.0)), (state, state != State::Healthy));
+}
+
+#[rstest]
+#[case::connections_scarce(5.0, true)]
+#[case::enough(0.0, false)]
+fn idle_connections_are_let_go_while_scarce(#[case] refusals: f64, #[case] gone: bool) {
+    let mut r = router(&[]);
+    (r.agenda, r.dirty) = Default::default();
+    r.scarce.add(NOW, USUAL_HALF, refusals);
+    r.used.insert(1);
+    assert_eq!(r.next_decision(NOW) == Some(Decision::LetGo { node: "b".into() }), gone);
 }
 
 #[rstest]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -91,10 +91,28 @@
 /// What the router wants done next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    Dispatch { command: Id, node: Id, limit: Tenths },
-    Throttle { command: Id, hold_off: Tenths },
-    Fail { command: Id },
-    CallOff { command: Id, dispatch: u32 },
-    Probe { node: Id },
+    Dispatch {
+        command: Id,
+        node: Id,
+        limit: Tenths,
+    },
+    Throttle {
+        command: Id,
+        hold_off: Tenths,
+    },
+    Fail {
+        command: Id,
+    },
+    CallOff {
+        command: Id,
+        dispatch: u32,
+    },
+    Probe {
+        node: Id,
+    },
+    /// Close the connections to the member that idle.
+    LetGo {
+        node: Id,
+    },
     WatchList,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a router holds. Nothing is decided here: `decide` alone reads and changes it.
 
-use crate::decay::{Decay, Mean};
+use crate::decay::Mean;
 use crate::interface::{Id, Tenths};
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
@@ -51,7 +51,6 @@
     pub id: Id,
     pub set: i64,
     pub zone: Id,
-    pub machine: Id,
     pub tie: usize,
     pub listed_primary: bool,
     /// Told as draining or gone.
@@ -73,11 +72,16 @@
     pub out: BTreeMap<(u64, u32), Tenths>,
     pub window: f64,
     pub shy_until: Tenths,
-    pub done_work: Decay,
-    pub cold_work: Decay,
+    /// Seen to die; back, it is cold.
+    pub died: bool,
+    /// What this router may still send it while it is cold.
+    pub credit: f64,
+    pub credit_at: Tenths,
     pub turn: f64,
     pub probing: bool,
     pub fails: u32,
+    /// Connections refused since the last answer.
+    pub refused: u32,
     pub retry_at: Tenths,
 }
 
