A command that errs gets one more dispatch, and only where that helps

Cause: commands that get a quick error at any member used 3.6 dispatches each and the turns of others. Told apart by whether a dispatch after an error is answered: a pooled mean, under 0.3 no further dispatch. Also: members met and restarted begin in one place. Catches bad requests of any cause and members that err alone. May hurt a good command that meets an erring member during a flood of bad ones: it is throttled, where a repeat is harmless.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -69,6 +69,7 @@
     credit: f64,
     paced_at: Tenths,
     slow: Mean,
+    cured: Mean,
     read_work: Decay,
     long_work: Decay,
     cheap: Tenths,
@@ -183,6 +184,14 @@
             let commit = self.session_writes.entry(session).or_insert(0);
             *commit = (note.position + 1).max(*commit);
         }
+        // Danger: commands that err at any member take turns from others. Whether a dispatch after an error is
+        // answered tells them from members that err; only beside the latter is one more worth it.
+        let (again, erred) = (cmd.erred, ending == Ending::Error);
+        if again && (answered || erred) {
+            self.cured.add(now, USUAL_HALF, answered as u8 as f64);
+        }
+        cmd.hopeless |= erred && (again || self.cured.read(now, USUAL_HALF, 0.5) < 0.3);
+        cmd.erred |= erred;
         self.dirty.insert(cmd.set);
         self.used.insert(node);
         let group = &mut self.groups[cmd.kind];
@@ -281,7 +290,6 @@
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
-        let start = self.start_window();
         let removal_binds = !self.allows("rules.soft_removal");
         for m in self.members.iter_mut().filter(|_| whole && removal_binds) {
             m.shut |= !entries.iter().any(|e| e.node == m.id);
@@ -293,8 +301,8 @@
             }
             let node = *self.nodes.entry(e.node.clone()).or_insert(self.members.len());
             if fresh {
-                let (id, zone, set, window, heard) = (e.node.clone(), e.zone.clone(), e.set, start, now);
-                self.members.push(Member { id, zone, set, window, heard, ..Member::default() });
+                let (id, zone, set, heard) = (e.node.clone(), e.zone.clone(), e.set, now);
+                self.members.push(Member { id, zone, set, heard, ..Member::default() });
                 self.sets.entry(e.set).or_default().nodes.push(node);
             }
             let m = &mut self.members[node];
@@ -306,14 +314,11 @@
                 // A removal that does not bind leaves an earlier drain in force.
                 Phase::Removed => removal_binds || m.shut,
             };
-            let restarted = e.started > m.started;
-            if restarted {
+            if fresh || e.started > m.started {
                 if m.heard < e.started {
                     m.state = State::Unknown;
                 }
                 self.restarted(now, e.started, node);
-            }
-            if fresh || restarted {
                 // A fresh router, or one that meets a new member, probes it once for position and role.
                 self.agenda.insert((now, Task::Ask(node)));
             }
@@ -459,7 +464,7 @@
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
         let ran = cmd.maybe_ran.is_some_and(|(at, _)| !self.no_second_effect(now, cmd, at));
         let late = cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths;
-        if cmd.dispatches >= self.most || ran || now + self.tick >= cmd.ends {
+        if cmd.dispatches >= self.most || ran || cmd.hopeless || now + self.tick >= cmd.ends {
             return self.give_up(now, key);
         }
         let set = self.sets.entry(cmd.set).or_default();
@@ -621,11 +626,6 @@
         m.checked_at + PAUSE.max(self.tightest / 2).max(behind / 4) <= now
     }
 
-    /// A member's first window, shared out over all routers.
-    fn start_window(&self) -> f64 {
-        (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST)
-    }
-
     fn has_room(&self, now: Tenths, node: Node, part: f64) -> bool {
         let m = &self.members[node];
         m.shy_until <= now && (m.out.len() as f64) < (m.window * part).max(1.0)
@@ -745,10 +745,9 @@
     /// A member that started at `at`, told or seen: its credit starts anew, by chance.
     fn restarted(&mut self, now: Tenths, at: Tenths, node: Node) {
         let credit = self.rng.below(self.cheap) as f64;
-        let window = self.start_window();
+        let window = (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST);
         let m = &mut self.members[node];
-        (m.started, m.credit, m.credit_at, m.died) = (at, credit, now, false);
-        m.window = m.window.min(window);
+        (m.started, m.credit, m.credit_at, m.died, m.window) = (at, credit, now, false, window);
     }
 
     /// Every dispatch goes out here, and only through the gate.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -499,6 +499,21 @@
     assert_eq!(r.in_pace(NOW, rank), sent);
 }
 
+#[rstest]
+#[case::first_error(false, 1.0, false)]
+#[case::second_error(true, 1.0, true)]
+#[case::nothing_cures_errors(false, 0.0, true)]
+fn errors_earn_one_dispatch_where_that_helps(#[case] erred: bool, #[case] cured: f64, #[case] done: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    (0..20).for_each(|_| r.cured.add(NOW, USUAL_HALF, cured));
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.out, cmd.erred) = (BTreeMap::from([(0, (1, NOW))]), erred);
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Error, None));
+    r.settle(NOW, 0);
+    assert_eq!(r.ready.iter().any(|d| matches!(d, Decision::Throttle { .. })), done);
+}
+
 #[rstest]
 #[case::no_long_reads(0.0, 1.0)]
 #[case::a_quarter_of_the_work(25.0, 2.0)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -117,6 +117,9 @@
     pub maybe_ran: Option<(Node, Tenths)>,
     pub tried: Vec<Node>,
     pub broken_round: bool,
+    pub erred: bool,
+    /// Erred where a further dispatch would not help.
+    pub hopeless: bool,
     pub closed: bool,
 }
 
