--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,13 +28,13 @@
 const WINDOW_LEAST: f64 = 0.3;
 const WINDOW_LOSS: f64 = 0.5;
 /// A cold member's part of the ordinary load, times what it can do and the multiple that pushes it over.
-const COLD_PART: f64 = 0.45;
+const COLD_PART: f64 = 0.35;
 /// The most turns that a member's turn may cost, and that it may be behind.
 const TURN_MOST: f64 = 12.0;
 /// Mean latency over response target above which a router slows its pace; step, least and most of it.
 const PACE_MARK: f64 = 0.45;
 const SLOW_HALF: Tenths = 2 * SECOND;
-const PACE_LEAST: f64 = 0.1;
+const PACE_LEAST: f64 = 0.3;
 const PACE_MOST: f64 = 1.5;
 /// A command is worth sending with this many usual latencies left; reads use this part of a primary's window.
 const TIME_TO_RUN: f64 = 1.2;
