A write may try the listed primary past its backoff, though probes to it fail

Cause: on a slow way between rooms probes and new connections time out, far primaries were held as broken and writes waited for a probe that never came. Told apart: connections failed after 250 ms and more, no election, one room only. Should also help where only probes are lost. May cost a mutating write at a listed primary that hangs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -184,7 +184,7 @@
             let commit = self.session_writes.entry(session).or_insert(0);
             *commit = (note.position + 1).max(*commit);
         }
-        // Danger: commands that err at any member take turns from others. Whether a dispatch after an error is
+        // Danger: commands that err at any member take others' turns. Whether a dispatch after an error is
         // answered tells them from members that err; only beside the latter is one more worth it.
         let (again, erred) = (cmd.erred, ending == Ending::Error);
         if again && (answered || erred) {
@@ -517,7 +517,7 @@
     }
 
     /// Danger: with many routers each meets a member too seldom to see that it is crowded, and all go on.
-    /// So each also paces itself by all its answers: commands beyond the pace wait, the cheapest groups first.
+    /// So each also paces itself by all its answers: what is beyond the pace waits, cheapest groups first.
     fn in_pace(&mut self, now: Tenths, rank: usize) -> bool {
         let past = (now - self.paced_at) as f64;
         let room = (PACE_MARK - self.slow.read(now, SLOW_HALF, USUAL_GUESS)) / SECOND as f64;
@@ -560,8 +560,9 @@
             return None;
         }
         let open = |m: &Member| match m.state {
-            // Where probes are allowed they find out, and a write is not risked.
-            State::TransportError => !can_probe && m.retry_at <= now,
+            // Where probes are allowed they find out, and a write is not risked. Danger: on a slow way probes
+            // and new connections fail, and a working primary stays out of reach: the listed one is tried.
+            State::TransportError => (!can_probe || m.listed_primary) && m.retry_at <= now,
             State::TopologyReject => !can_probe || m.noted_at + 5 * PAUSE < now,
             _ => true,
         };
@@ -640,7 +641,7 @@
     /// Takes turns over the replicas that are fresh enough and have room; a slow one has less room.
     fn pick_reader(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
         let cmd = &self.open[&key];
-        // Danger: long reads stop a replica applying. They keep to the first by id, and the others stay fresh.
+        // Danger: long reads stop a replica applying. They keep to the first by id; the others stay fresh.
         let long = self.outlasts(cmd.kind);
         let set = self.sets.get(&number)?;
         let (mut best, mut ask) = (None::<(f64, Node)>, None::<(f64, Node)>);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -79,6 +79,8 @@
 #[case::listed_primary_first([State::Unknown; 3], &[], Some(0))]
 #[case::walks_past_the_tried([State::TopologyReject, State::Unknown, State::Unknown], &[0], Some(1))]
 #[case::state_before_list([State::TopologyReject, State::TopologyReject, State::Unknown], &[], Some(2))]
+#[case::broken_but_listed([State::TransportError, State::TopologyReject, State::TopologyReject], &[], Some(0))]
+#[case::broken([State::Unknown, State::TransportError, State::TransportError], &[0], None)]
 #[case::round_over([State::Unknown; 3], &[0, 1, 2], None)]
 fn write_walks_by_rank(#[case] states: [State; 3], #[case] tried: &[Node], #[case] first: Option<Node>) {
     let mut r = router(&[]);
