One way back from a break, one rate of a sum, settings read only where needed; no decision changed

Said twice: the way back from a break and the rate of a decaying sum. Deeper than needed: the window's update. The router's own credit shared its name with a member's (now allowance); the limit for errors had no name; a comment on one variant had spread out a whole enum; a test told a setting that nothing reads. Settings were parsed for every outcome and every candidate.

--- a/src/decay.rs
+++ b/src/decay.rs
@@ -14,6 +14,11 @@
         self.sum * (-((now - self.at).max(0) as f64) / half_life.max(1) as f64).exp2()
     }
 
+    /// What came lately per tenth of a millisecond, as far as a steady stream would leave this sum.
+    pub(crate) fn rate(&self, now: Tenths, half_life: Tenths) -> f64 {
+        self.read(now, half_life) / (half_life.max(1) as f64 * std::f64::consts::LOG2_E)
+    }
+
     pub(crate) fn add(&mut self, now: Tenths, half_life: Tenths, amount: f64) {
         self.sum = self.read(now, half_life) + amount;
         self.at = self.at.max(now);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,9 +16,10 @@
 /// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
 const PAUSE: Tenths = 1_000;
 const BACKOFF_MAX: Tenths = 5 * SECOND;
-/// Half-life of what is learned of usual latencies, work and refusals.
+/// Half-lives: of usual latencies, work and refusals; of the long reads' part; of how slow the fleet is.
 const USUAL_HALF: Tenths = 10 * SECOND;
 const SHARE_HALF: Tenths = 60 * SECOND;
+const SLOW_HALF: Tenths = 2 * SECOND;
 /// Until seen, an unhurried answer is taken to need this share of the response target.
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
@@ -31,13 +32,15 @@
 const COLD_PART: f64 = 0.35;
 /// The most turns that a member's turn may cost, and that it may be behind.
 const TURN_MOST: f64 = 12.0;
-/// Mean latency over response target above which a router slows its pace; step, least and most of it.
+/// Mean latency over response target above which a router slows its pace; the least and the most of it.
 const PACE_MARK: f64 = 0.45;
-const SLOW_HALF: Tenths = 2 * SECOND;
 const PACE_LEAST: f64 = 0.3;
 const PACE_MOST: f64 = 1.5;
-/// A command is worth sending with this many usual latencies left; reads use this part of a primary's window.
+/// A command that erred gets one more dispatch while this part of such dispatches is answered.
+const CURED: f64 = 0.3;
+/// A command is worth sending while it has this many usual latencies left.
 const TIME_TO_RUN: f64 = 1.2;
+/// Part of the primary's window open to reads.
 const PRIMARY_SPARE: f64 = 0.5;
 
 #[derive(Default)]
@@ -66,7 +69,7 @@
     done_work: Decay,
     asked_work: Decay,
     pace: f64,
-    credit: f64,
+    allowance: f64,
     paced_at: Tenths,
     slow: Mean,
     cured: Mean,
@@ -98,13 +101,12 @@
             let name: String = need(&told, &format!("projects.{i}.name"))?;
             shares.insert(name, (pick(&told, &format!("projects.{i}.share"), 1.0)?, Decay::default()));
         }
-        let checks = "family_info.server_checks";
         let watch = (!is(&told, "membership_mode", "automatic")).then_some((now, Task::Watch));
         Ok(Router {
             tick: tenths(pick(&told, "tick_ms", 1.0)?).max(1),
             cheap: groups.iter().map(|g| g.target).min().unwrap_or(0) * 3,
             most: pick(&told, "permissions.max_attempts", 1)?,
-            node_checks: is(&told, checks, "refuse") || is(&told, checks, "wait"),
+            node_checks: ["refuse", "wait"].iter().any(|c| is(&told, "family_info.server_checks", c)),
             told,
             groups,
             kinds,
@@ -190,7 +192,7 @@
         if again && (answered || erred) {
             self.cured.add(now, USUAL_HALF, answered as u8 as f64);
         }
-        cmd.hopeless |= erred && (again || self.cured.read(now, USUAL_HALF, 0.5) < 0.3);
+        cmd.hopeless |= erred && (again || self.cured.read(now, USUAL_HALF, 0.5) < CURED);
         cmd.erred |= erred;
         self.dirty.insert(cmd.set);
         self.used.insert(node);
@@ -224,24 +226,20 @@
             (m.noted, m.noted_at) = (Some(primary), now);
             self.learn_role(node, primary);
         }
-        let dial = tenths(self.number("permissions.dial_timeout_ms", 0.0));
+        let refused = ending == Ending::ConnectFailed
+            && 2 * took < tenths(self.number("permissions.dial_timeout_ms", 0.0));
         let m = &mut self.members[node];
         match ending {
             Ending::Answered => {
                 self.scarce.add(now, USUAL_HALF, m.refused.min(1) as f64);
                 (m.fails, m.refused) = (0, 0);
                 self.done_work.add(now, USUAL_HALF, target);
-                if m.state == State::TransportError {
-                    m.state = State::Unknown;
-                    if m.died {
-                        self.restarted(now, now, node);
-                    }
-                }
+                self.recover(now, node);
             }
             Ending::Miss if !write => m.lagging = true,
             // Danger: a full member turned to again at once, by every waiting command in turn.
             Ending::Full => m.window = (m.window / 2.0).max(WINDOW_LEAST),
-            Ending::ConnectFailed if 2 * took < dial => self.refused(now, node),
+            Ending::ConnectFailed if refused => self.refused(now, node),
             Ending::ConnectFailed | Ending::Reset => self.break_member(now, node),
             _ => {}
         }
@@ -250,13 +248,12 @@
         if m.window < 1.0 {
             m.shy_until = m.shy_until.max(now + (usual * (1.0 / m.window - 1.0)) as Tenths);
         }
-        if answered || (matches!(ending, Ending::TimedOut | Ending::CalledOff) && ratio > CROWDED) {
-            if ratio > CROWDED {
-                let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
-                m.window = f64::max(m.window - loss * m.window.min(1.0), WINDOW_LEAST);
-            } else if m.out.len() as f64 + 1.0 >= m.window * 0.6 {
-                m.window += (CROWDED - ratio) / m.window.max(1.0).sqrt() * m.window.min(1.0).sqrt();
-            }
+        let judged = answered || matches!(ending, Ending::TimedOut | Ending::CalledOff);
+        if judged && ratio > CROWDED {
+            let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
+            m.window = f64::max(m.window - loss * m.window.min(1.0), WINDOW_LEAST);
+        } else if answered && m.out.len() as f64 + 1.0 >= m.window * 0.6 {
+            m.window += (CROWDED - ratio) / m.window.max(1.0).sqrt() * m.window.min(1.0).sqrt();
         }
     }
 
@@ -278,10 +275,7 @@
         }
         m.checked_at = now;
         if m.state == State::TransportError {
-            m.state = State::Unknown;
-            if m.died {
-                self.restarted(now, now, node);
-            }
+            self.recover(now, node);
             report.primary.into_iter().for_each(|primary| self.learn_role(node, primary));
         } else {
             m.fails = 0;
@@ -393,6 +387,15 @@
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
     }
 
+    /// A broken member has answered; one that was seen to die is cold now.
+    fn recover(&mut self, now: Tenths, node: Node) {
+        let m = &mut self.members[node];
+        if m.state == State::TransportError {
+            m.state = State::Unknown;
+            m.died.then(|| self.restarted(now, now, node));
+        }
+    }
+
     /// True for a customer whose part of this router's recent traffic is above its share.
     fn beyond_share(&mut self, now: Tenths, customer: &str) -> bool {
         self.all_traffic.add(now, USUAL_HALF, 1.0);
@@ -521,13 +524,12 @@
     fn in_pace(&mut self, now: Tenths, rank: usize) -> bool {
         let past = (now - self.paced_at) as f64;
         let room = (PACE_MARK - self.slow.read(now, SLOW_HALF, USUAL_GUESS)) / SECOND as f64;
-        self.pace = (self.pace + room * past).clamp(PACE_LEAST, PACE_MOST);
-        self.paced_at = now;
-        let asked = self.asked_work.read(now, SLOW_HALF) / (SLOW_HALF as f64 * std::f64::consts::LOG2_E);
+        (self.pace, self.paced_at) = ((self.pace + room * past).clamp(PACE_LEAST, PACE_MOST), now);
+        let asked = self.asked_work.rate(now, SLOW_HALF);
         let most = asked * SECOND as f64 + self.cheap as f64;
-        let grown = (self.credit + past * asked * self.pace).min(most);
-        self.credit = if self.pace < 1.0 { grown } else { most };
-        self.credit + asked * (SECOND * (self.order.len() - rank - 1) as Tenths) as f64 > 0.0
+        let grown = (self.allowance + past * asked * self.pace).min(most);
+        self.allowance = if self.pace < 1.0 { grown } else { most };
+        self.allowance + asked * (SECOND * (self.order.len() - rank - 1) as Tenths) as f64 > 0.0
     }
 
     /// True if the command was sent.
@@ -570,11 +572,8 @@
             let m = &self.members[*n];
             !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < self.most.div_ceil(2)
         });
-        let first = walk.min_by_key(|n| {
-            let m = &self.members[*n];
-            (m.state, !m.listed_primary, m.tie)
-        });
-        if let Some(node) = first {
+        let rank = |m: &Member| (m.state, !m.listed_primary, m.tie);
+        if let Some(node) = walk.min_by_key(|n| rank(&self.members[*n])) {
             cmd.tried.push(node);
             set.scout = Some(key);
             return Some(node);
@@ -660,10 +659,8 @@
             }
             count += 1.0;
             first = first.or(Some(node));
-            if best.is_none_or(|b| m.turn < b.0)
-                && self.has_room(now, node, 1.0)
-                && self.lawful(now, key, node)
-            {
+            let sooner = best.is_none_or(|b| m.turn < b.0);
+            if sooner && self.has_room(now, node, 1.0) && self.lawful(now, key, node) {
                 best = Some((m.turn, node));
             }
             if long {
@@ -731,14 +728,16 @@
     /// one can do by now, and starts by chance: however many and unequal the routers, together they send the
     /// ordinary load times that part. Catches mass restarts and members that fail by turns.
     fn cold_credit(&self, now: Tenths, m: &Member) -> f64 {
+        if m.started == 0 {
+            return f64::INFINITY;
+        }
         let warmth = (now - m.started).max(0) as f64 / (10.0 * self.number("rules.warm_after_ms", 20_000.0));
-        if m.started == 0 || warmth >= 1.0 {
+        if warmth >= 1.0 {
             return f64::INFINITY;
         }
         let from = self.number("rules.start_capacity", 0.1);
         let part = (from + (1.0 - from) * warmth) * self.number("rules.tip_multiple", 1.0) * COLD_PART;
-        let usual = self.done_work.read(now, USUAL_HALF) / (USUAL_HALF as f64 * std::f64::consts::LOG2_E);
-        let pace = usual / self.members.len() as f64 * part;
+        let pace = self.done_work.rate(now, USUAL_HALF) / self.members.len() as f64 * part;
         let most = (pace * 10.0 * self.number("rules.fall_ms", 1000.0)).max(self.cheap as f64);
         (m.credit + (now - m.credit_at) as f64 * pace).min(most)
     }
@@ -765,10 +764,11 @@
         let patience = (self.usual(now, kind) * 2.5) as Tenths;
         self.agenda.insert((now + patience.max(2 * self.tick), Task::Overdue(key, dispatch)));
         let credit = self.cold_credit(now, &self.members[node]);
-        self.credit -= self.groups[kind].target as f64;
+        let work = self.groups[kind].target as f64;
+        self.allowance -= work;
         let m = &mut self.members[node];
         m.out.insert((key, dispatch), now);
-        (m.credit, m.credit_at) = (credit - self.groups[kind].target as f64, now);
+        (m.credit, m.credit_at) = (credit - work, now);
         true
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -20,7 +20,7 @@
         tell(&format!("request_classes.{i}.late_value"), "0.5");
         tell(&format!("request_classes.{i}.semantics"), if i == 4 { "side_effect" } else { "pure" });
     }
-    for name in ["cancel", "may_probe", "second_copies", "retry_after"] {
+    for name in ["cancel", "may_probe", "retry_after"] {
         tell(&format!("permissions.{name}"), "true");
     }
     tell("permissions.max_attempts", "6");
@@ -497,7 +497,7 @@
     r.asked_work.add(NOW, SLOW_HALF, 1e5);
     (0..50).for_each(|_| r.slow.add(NOW, SLOW_HALF, ratio));
     r.in_pace(NOW, rank);
-    r.credit -= 20_000.0;
+    r.allowance -= 20_000.0;
     assert_eq!(r.in_pace(NOW, rank), sent);
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,31 +88,14 @@
     Removed,
 }
 
-/// What the router wants done next.
+/// What the router wants done next. `LetGo` closes the connections to a member that idle.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    Dispatch {
-        command: Id,
-        node: Id,
-        limit: Tenths,
-    },
-    Throttle {
-        command: Id,
-        hold_off: Tenths,
-    },
-    Fail {
-        command: Id,
-    },
-    CallOff {
-        command: Id,
-        dispatch: u32,
-    },
-    Probe {
-        node: Id,
-    },
-    /// Close the connections to the member that idle.
-    LetGo {
-        node: Id,
-    },
+    Dispatch { command: Id, node: Id, limit: Tenths },
+    Throttle { command: Id, hold_off: Tenths },
+    Fail { command: Id },
+    CallOff { command: Id, dispatch: u32 },
+    Probe { node: Id },
+    LetGo { node: Id },
     WatchList,
 }
