--- /dev/null
+++ b/discovery/src/sheet.rs
@@ -0,0 +1,68 @@
+//! One line of the watch: a whole list or a change of it.
+
+use serde_json::Value;
+use std::net::SocketAddr;
+use vetchkeel::{Entry, Id, Phase, Tenths};
+
+/// A list or a change, with the rows that could be read.
+#[derive(Clone, Debug)]
+pub struct Sheet {
+    pub version: u64,
+    pub whole: bool,
+    pub rows: Vec<Row>,
+    /// What was wrong with the rows that could not be read.
+    pub unread: Vec<String>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub entry: Entry,
+    /// None for a member that is gone and has no address any more.
+    pub address: Option<SocketAddr>,
+}
+
+/// Reads one line.
+pub fn sheet(line: &[u8]) -> Result<Sheet, String> {
+    let value = serde_json::from_slice(line).map_err(|e| format!("the list is not JSON: {e}"))?;
+    sheet_of(&value)
+}
+
+/// Reads a list that is already taken apart.
+pub fn sheet_of(value: &Value) -> Result<Sheet, String> {
+    let servers = value["servers"].as_array().ok_or("the list has no 'servers'")?;
+    let version = value["version"].as_u64().ok_or("the list has no 'version'")?;
+    let (mut rows, mut unread) = (Vec::new(), Vec::new());
+    for server in servers {
+        match row(server) {
+            Ok(row) => rows.push(row),
+            Err(why) => unread.push(why),
+        }
+    }
+    Ok(Sheet { version, whole: value["full"].as_bool().unwrap_or(false), rows, unread })
+}
+
+fn row(value: &Value) -> Result<Row, String> {
+    let id = value["id"].as_str().ok_or("an entry has no 'id'")?;
+    let phase = match value["state"].as_str() {
+        Some("ready") => Phase::Up,
+        Some("draining") => Phase::Draining,
+        Some("gone") => Phase::Removed,
+        other => return Err(format!("entry {id}: expected a state, found {other:?}")),
+    };
+    let address = value["addr"].as_str().and_then(|a| a.parse().ok());
+    if address.is_none() && phase != Phase::Removed {
+        return Err(format!("entry {id}: expected an address, found {}", value["addr"]));
+    }
+    let text = |name: &str| Id::from(value[name].as_str().unwrap_or(""));
+    let entry = Entry {
+        node: Id::from(id),
+        zone: text("zone"),
+        machine: text("kind"),
+        set: value["cell"].as_i64().unwrap_or(0),
+        phase,
+        // A start is rounded up: a member is never held to be warmer than it is.
+        started: (value["started_ms"].as_f64().unwrap_or(0.0) * 10.0).ceil() as Tenths,
+        primary: value["role"].as_str() == Some("primary"),
+    };
+    Ok(Row { entry, address })
+}
--- /dev/null
+++ b/pgwire/src/read.rs
@@ -0,0 +1,102 @@
+//! Takes messages apart where they lie. `None` stands for bytes that are still to come.
+
+/// The longest message taken: a value of 64 KiB as the text of a hex literal, with the statement round it.
+pub const LONGEST: usize = 2 * 64 * 1024 + 8 * 1024;
+/// The longest opening packet, as PostgreSQL itself has it.
+const LONGEST_OPENING: usize = 10_000;
+
+const VERSION_3: u32 = 3 << 16;
+const CANCEL: u32 = 80_877_102;
+const SSL: u32 = 80_877_103;
+const GSS: u32 = 80_877_104;
+
+/// What can't be read on from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreadable {
+    Length(u32),
+    Version(u32),
+}
+
+/// What a client may open its connection with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    /// Startup, with the minor version asked for.
+    Startup(u32),
+    /// A request for TLS or GSS encryption.
+    Encryption,
+    Cancel,
+}
+
+/// A message after the opening: its kind, its body and the bytes that it takes up in all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Message<'a> {
+    pub kind: u8,
+    pub body: &'a [u8],
+    pub size: usize,
+}
+
+fn word(bytes: &[u8], at: usize) -> Option<u32> {
+    Some(u32::from_be_bytes(bytes.get(at..at + 4)?.try_into().ok()?))
+}
+
+/// The opening packet and its size.
+pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, Unreadable> {
+    let Some(length) = word(bytes, 0) else { return Ok(None) };
+    let size = length as usize;
+    if !(8..=LONGEST_OPENING).contains(&size) {
+        return Err(Unreadable::Length(length));
+    }
+    if bytes.len() < size {
+        return Ok(None);
+    }
+    let opening = match word(bytes, 4).unwrap_or_default() {
+        SSL | GSS => Opening::Encryption,
+        CANCEL => Opening::Cancel,
+        version if version >> 16 == VERSION_3 >> 16 => Opening::Startup(version & 0xffff),
+        version => return Err(Unreadable::Version(version)),
+    };
+    Ok(Some((opening, size)))
+}
+
+/// The next message of either side.
+pub fn message(bytes: &[u8]) -> Result<Option<Message<'_>>, Unreadable> {
+    let Some(length) = word(bytes, 1) else { return Ok(None) };
+    let size = length as usize + 1;
+    if !(5..=LONGEST).contains(&size) {
+        return Err(Unreadable::Length(length));
+    }
+    Ok(bytes.get(5..size).map(|body| Message { kind: bytes[0], body, size }))
+}
+
+/// The text up to the first zero byte, and what follows that byte.
+pub fn text(body: &[u8]) -> Option<(&[u8], &[u8])> {
+    let end = body.iter().position(|b| *b == 0)?;
+    Some((&body[..end], &body[end + 1..]))
+}
+
+/// The name and value of a ParameterStatus.
+pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+    let (name, rest) = text(body)?;
+    let (value, _) = text(rest)?;
+    Some((std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?))
+}
+
+/// The SQLSTATE of an ErrorResponse.
+pub fn sqlstate(mut body: &[u8]) -> Option<&[u8]> {
+    while let Some((&field, rest)) = body.split_first().filter(|(f, _)| **f != 0) {
+        let (value, after) = text(rest)?;
+        if field == b'C' {
+            return Some(value);
+        }
+        body = after;
+    }
+    None
+}
+
+/// The value of a DataRow of exactly one column; `None` if it is anything else or null.
+pub fn one_column(body: &[u8]) -> Option<&[u8]> {
+    let (count, rest) = body.split_at_checked(2)?;
+    let (length, value) = rest.split_at_checked(4)?;
+    let told = u32::from_be_bytes(length.try_into().ok()?) as usize;
+    (count == [0, 1] && told == value.len()).then_some(value)
+}
--- /dev/null
+++ b/pgwire/src/write.rs
@@ -0,0 +1,87 @@
+//! Writes messages.
+
+/// Appends a message of `kind` whose body `fill` writes.
+fn framed(out: &mut Vec<u8>, kind: u8, fill: impl FnOnce(&mut Vec<u8>)) {
+    out.push(kind);
+    counted(out, fill);
+}
+
+/// Appends a length that counts itself, and what `fill` writes.
+fn counted(out: &mut Vec<u8>, fill: impl FnOnce(&mut Vec<u8>)) {
+    let at = out.len();
+    out.extend([0; 4]);
+    fill(out);
+    let length = (out.len() - at) as u32;
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+fn zero_ended(out: &mut Vec<u8>, text: &str) {
+    out.extend(text.bytes().filter(|b| *b != 0));
+    out.push(0);
+}
+
+/// The startup packet of a client.
+pub fn startup(out: &mut Vec<u8>, user: &str, database: &str) {
+    counted(out, |out| {
+        out.extend((3u32 << 16).to_be_bytes());
+        for text in ["user", user, "database", database, ""] {
+            zero_ended(out, text);
+        }
+    });
+}
+
+/// What answers a startup: no password, the parameters clients look for, ready for a query. A newer minor
+/// version is answered with 3.0.
+pub fn welcome(out: &mut Vec<u8>, minor: u32, process: u32) {
+    if minor > 0 {
+        framed(out, b'v', |out| out.extend([0; 8]));
+    }
+    framed(out, b'R', |out| out.extend([0; 4]));
+    for (name, value) in [
+        ("server_version", "15.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        framed(out, b'S', |out| [name, value].iter().for_each(|t| zero_ended(out, t)));
+    }
+    framed(out, b'K', |out| {
+        out.extend(process.to_be_bytes());
+        out.extend([0; 4]);
+    });
+    ready(out);
+}
+
+pub fn ready(out: &mut Vec<u8>) {
+    framed(out, b'Z', |out| out.push(b'I'));
+}
+
+pub fn empty_query(out: &mut Vec<u8>) {
+    framed(out, b'I', |_| {});
+}
+
+/// An ErrorResponse; `detail` becomes its field D.
+pub fn error(out: &mut Vec<u8>, fatal: bool, sqlstate: &str, text: &str, detail: Option<&str>) {
+    let severity = if fatal { "FATAL" } else { "ERROR" };
+    framed(out, b'E', |out| {
+        let fields = [(b'S', severity), (b'V', severity), (b'C', sqlstate), (b'M', text)];
+        for (field, value) in fields.into_iter().chain(detail.map(|d| (b'D', d))) {
+            out.push(field);
+            zero_ended(out, value);
+        }
+        out.push(0);
+    });
+}
+
+/// The head of a simple query whose statement, without its closing zero byte, has this length.
+pub fn query_head(statement: usize) -> [u8; 5] {
+    let mut head = [b'Q', 0, 0, 0, 0];
+    head[1..].copy_from_slice(&(statement as u32 + 5).to_be_bytes());
+    head
+}
+
+pub fn terminate(out: &mut Vec<u8>) {
+    framed(out, b'X', |_| {});
+}
--- /dev/null
+++ b/router/src/clients.rs
@@ -0,0 +1,464 @@
+//! Client connections: opening, queries one after another, answers in their order, and closing.
+
+use crate::Program;
+use crate::commands::CommandKey;
+use crate::deadlines::Due;
+use crate::log;
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::VecDeque;
+use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::rc::Rc;
+use vetchkeel::Tenths;
+use vetchkeel_pgwire::{self as pgwire, LONGEST, Opening, Unreadable};
+
+new_key_type! {
+    /// A slot of the table of client connections, with its generation.
+    pub struct ClientKey;
+}
+
+/// How long a client may take to open its connection, to read its answers, or to close at the end.
+const PATIENCE: Tenths = 300_000;
+const CLOSING: Tenths = 10_000;
+/// Unsent bytes from which on nothing more is taken from a client.
+const UNSENT_MOST: usize = 256 * 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Opening,
+    Ready,
+    /// Between an error in extended messages and their Sync.
+    Skipping,
+    /// Only what is still to be written goes out; then the connection ends.
+    Ending,
+    /// All is written and the end is told; the client has yet to close.
+    Told,
+}
+
+struct Client {
+    stream: Rc<TcpStream>,
+    token: Option<RegistrationToken>,
+    stage: Stage,
+    input: Vec<u8>,
+    /// All bytes read so far, and when: what a message's last byte came with tells when it came.
+    read: u64,
+    marks: VecDeque<(u64, Tenths)>,
+    output: VecDeque<Vec<u8>>,
+    /// Written bytes of the first piece of `output`.
+    written: usize,
+    unsent: usize,
+    command: Option<CommandKey>,
+    /// Has sent a query.
+    asked: bool,
+    /// Reading stopped because enough is held.
+    paused: bool,
+    quiet_since: Tenths,
+}
+
+pub struct Clients {
+    table: SlotMap<ClientKey, Client>,
+    most: usize,
+    pub listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    /// Clients wait to be accepted until one of those held has gone.
+    crowded: bool,
+    /// Those with something to write.
+    unsent: Vec<ClientKey>,
+}
+
+impl Clients {
+    pub fn new(most: usize) -> Clients {
+        Clients { table: SlotMap::with_key(), most, listener: None, crowded: false, unsent: Vec::new() }
+    }
+
+    fn is_idle(&self, key: ClientKey) -> bool {
+        let client = &self.table[key];
+        client.command.is_none() && client.unsent == 0 && client.input.is_empty()
+    }
+}
+
+impl Client {
+    /// When the message came that ends this many bytes before the end of what was read.
+    fn came(&self, left: usize, now: Tenths) -> Tenths {
+        let end = self.read - left as u64;
+        self.marks.iter().find(|(read, _)| *read >= end).map_or(now, |(_, at)| *at)
+    }
+}
+
+impl Program {
+    /// Takes in all that want to connect, as far as there is room.
+    pub fn accept(&mut self) {
+        let Some((listener, _)) = &self.clients.listener else { return };
+        let listener = listener.clone();
+        self.clients.crowded = false;
+        loop {
+            if self.clients.table.len() >= self.clients.most && !self.make_room() {
+                self.clients.crowded = true;
+                return;
+            }
+            match listener.accept() {
+                Ok((stream, _)) => self.welcome(stream),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    log!("cannot accept: {e}");
+                    self.clients.crowded = true;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Tries again to accept where that had to stop.
+    pub fn accept_waiting(&mut self) {
+        if self.clients.crowded && self.clients.table.len() < self.clients.most {
+            self.accept();
+        }
+    }
+
+    /// Closes the client that has been between commands for longest.
+    fn make_room(&mut self) -> bool {
+        let idle = self.clients.table.keys().filter(|key| self.clients.is_idle(*key));
+        let Some(key) = idle.min_by_key(|key| self.clients.table[*key].quiet_since) else { return false };
+        log!("at the limit of {} clients: an idle one is closed", self.clients.most);
+        self.drop_client(key);
+        true
+    }
+
+    fn welcome(&mut self, stream: TcpStream) {
+        if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
+            return;
+        }
+        let stream = Rc::new(stream);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let key = self.clients.table.insert(Client {
+            stream,
+            token: None,
+            stage: Stage::Opening,
+            input: Vec::new(),
+            read: 0,
+            marks: VecDeque::new(),
+            output: VecDeque::new(),
+            written: 0,
+            unsent: 0,
+            command: None,
+            asked: false,
+            paused: false,
+            quiet_since: self.now,
+        });
+        let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
+            program.guarded("a client's connection", |p| p.client_ready(key), |p| p.drop_client(key));
+            Ok(PostAction::Continue)
+        });
+        match token {
+            Ok(token) => {
+                self.clients.table[key].token = Some(token);
+                self.counters.connections += 1;
+                self.deadlines.set(Due::Client(key), self.now + PATIENCE);
+            }
+            Err(e) => {
+                log!("cannot watch a client: {e}");
+                self.clients.table.remove(key);
+            }
+        }
+    }
+
+    fn client_ready(&mut self, key: ClientKey) {
+        self.flush(key);
+        self.read_client(key);
+    }
+
+    /// Reads all there is, as far as it may be held.
+    fn read_client(&mut self, key: ClientKey) {
+        loop {
+            let Some(client) = self.clients.table.get_mut(key) else { return };
+            client.paused = client.input.len() > LONGEST || client.unsent > UNSENT_MOST;
+            if client.paused {
+                break;
+            }
+            match (&*client.stream).read(&mut self.scratch) {
+                Ok(0) => return self.drop_client(key),
+                Ok(_) if matches!(client.stage, Stage::Ending | Stage::Told) => {}
+                Ok(read) => {
+                    client.input.extend_from_slice(&self.scratch[..read]);
+                    client.read += read as u64;
+                    client.marks.push_back((client.read, self.now));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.drop_client(key),
+            }
+        }
+        self.advance(key);
+    }
+
+    /// Takes messages until one becomes a command or more bytes must come.
+    fn advance(&mut self, key: ClientKey) {
+        loop {
+            let Some(client) = self.clients.table.get_mut(key) else { return };
+            if client.command.is_some() || client.unsent > UNSENT_MOST {
+                return;
+            }
+            let input = std::mem::take(&mut client.input);
+            let before = client.stage;
+            let taken = match before {
+                Stage::Opening => self.open_with(key, &input),
+                Stage::Ready | Stage::Skipping => self.take_message(key, &input),
+                Stage::Ending | Stage::Told => return,
+            };
+            // The bytes taken go; the rest stays for the next message.
+            let Some(client) = self.clients.table.get_mut(key) else { return };
+            client.input = input;
+            match taken {
+                Ok(Some(size)) => {
+                    client.input.drain(..size);
+                    let start = client.read - client.input.len() as u64;
+                    while client.marks.front().is_some_and(|(read, _)| *read <= start) {
+                        client.marks.pop_front();
+                    }
+                    if client.input.is_empty() {
+                        client.input.shrink_to(4096);
+                    }
+                }
+                Ok(None) => return,
+                Err((sqlstate, why)) => {
+                    client.input.clear();
+                    client.stage = Stage::Ending;
+                    self.counters.rejected += 1;
+                    log!("a client sent what can't be read on from: {why}");
+                    let mut answer = Vec::new();
+                    pgwire::error(&mut answer, true, sqlstate, &why, None);
+                    return self.send(key, answer);
+                }
+            }
+        }
+    }
+
+    fn open_with(&mut self, key: ClientKey, input: &[u8]) -> Result<Option<usize>, (&'static str, String)> {
+        let Some((opening, size)) = pgwire::opening(input).map_err(|why| match why {
+            Unreadable::Version(version) => {
+                ("0A000", format!("protocol version {}.{} is not spoken", version >> 16, version & 0xffff))
+            }
+            Unreadable::Length(length) => ("08P01", format!("an opening of length {length}")),
+        })?
+        else {
+            return Ok(None);
+        };
+        match opening {
+            Opening::Encryption => self.send(key, b"N".to_vec()),
+            Opening::Cancel => self.drop_client(key),
+            Opening::Startup(minor) => {
+                let mut answer = Vec::new();
+                pgwire::welcome(&mut answer, minor, self.counters.connections as u32);
+                self.clients.table[key].stage = Stage::Ready;
+                self.deadlines.clear(Due::Client(key));
+                self.send(key, answer);
+            }
+        }
+        Ok(Some(size))
+    }
+
+    fn take_message(
+        &mut self,
+        key: ClientKey,
+        input: &[u8],
+    ) -> Result<Option<usize>, (&'static str, String)> {
+        let wrong = |why: String| ("08P01", why);
+        let message = pgwire::message(input).map_err(|why| wrong(format!("a message of {why:?}")))?;
+        let Some(message) = message else { return Ok(None) };
+        let skipping = self.clients.table[key].stage == Stage::Skipping;
+        let mut answer = Vec::new();
+        match message.kind {
+            b'X' => self.drop_client(key),
+            b'S' => {
+                self.clients.table[key].stage = Stage::Ready;
+                pgwire::ready(&mut answer);
+            }
+            _ if skipping => {}
+            b'Q' => {
+                let statement = pgwire::text(message.body).filter(|(_, rest)| rest.is_empty());
+                let (statement, _) = statement.ok_or_else(|| wrong("a query that does not end".into()))?;
+                self.query(key, statement, input.len() - message.size);
+            }
+            b'P' | b'B' | b'D' | b'E' | b'C' => {
+                self.counters.rejected += 1;
+                self.clients.table[key].stage = Stage::Skipping;
+                pgwire::error(&mut answer, false, "0A000", "only simple queries are taken", None);
+            }
+            b'F' => {
+                self.counters.rejected += 1;
+                pgwire::error(&mut answer, false, "0A000", "function calls are not taken", None);
+                pgwire::ready(&mut answer);
+            }
+            // Flush asks for nothing, and what belongs to a copy that was never begun is passed over.
+            b'H' | b'd' | b'c' | b'f' => {}
+            other => return Err(wrong(format!("a message of kind {other}"))),
+        }
+        self.send(key, answer);
+        Ok(Some(message.size))
+    }
+
+    /// `left` bytes were read behind the query.
+    fn query(&mut self, key: ClientKey, statement: &[u8], left: usize) {
+        let now = self.now;
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        client.asked = true;
+        let arrived = client.came(left, now);
+        let mut answer = Vec::new();
+        if pgwire::is_empty(statement) {
+            if self.watch.holds_list() {
+                pgwire::empty_query(&mut answer);
+            } else {
+                pgwire::error(&mut answer, false, "57P03", "no member list is held yet", None);
+            }
+            return self.answer(key, answer);
+        }
+        match self.take_command(key, statement, arrived) {
+            Ok(command) => self.clients.table[key].command = Some(command),
+            Err((sqlstate, why)) => {
+                self.counters.rejected += 1;
+                log!("a query is rejected: {why}");
+                pgwire::error(&mut answer, false, sqlstate, &why, None);
+                self.answer(key, answer);
+            }
+        }
+    }
+
+    /// The whole answer to the query in hand: it goes out with word that the next may come.
+    pub fn answer(&mut self, key: ClientKey, answer: Vec<u8>) {
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        client.command = None;
+        client.quiet_since = self.now;
+        self.send(key, answer);
+        let mut ready = Vec::new();
+        pgwire::ready(&mut ready);
+        self.send(key, ready);
+    }
+
+    /// Adds to what is written at the turn's end.
+    fn send(&mut self, key: ClientKey, bytes: Vec<u8>) {
+        let Some(client) = self.clients.table.get_mut(key).filter(|_| !bytes.is_empty()) else { return };
+        client.unsent += bytes.len();
+        client.output.push_back(bytes);
+        self.clients.unsent.push(key);
+    }
+
+    /// Writes what waits; what was held back behind it is taken up.
+    pub fn write_clients(&mut self) {
+        while let Some(key) = self.clients.unsent.pop() {
+            self.flush(key);
+            self.resume(key);
+            if self.stopping {
+                self.end_if_idle(key);
+            }
+        }
+    }
+
+    fn flush(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let before = client.unsent;
+        while client.unsent > 0 {
+            let mut slices = [IoSlice::new(&[]); 16];
+            for (i, (slice, piece)) in slices.iter_mut().zip(&client.output).enumerate() {
+                *slice = IoSlice::new(&piece[if i == 0 { client.written } else { 0 }..]);
+            }
+            match (&*client.stream).write_vectored(&slices) {
+                Ok(mut written) => {
+                    client.unsent -= written;
+                    while let Some(piece) = client.output.front() {
+                        if written < piece.len() - client.written {
+                            client.written += written;
+                            break;
+                        }
+                        written -= piece.len() - client.written;
+                        client.written = 0;
+                        client.output.pop_front();
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    if client.unsent < before || self.deadlines.time(Due::Client(key)).is_none() {
+                        self.deadlines.set(Due::Client(key), self.now + PATIENCE);
+                    }
+                    return;
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.drop_client(key),
+            }
+        }
+        if client.stage == Stage::Ending {
+            client.stage = Stage::Told;
+            let _ = client.stream.shutdown(Shutdown::Write);
+            self.deadlines.set(Due::Client(key), self.now + CLOSING);
+        } else if before > 0 && client.stage != Stage::Opening {
+            self.deadlines.clear(Due::Client(key));
+        }
+    }
+
+    /// Takes up what lies behind an answer, and reads on where that had stopped.
+    fn resume(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.table.get(key) else { return };
+        if client.paused && client.command.is_none() {
+            self.read_client(key);
+        } else if !client.input.is_empty() {
+            self.advance(key);
+        }
+    }
+
+    pub fn client_overdue(&mut self, key: ClientKey) {
+        self.drop_client(key);
+    }
+
+    /// Closes a client's connection; a command in hand has lost its client.
+    pub fn drop_client(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.table.remove(key) else { return };
+        self.deadlines.clear(Due::Client(key));
+        if let Some(token) = client.token {
+            self.handle.remove(token);
+        }
+        if let Some(command) = client.command {
+            self.command_left(command);
+        }
+    }
+
+    // ---- stopping ----
+
+    /// Ends the connection if it is between commands; whatever it has sent before is served first.
+    fn end_if_idle(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let between = client.command.is_none() && client.input.is_empty();
+        if between && client.asked && client.stage == Stage::Ready {
+            client.stage = Stage::Ending;
+            self.clients.unsent.push(key);
+        }
+    }
+
+    pub fn end_idle_clients(&mut self) {
+        let keys: Vec<ClientKey> = self.clients.table.keys().collect();
+        for key in keys {
+            self.read_client(key);
+            self.end_if_idle(key);
+        }
+    }
+
+    /// Nothing new is taken any more; who waits for an answer still gets it.
+    pub fn stop_accepting(&mut self) {
+        self.accept();
+        if let Some((_, token)) = self.clients.listener.take() {
+            self.handle.remove(token);
+        }
+        let keys: Vec<ClientKey> = self.clients.table.keys().collect();
+        for key in keys {
+            self.read_client(key);
+            if let Some(client) = self.clients.table.get_mut(key) {
+                client.asked = true;
+                self.end_if_idle(key);
+            }
+        }
+    }
+
+    /// True while something is still to be written to a client.
+    pub fn owes_clients(&self) -> bool {
+        self.clients.table.values().any(|c| c.unsent > 0 || c.command.is_some())
+    }
+}
--- /dev/null
+++ b/router/src/commands.rs
@@ -0,0 +1,256 @@
+//! The commands in hand, and the only place that calls the module: what was taken in goes to it, and what it
+//! decides is carried out.
+
+use crate::Program;
+use crate::clients::ClientKey;
+use crate::deadlines::Due;
+use crate::log;
+use crate::nodes::Statement;
+use slotmap::{SlotMap, new_key_type};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use vetchkeel::{Command, Decision, DispatchEnd, Ending, Id, Note, Report, Router, Tenths, Told};
+use vetchkeel_pgwire as pgwire;
+
+new_key_type! {
+    /// A slot of the table of commands, with its generation.
+    pub struct CommandKey;
+}
+
+/// The longest wait that is believed of a client.
+const WAIT_MOST: f64 = 3_600_000.0;
+
+struct Taken {
+    id: Id,
+    /// Whom the final answer is owed; None once it is given or nobody waits for it.
+    client: Option<ClientKey>,
+    statement: Rc<Statement>,
+    /// Dispatches so far, and how many are out.
+    number: u32,
+    out: u32,
+}
+
+/// What ended on the side of the nodes.
+pub enum News {
+    Dispatch {
+        key: CommandKey,
+        dispatch: u32,
+        ending: Ending,
+        took: Tenths,
+        note: Note,
+        report: Report,
+        answer: Vec<u8>,
+    },
+    Probe {
+        node: Id,
+        ending: Ending,
+        report: Report,
+    },
+}
+
+pub struct Commands {
+    pub router: Router,
+    taken: SlotMap<CommandKey, Taken>,
+    by_id: BTreeMap<Id, CommandKey>,
+    groups: BTreeSet<String>,
+    customers: BTreeSet<String>,
+}
+
+/// Why a query does not become a command: an SQLSTATE and a text.
+type Rejection = (&'static str, String);
+
+impl Commands {
+    pub fn new(told: &Told, router: Router) -> Commands {
+        let names = |list: &str| {
+            let is_name =
+                |n: &str| n.starts_with(list) && n[list.len()..].starts_with('.') && n.ends_with(".name");
+            told.iter().filter(|(n, _)| is_name(n)).map(|(_, v)| v.clone()).collect()
+        };
+        let (groups, customers) = (names("request_classes"), names("projects"));
+        Commands { router, taken: SlotMap::with_key(), by_id: BTreeMap::new(), groups, customers }
+    }
+}
+
+fn number(text: &str, what: &str) -> Result<f64, Rejection> {
+    let found = text.parse::<f64>().ok().filter(|v| v.is_finite());
+    found.ok_or_else(|| ("22P02", format!("expected {what} as a number, found '{text}'")))
+}
+
+impl Program {
+    /// Commands that a client still waits for.
+    pub fn open_commands(&self) -> u64 {
+        self.commands.taken.values().filter(|t| t.client.is_some()).count() as u64
+    }
+
+    /// Makes a command of a statement that came at `arrived`.
+    pub fn take_command(
+        &mut self,
+        client: ClientKey,
+        statement: &[u8],
+        arrived: Tenths,
+    ) -> Result<CommandKey, Rejection> {
+        let said = pgwire::said(statement).map_err(|why| ("42601", why.to_owned()))?;
+        let wait = number(said.wait, "d")?;
+        if wait < 0.0 {
+            return Err(("22023", format!("expected d of 0 or more, found '{}'", said.wait)));
+        }
+        let set = match said.set {
+            Some(set) => {
+                set.parse().map_err(|_| ("22P02", format!("expected cluster as a number, found '{set}'")))?
+            }
+            None => 0,
+        };
+        if !self.watch.sets.contains(&set) {
+            return Err(("3D000", format!("no member holds cluster {set}")));
+        }
+        let command_group = crate::startup::spelled(said.group);
+        if !self.commands.groups.contains(&command_group) {
+            return Err(("22023", format!("no command group is named '{}'", said.group)));
+        }
+        let customer = said.customer.filter(|c| !matches!(*c, "" | "0" | "-")).map(crate::startup::spelled);
+        let known = |c: &String| self.commands.customers.is_empty() || self.commands.customers.contains(c);
+        if let Some(stranger) = customer.as_ref().filter(|c| !known(c)) {
+            return Err(("22023", format!("no customer is named '{stranger}'")));
+        }
+        let token_age = match said.after.map(|after| number(after, "after")).transpose()? {
+            // Without a write before, whatever position does.
+            Some(0.0) => Some(0),
+            // Rounded against ourselves, and never the 0 that stands for none.
+            Some(after) => {
+                Some(self.now - (after * 10.0).ceil() as Tenths).map(|a| if a == 0 { -1 } else { a })
+            }
+            None => None,
+        };
+        if self.commands.by_id.contains_key(said.id) {
+            return Err(("42710", format!("a command with id {} is open", said.id)));
+        }
+        let time_left = (wait.min(WAIT_MOST) * 10.0) as Tenths - (self.now - arrived);
+        let id = Id::from(said.id);
+        let (session, repeat) = (said.key.map(str::to_owned), said.repeat);
+        let wait_at = said.wait_at.clone();
+        let command =
+            Command { id: id.clone(), command_group, customer, set, time_left, token_age, session, repeat };
+        self.commands.router.command_arrived(self.now, command).map_err(|why| ("22023", why))?;
+        let statement = Rc::new(Statement { text: statement.to_vec(), wait_at });
+        let taken = Taken { id: id.clone(), client: Some(client), statement, number: 0, out: 0 };
+        let key = self.commands.taken.insert(taken);
+        self.commands.by_id.insert(id, key);
+        self.counters.taken += 1;
+        Ok(key)
+    }
+
+    /// The client of an open command has gone away.
+    pub fn command_left(&mut self, key: CommandKey) {
+        let Some(taken) = self.commands.taken.get_mut(key) else { return };
+        if taken.client.take().is_some() {
+            self.counters.left += 1;
+            self.commands.router.command_left(&taken.id);
+        }
+        self.forget(key);
+    }
+
+    fn forget(&mut self, key: CommandKey) {
+        if self.commands.taken.get(key).is_some_and(|t| t.client.is_none() && t.out == 0)
+            && let Some(taken) = self.commands.taken.remove(key)
+        {
+            self.commands.by_id.remove(&taken.id);
+        }
+    }
+
+    /// Tells the module what has ended since it last decided.
+    pub fn tell_news(&mut self) {
+        while let Some(news) = self.news.pop_front() {
+            match news {
+                News::Probe { node, ending, report } => {
+                    self.counters.probes.add(ending);
+                    self.commands.router.probe_ended(self.now, &node, ending, report);
+                }
+                News::Dispatch { key, dispatch, ending, took, note, report, answer } => {
+                    self.counters.dispatches.add(ending);
+                    let Some(taken) = self.commands.taken.get_mut(key) else { continue };
+                    taken.out -= 1;
+                    let client = if ending == Ending::Answered { taken.client.take() } else { None };
+                    let over = taken.client.is_none();
+                    let end = DispatchEnd { dispatch, ending, took, over, note, report };
+                    self.commands.router.dispatch_ended(self.now, &taken.id, end);
+                    self.forget(key);
+                    if let Some(client) = client {
+                        self.counters.answered += 1;
+                        self.answer(client, answer);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Pulls decisions until there is none, and carries each out.
+    pub fn decide(&mut self) {
+        while let Some(decision) = self.commands.router.next_decision(self.now) {
+            self.carry_out(decision);
+        }
+        match self.commands.router.wake_at() {
+            Some(at) => self.deadlines.set(Due::Wake, at),
+            None => self.deadlines.clear(Due::Wake),
+        }
+    }
+
+    fn carry_out(&mut self, decision: Decision) {
+        match decision {
+            Decision::Dispatch { command, node, limit } => {
+                let Some(&key) = self.commands.by_id.get(&command) else { return };
+                let Some(taken) = self.commands.taken.get_mut(key) else { return };
+                let number = taken.number;
+                taken.number += 1;
+                taken.out += 1;
+                let statement = taken.statement.clone();
+                self.dispatch(&node, key, number, statement, limit);
+            }
+            Decision::Throttle { command, hold_off } => {
+                let detail = (hold_off > 0).then(|| (hold_off / 10).max(1).to_string());
+                let mut answer = Vec::new();
+                pgwire::error(
+                    &mut answer,
+                    false,
+                    "53300",
+                    "throttled: a repeat is harmless",
+                    detail.as_deref(),
+                );
+                if self.final_answer(&command, answer) {
+                    self.counters.throttled += 1;
+                }
+            }
+            Decision::Fail { command } => {
+                let mut answer = Vec::new();
+                pgwire::error(&mut answer, false, "40003", "failed: the command may have run", None);
+                if self.final_answer(&command, answer) {
+                    self.counters.failed += 1;
+                }
+            }
+            Decision::CallOff { command, dispatch } => {
+                if let Some(&key) = self.commands.by_id.get(&command) {
+                    self.call_off(key, dispatch);
+                }
+            }
+            Decision::Probe { node } => self.probe(&node),
+            Decision::LetGo { node } => self.let_go(&node),
+            Decision::WatchList => self.open_watch(),
+        }
+    }
+
+    /// True if somebody waited for it.
+    fn final_answer(&mut self, command: &Id, answer: Vec<u8>) -> bool {
+        let Some(&key) = self.commands.by_id.get(command) else {
+            log!("the module answered a command that is not open");
+            return false;
+        };
+        let client = self.commands.taken.get_mut(key).and_then(|t| t.client.take());
+        self.forget(key);
+        match client {
+            Some(client) => {
+                self.answer(client, answer);
+                true
+            }
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/router/src/counters.rs
@@ -0,0 +1,72 @@
+//! What the router has taken in, sent and answered since its start.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use vetchkeel::Ending;
+
+#[derive(Debug, Default)]
+pub struct Counters {
+    pub connections: u64,
+    /// Queries that never became commands.
+    pub rejected: u64,
+    pub taken: u64,
+    pub answered: u64,
+    pub throttled: u64,
+    pub failed: u64,
+    /// Commands whose client left before the answer.
+    pub left: u64,
+    pub open: u64,
+    pub dials: u64,
+    pub reused: u64,
+    pub lists: u64,
+    pub watches_broken: u64,
+    pub dispatches: Endings,
+    pub probes: Endings,
+}
+
+/// How many ended in which way.
+#[derive(Debug, Default)]
+pub struct Endings(BTreeMap<&'static str, u64>);
+
+impl Endings {
+    pub fn add(&mut self, ending: Ending) {
+        let name = match ending {
+            Ending::Answered => "answered",
+            Ending::Error => "error",
+            Ending::Full => "full",
+            Ending::TimedOut => "timed_out",
+            Ending::ConnectFailed => "connect_failed",
+            Ending::Reset => "reset",
+            Ending::CalledOff => "called_off",
+            Ending::NeverSent => "never_sent",
+            Ending::Miss => "miss",
+        };
+        *self.0.entry(name).or_default() += 1;
+    }
+}
+
+impl fmt::Display for Endings {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}", self.0.values().sum::<u64>())?;
+        self.0.iter().try_for_each(|(name, count)| write!(f, " {name}={count}"))
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Counters { taken, answered, throttled, failed, left, open, rejected, connections, .. } = self;
+        writeln!(
+            f,
+            "counters commands: taken={taken} answered={answered} throttled={throttled} failed={failed} \
+             left={left} open={open} rejected={rejected}"
+        )?;
+        writeln!(f, "counters dispatches: {}", self.dispatches)?;
+        writeln!(f, "counters probes: {}", self.probes)?;
+        let Counters { dials, reused, lists, watches_broken, .. } = self;
+        write!(
+            f,
+            "counters connections: clients={connections} dials={dials} reused={reused} lists={lists} \
+             watches_broken={watches_broken}"
+        )
+    }
+}
--- /dev/null
+++ b/router/src/deadlines.rs
@@ -0,0 +1,80 @@
+//! All deadlines, in one ordered structure: each matter has one time at most.
+
+use crate::clients::ClientKey;
+use crate::nodes::ConnKey;
+use std::collections::{BTreeMap, BTreeSet};
+use vetchkeel::Tenths;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// The module wants to be asked.
+    Wake,
+    /// The limit of what a node's connection carries.
+    Work(ConnKey),
+    /// A dial that must have led to an open connection.
+    Dial(ConnKey),
+    /// The end of a connection that is kept for later.
+    Idle(ConnKey),
+    /// A client that does not open its connection, read its answers or close.
+    Client(ClientKey),
+    /// The watch is silent or does not open.
+    Watch,
+    /// Steps of stopping.
+    Stop,
+}
+
+#[derive(Debug, Default)]
+pub struct Deadlines {
+    ordered: BTreeSet<(Tenths, Due)>,
+    times: BTreeMap<Due, Tenths>,
+}
+
+impl Deadlines {
+    pub fn set(&mut self, due: Due, at: Tenths) {
+        if let Some(before) = self.times.insert(due, at) {
+            self.ordered.remove(&(before, due));
+        }
+        self.ordered.insert((at, due));
+    }
+
+    pub fn clear(&mut self, due: Due) {
+        if let Some(at) = self.times.remove(&due) {
+            self.ordered.remove(&(at, due));
+        }
+    }
+
+    pub fn time(&self, due: Due) -> Option<Tenths> {
+        self.times.get(&due).copied()
+    }
+
+    pub fn first(&self) -> Option<Tenths> {
+        self.ordered.first().map(|(at, _)| *at)
+    }
+
+    /// The earliest that is due by now; it is taken out.
+    pub fn take(&mut self, now: Tenths) -> Option<Due> {
+        let (_, due) = *self.ordered.first().filter(|(at, _)| *at <= now)?;
+        self.clear(due);
+        Some(due)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    fn a_matter_set_anew_or_cleared_is_due_once_or_never() {
+        let mut deadlines = Deadlines::default();
+        deadlines.set(Due::Watch, 10);
+        deadlines.set(Due::Stop, 5);
+        deadlines.set(Due::Watch, 7);
+        deadlines.clear(Due::Stop);
+        assert_eq!(deadlines.first(), Some(7));
+        assert_eq!(
+            (deadlines.take(6), deadlines.take(20), deadlines.take(20)),
+            (None, Some(Due::Watch), None)
+        );
+    }
+}
--- /dev/null
+++ b/router/src/log.rs
@@ -0,0 +1,60 @@
+//! One macro writes the log. Each place that logs may write a few lines a second; what was left out is
+//! counted and said with its next line.
+
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::time::Instant;
+
+const LINES_A_SECOND: u32 = 5;
+
+static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// What one place has written in the current second.
+pub struct Gate {
+    second: AtomicU64,
+    lines: AtomicU32,
+}
+
+impl Gate {
+    pub const fn new() -> Gate {
+        Gate { second: AtomicU64::new(u64::MAX), lines: AtomicU32::new(0) }
+    }
+
+    /// How many lines were left out before this one, or None if this one is left out too.
+    pub fn open(&self) -> Option<u32> {
+        self.open_in(START.elapsed().as_secs())
+    }
+
+    fn open_in(&self, second: u64) -> Option<u32> {
+        if self.second.swap(second, Relaxed) != second {
+            return Some(self.lines.swap(1, Relaxed).saturating_sub(LINES_A_SECOND));
+        }
+        (self.lines.fetch_add(1, Relaxed) < LINES_A_SECOND).then_some(0)
+    }
+}
+
+#[macro_export]
+macro_rules! log {
+    ($($part:tt)*) => {{
+        static GATE: $crate::log::Gate = $crate::log::Gate::new();
+        match GATE.open() {
+            Some(0) => eprintln!($($part)*),
+            Some(left_out) => eprintln!("{} ({left_out} more like this left out)", format_args!($($part)*)),
+            None => {}
+        }
+    }};
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    fn lines_beyond_the_limit_are_left_out_and_counted() {
+        let gate = Gate::new();
+        let first: Vec<Option<u32>> = (0..8).map(|_| gate.open_in(3)).collect();
+        assert_eq!(first, [Some(0), Some(0), Some(0), Some(0), Some(0), None, None, None]);
+        assert_eq!((gate.open_in(4), gate.open_in(4)), (Some(3), Some(0)));
+    }
+}
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,226 @@
+//! The query router on sockets: one process, one thread, one loop. Each turn takes in all that is readable, tells
+//! the module, pulls its decisions until there is none, writes, and sleeps until the next deadline.
+
+mod clients;
+mod commands;
+mod counters;
+mod deadlines;
+mod ending;
+mod log;
+mod nodes;
+mod startup;
+mod watch;
+
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
+use clients::Clients;
+use commands::{Commands, News};
+use counters::Counters;
+use deadlines::{Deadlines, Due};
+use nodes::Nodes;
+use socket2::{Domain, Protocol, Socket, Type};
+use startup::Start;
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use vetchkeel::{Router, Tenths, Told};
+use watch::Watch;
+
+/// Descriptors for the listener, the watch, signals, the loop itself and what may come.
+const RESERVE: usize = 32;
+/// After SIGTERM clients still come for this long.
+const STILL_COMING: Tenths = 7_000;
+const BACKLOG: i32 = 1024;
+
+/// Unix time in tenths of a millisecond, that never goes back.
+struct Clock {
+    start: Tenths,
+    since: Instant,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: (unix.as_micros() / 100) as Tenths, since: Instant::now() }
+    }
+
+    fn now(&self) -> Tenths {
+        self.start + (self.since.elapsed().as_micros() / 100) as Tenths
+    }
+}
+
+pub struct Program {
+    clock: Clock,
+    now: Tenths,
+    handle: LoopHandle<'static, Program>,
+    commands: Commands,
+    clients: Clients,
+    nodes: Nodes,
+    watch: Watch,
+    deadlines: Deadlines,
+    counters: Counters,
+    /// What has ended since the module last heard.
+    news: VecDeque<News>,
+    scratch: Box<[u8]>,
+    /// SIGTERM has come.
+    stopping: bool,
+}
+
+fn tenths(told: &Told, name: &str, or: f64) -> Tenths {
+    (told.get(name).and_then(|v| v.parse().ok()).unwrap_or(or) * 10.0) as Tenths
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+impl Program {
+    fn new(start: Start, handle: LoopHandle<'static, Program>) -> Result<Program, String> {
+        let clock = Clock::new();
+        let now = clock.now();
+        let room = start.sockets.saturating_sub(RESERVE).max(2) / 2;
+        let told = &start.told;
+        let dial_limit = tenths(told, "permissions.dial_timeout_ms", 250.0);
+        let keep = tenths(told, "permissions.conn_idle_ms", 10_000.0) / 2;
+        let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
+        let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
+        let nodes = Nodes::new(room, dial_limit, keep, probe, text("report.fields"));
+        let router = Router::start(told.clone(), start.seed, now)?;
+        let mut program = Program {
+            clock,
+            now,
+            handle,
+            commands: Commands::new(told, router),
+            clients: Clients::new(room),
+            nodes,
+            watch: Watch::new(start.discovery),
+            deadlines: Deadlines::default(),
+            counters: Counters::default(),
+            news: VecDeque::new(),
+            scratch: vec![0; 64 * 1024].into(),
+            stopping: false,
+        };
+        if let Some(known) = start.known {
+            program.list_told(known);
+        }
+        program.open_watch();
+        let listener = listen(start.listen)
+            .map_err(|e| format!("expected to listen on {}: {e}", start.listen))
+            .map(Rc::new)?;
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
+        let token = program.handle.insert_source(source, |_, _, program: &mut Program| {
+            program.guarded("accepting", Program::accept, |_| {});
+            Ok(PostAction::Continue)
+        });
+        program.clients.listener = Some((listener, token.map_err(|e| e.to_string())?));
+        Ok(program)
+    }
+
+    /// Runs what one connection asks for. A panic stops at that connection.
+    pub fn guarded(&mut self, what: &str, run: impl FnOnce(&mut Program), end: impl FnOnce(&mut Program)) {
+        self.now = self.clock.now();
+        if catch_unwind(AssertUnwindSafe(|| run(self))).is_err() {
+            log!("panic in {what}: it is ended");
+            if catch_unwind(AssertUnwindSafe(|| end(self))).is_err() {
+                log!("panic while ending {what}");
+            }
+        }
+    }
+
+    /// One turn, after all that was readable has been taken in.
+    fn turn(&mut self) {
+        self.guarded("a turn", Program::steps, |_| {});
+    }
+
+    fn steps(&mut self) {
+        while let Some(due) = self.deadlines.take(self.now) {
+            match due {
+                Due::Wake => {}
+                Due::Work(key) => self.work_overdue(key),
+                Due::Dial(key) => self.dial_overdue(key),
+                Due::Idle(key) => self.idle_overdue(key),
+                Due::Client(key) => self.client_overdue(key),
+                Due::Watch => self.break_watch("silence"),
+                Due::Stop => self.stop_accepting(),
+            }
+        }
+        self.accept_waiting();
+        self.tell_news();
+        self.decide();
+        self.write_clients();
+        // What lay behind an answer may have become a command meanwhile.
+        self.decide();
+    }
+
+    fn signalled(&mut self, signal: Signal) {
+        self.now = self.clock.now();
+        match signal {
+            Signal::SIGUSR1 => self.print_counters(),
+            _ if self.stopping => {}
+            _ => {
+                log!("stopping: {} commands open", self.open_commands());
+                self.stopping = true;
+                self.deadlines.set(Due::Stop, self.now + STILL_COMING);
+                self.end_idle_clients();
+            }
+        }
+    }
+
+    fn print_counters(&mut self) {
+        self.counters.open = self.open_commands();
+        eprintln!("{}", self.counters);
+    }
+
+    /// Until when the loop may sleep.
+    fn sleep(&self) -> Option<Duration> {
+        if !self.news.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let wait = (self.deadlines.first()? - self.clock.now()).max(0);
+        Some(Duration::from_micros(wait as u64 * 100))
+    }
+
+    fn finished(&self) -> bool {
+        self.stopping && self.clients.listener.is_none() && !self.owes_clients()
+    }
+}
+
+fn run() -> Result<(), String> {
+    let start = startup::read()?;
+    let name = start.name.clone();
+    let mut event_loop = EventLoop::<Program>::try_new().map_err(|e| e.to_string())?;
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1]).map_err(|e| e.to_string())?;
+    let handle = event_loop.handle();
+    let heard = handle.insert_source(signals, |event, _, program| program.signalled(event.signal()));
+    heard.map_err(|e| e.to_string())?;
+    let mut program = Program::new(start, handle)?;
+    log!("router {name} serves");
+    program.turn();
+    while !program.finished() {
+        let sleep = program.sleep();
+        event_loop.dispatch(sleep, &mut program).map_err(|e| format!("the loop failed: {e}"))?;
+        program.turn();
+    }
+    program.print_counters();
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("vetchkeel-router: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/router/src/nodes.rs
@@ -0,0 +1,571 @@
+//! Connections to nodes: one command or probe at a time on each, kept and used again, latest first. Nothing is
+//! ever written twice here; giving something up closes its connection.
+
+use crate::Program;
+use crate::commands::{CommandKey, News};
+use crate::deadlines::Due;
+use crate::ending::{Cause, Failure, Reached, ending};
+use crate::log;
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use slotmap::{SlotMap, new_key_type};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
+use std::rc::Rc;
+use vetchkeel::{Ending, Id, Note, Report, Tenths};
+use vetchkeel_pgwire as pgwire;
+
+new_key_type! {
+    /// A slot of the table of node connections, with its generation.
+    pub struct ConnKey;
+}
+
+/// A statement as its client worded it, and where in it the wait stands.
+#[derive(Debug)]
+pub struct Statement {
+    pub text: Vec<u8>,
+    pub wait_at: Range<usize>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    Dispatch(CommandKey, u32),
+    Probe,
+}
+
+/// Something that one connection carries to its end.
+struct Job {
+    work: Work,
+    statement: Rc<Statement>,
+    /// What stands in place of the statement's wait; set when writing begins.
+    wait: Option<String>,
+    since: Tenths,
+    limit_at: Tenths,
+    written: usize,
+    answer: Answer,
+}
+
+/// What the node has answered so far.
+#[derive(Default)]
+struct Answer {
+    /// Row description, row and completion as the node gave them.
+    raw: Vec<u8>,
+    described: bool,
+    rows: usize,
+    /// The one column of the first row, within `raw`.
+    value: Range<usize>,
+    complete: bool,
+    code: Option<[u8; 5]>,
+    garbled: bool,
+    note: Note,
+    report: Report,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Dialling,
+    /// The startup packet is written, its answer not whole yet.
+    Greeting,
+    Open,
+}
+
+struct Conn {
+    node: Id,
+    stream: Rc<TcpStream>,
+    token: Option<RegistrationToken>,
+    stage: Stage,
+    job: Option<Job>,
+    input: Vec<u8>,
+}
+
+#[derive(Default)]
+struct Member {
+    address: Option<SocketAddr>,
+    started: Tenths,
+    /// Kept connections, the one used last at the end.
+    idle: Vec<ConnKey>,
+}
+
+pub struct Nodes {
+    members: BTreeMap<Id, Member>,
+    conns: SlotMap<ConnKey, Conn>,
+    /// Connections to nodes that may be held.
+    most: usize,
+    dial_limit: Tenths,
+    keep: Tenths,
+    probe: Rc<Statement>,
+    report_fields: Vec<String>,
+}
+
+impl Nodes {
+    pub fn new(most: usize, dial_limit: Tenths, keep: Tenths, probe: &str, report_fields: &str) -> Nodes {
+        let text = probe.as_bytes().to_vec();
+        let probe = Rc::new(Statement { wait_at: text.len()..text.len(), text });
+        let report_fields = report_fields.split(',').map(str::to_owned).collect();
+        let (members, conns) = (BTreeMap::new(), SlotMap::with_key());
+        Nodes { members, conns, most, dial_limit, keep, probe, report_fields }
+    }
+}
+
+/// Begins to open a connection.
+pub fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
+/// What a dial that is under way says on Linux.
+const EINPROGRESS: i32 = 115;
+
+impl Job {
+    fn reached(&self, stage: Stage) -> Reached {
+        match stage {
+            Stage::Open if self.wait.is_some() && self.written == self.size() => Reached::Written,
+            Stage::Open => Reached::Writing,
+            _ => Reached::Dialling,
+        }
+    }
+
+    fn size(&self) -> usize {
+        let wait = self.wait.as_ref().map_or(0, String::len);
+        5 + self.statement.text.len() - self.statement.wait_at.len() + wait + 1
+    }
+
+    /// Writes on; true once the last byte is written.
+    fn write(&mut self, mut stream: &TcpStream, now: Tenths) -> io::Result<bool> {
+        let Statement { text, wait_at } = &*self.statement;
+        let left = || {
+            if wait_at.is_empty() { String::new() } else { ((self.limit_at - now).max(10) / 10).to_string() }
+        };
+        self.wait = self.wait.take().or_else(|| Some(left()));
+        let size = self.size();
+        let wait = self.wait.as_deref().unwrap_or_default();
+        let head = pgwire::query_head(size - 6);
+        while self.written < size {
+            let (before, after) = (&text[..wait_at.start], &text[wait_at.end..]);
+            let mut slices = [&head[..], before, wait.as_bytes(), after, &[0]].map(IoSlice::new);
+            let mut left = &mut slices[..];
+            IoSlice::advance_slices(&mut left, self.written);
+            match stream.write_vectored(left) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(written) => self.written += written,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(true)
+    }
+}
+
+impl Answer {
+    /// Takes one message; true when the answer is over.
+    fn take(&mut self, kind: u8, body: &[u8], whole: &[u8], fields: &[String]) -> bool {
+        match kind {
+            b'T' if !self.described && self.code.is_none() => {
+                self.described = true;
+                self.raw.extend_from_slice(whole);
+            }
+            b'D' if self.described && self.rows == 0 => {
+                self.rows = 1;
+                match pgwire::one_column(body) {
+                    Some(value) => {
+                        let end = self.raw.len() + whole.len();
+                        self.value = end - value.len()..end;
+                    }
+                    None => self.garbled = true,
+                }
+                self.raw.extend_from_slice(whole);
+            }
+            b'C' if self.rows == 1 && !self.complete => {
+                self.complete = true;
+                self.raw.extend_from_slice(whole);
+            }
+            b'E' => {
+                let code = pgwire::sqlstate(body).and_then(|c| c.try_into().ok());
+                self.code = self.code.or(code);
+                self.garbled |= code.is_none();
+            }
+            b'S' => match pgwire::parameter(body) {
+                Some(("role", role)) => {
+                    self.note.primary = Some(role == "primary").filter(|p| *p || role == "replica");
+                }
+                Some(("applied_ms", at)) => {
+                    self.note.position = at.parse().map_or(0, |ms: f64| (ms * 10.0).floor() as Tenths);
+                }
+                Some(("load", load)) => self.report = report(load, fields),
+                _ => {}
+            },
+            b'N' | b'A' => {}
+            b'Z' => return true,
+            _ => self.garbled = true,
+        }
+        false
+    }
+
+    fn verdict(&self) -> Result<(), Cause> {
+        match self.code {
+            // An error behind a whole answer is neither the one nor the other.
+            Some(code) if !self.complete && !self.garbled => Err(Cause::Code(code)),
+            None if self.complete && !self.garbled => Ok(()),
+            _ => Err(Cause::Garbled),
+        }
+    }
+}
+
+/// Reads a load report such as `x0=1767225600.123,x1=1`.
+fn report(text: &str, fields: &[String]) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite()) else { continue };
+        match name.trim() {
+            name if !fields.iter().any(|f| f == name) => {}
+            // Seconds to tenths of a millisecond, less one millisecond in case the text was rounded up.
+            "x0" => report.position = Some((value * 10_000.0).floor() as Tenths - 10),
+            "x1" => report.primary = Some(value > 0.5),
+            _ => {}
+        }
+    }
+    report
+}
+
+impl Program {
+    pub fn dispatch(
+        &mut self,
+        node: &Id,
+        key: CommandKey,
+        number: u32,
+        statement: Rc<Statement>,
+        limit: Tenths,
+    ) {
+        let limit_at = self.now + limit.max(0);
+        self.begin(node, Work::Dispatch(key, number), statement, limit_at);
+    }
+
+    pub fn probe(&mut self, node: &Id) {
+        let limit_at = self.now + self.nodes.dial_limit;
+        self.begin(node, Work::Probe, self.nodes.probe.clone(), limit_at);
+    }
+
+    /// Puts work on a kept connection, or on one that it begins to open.
+    fn begin(&mut self, node: &Id, work: Work, statement: Rc<Statement>, limit_at: Tenths) {
+        let (since, wait, answer) = (self.now, None, Answer::default());
+        let job = Job { work, statement, wait, since, limit_at, written: 0, answer };
+        while let Some(key) = self.nodes.members.get_mut(node).and_then(|m| m.idle.pop()) {
+            self.deadlines.clear(Due::Idle(key));
+            let Some(conn) = self.nodes.conns.get_mut(key) else { continue };
+            // One that has ended meanwhile, or holds bytes nobody asked for, can't be used again.
+            let mut byte = [0];
+            match conn.stream.peek(&mut byte) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.counters.reused += 1;
+                    conn.job = Some(job);
+                    self.deadlines.set(Due::Work(key), limit_at);
+                    return self.write_work(key);
+                }
+                _ => self.drop_conn(key),
+            }
+        }
+        match self.open_conn(node) {
+            Ok(key) => {
+                self.counters.dials += 1;
+                self.deadlines.set(Due::Work(key), limit_at);
+                self.deadlines.set(Due::Dial(key), self.now + self.nodes.dial_limit);
+                self.nodes.conns[key].job = Some(job);
+            }
+            Err(e) => {
+                log!("node {node}: cannot be dialled: {e}");
+                self.ended(
+                    node.clone(),
+                    job,
+                    Err(Failure { reached: Reached::Dialling, cause: Cause::Broken }),
+                );
+            }
+        }
+    }
+
+    fn open_conn(&mut self, node: &Id) -> io::Result<ConnKey> {
+        if self.nodes.conns.len() >= self.nodes.most {
+            // Room comes from the connection that idles longest.
+            let idle = self.nodes.members.values().filter_map(|m| m.idle.first().copied());
+            let oldest = idle.min_by_key(|key| self.deadlines.time(Due::Idle(*key)));
+            self.drop_conn(oldest.ok_or_else(|| io::Error::other("all descriptors for nodes are in use"))?);
+        }
+        let address = self.nodes.members.get(node).and_then(|m| m.address);
+        let stream = Rc::new(dial(address.ok_or_else(|| io::Error::other("no address"))?)?);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let (node, input, stage) = (node.clone(), Vec::new(), Stage::Dialling);
+        let key = self.nodes.conns.insert(Conn { node, stream, token: None, stage, job: None, input });
+        let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
+            let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
+            program.guarded("a node's connection", |p| p.conn_ready(key), broken);
+            Ok(PostAction::Continue)
+        });
+        match token {
+            Ok(token) => self.nodes.conns[key].token = Some(token),
+            Err(e) => {
+                self.nodes.conns.remove(key);
+                return Err(io::Error::other(e.to_string()));
+            }
+        }
+        Ok(key)
+    }
+
+    fn conn_ready(&mut self, key: ConnKey) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        if conn.stage == Stage::Dialling {
+            if conn.stream.take_error().ok().flatten().is_some() {
+                return self.break_conn(key, Cause::Broken);
+            }
+            let mut packet = Vec::new();
+            pgwire::startup(&mut packet, "svc", "main");
+            match (&*conn.stream).write(&packet) {
+                // An empty send buffer takes a packet of this size whole.
+                Ok(written) if written == packet.len() => conn.stage = Stage::Greeting,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => return,
+                _ => return self.break_conn(key, Cause::Broken),
+            }
+        }
+        let stuck = conn.stage == Stage::Open
+            && conn.job.as_ref().is_some_and(|j| j.reached(conn.stage) == Reached::Writing);
+        if stuck {
+            self.write_work(key);
+        }
+        self.read_conn(key);
+    }
+
+    fn write_work(&mut self, key: ConnKey) {
+        let now = self.now;
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let Some(job) = &mut conn.job else { return };
+        if job.write(&conn.stream, now).is_err() {
+            self.break_conn(key, Cause::Broken);
+        }
+    }
+
+    fn read_conn(&mut self, key: ConnKey) {
+        let mut over = false;
+        while !over {
+            let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+            match (&*conn.stream).read(&mut self.scratch) {
+                Ok(0) => over = true,
+                Ok(read) => conn.input.extend_from_slice(&self.scratch[..read]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(_) => over = true,
+            }
+            self.take_messages(key);
+        }
+        if over {
+            self.break_conn(key, Cause::Broken);
+        }
+    }
+
+    /// Takes all messages that are whole.
+    fn take_messages(&mut self, key: ConnKey) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let mut at = 0;
+        let mut done = None;
+        while done.is_none() {
+            let message = match pgwire::message(&conn.input[at..]) {
+                Ok(Some(message)) => message,
+                Ok(None) => break,
+                Err(_) => {
+                    done = Some(Err(Cause::Garbled));
+                    break;
+                }
+            };
+            let whole = &conn.input[at..at + message.size];
+            at += message.size;
+            done = match (conn.stage, &mut conn.job) {
+                (Stage::Open, Some(job)) => {
+                    let over = job.answer.take(message.kind, message.body, whole, &self.nodes.report_fields);
+                    over.then(|| job.answer.verdict())
+                }
+                (Stage::Open, None) => Some(Err(Cause::Garbled)),
+                (_, job) => match message.kind {
+                    b'Z' => {
+                        conn.stage = Stage::Open;
+                        self.deadlines.clear(Due::Dial(key));
+                        match job {
+                            Some(_) => {
+                                conn.input.drain(..at);
+                                self.write_work(key);
+                                return self.take_messages(key);
+                            }
+                            None => Some(Ok(())),
+                        }
+                    }
+                    b'E' => {
+                        let code = pgwire::sqlstate(message.body).and_then(|c| c.try_into().ok());
+                        Some(Err(code.map_or(Cause::Garbled, Cause::Code)))
+                    }
+                    b'R' if message.body != [0; 4] => Some(Err(Cause::Garbled)),
+                    _ => None,
+                },
+            };
+        }
+        conn.input.drain(..at);
+        match done {
+            None => {}
+            Some(Ok(())) => self.keep(key),
+            // After an error that leaves the node ready for more the connection is as good as before.
+            Some(Err(cause @ Cause::Code(_))) if conn.stage == Stage::Open && conn.job.is_some() => {
+                let written = conn.job.as_ref().is_some_and(|j| j.reached(conn.stage) == Reached::Written);
+                if !written {
+                    return self.break_conn(key, cause);
+                }
+                let (node, job) = (conn.node.clone(), conn.job.take().expect("checked"));
+                self.ended(node, job, Err(Failure { reached: Reached::Written, cause }));
+                self.keep(key);
+            }
+            Some(Err(cause)) => self.break_conn(key, cause),
+        }
+    }
+
+    /// The answer is whole, or the dial has come up with nothing left to carry: the connection is kept.
+    fn keep(&mut self, key: ConnKey) {
+        self.deadlines.clear(Due::Work(key));
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let node = conn.node.clone();
+        if let Some(job) = conn.job.take() {
+            self.ended(node.clone(), job, Ok(()));
+        }
+        let conn = &mut self.nodes.conns[key];
+        let usable = conn.input.is_empty();
+        conn.input.shrink_to(4096);
+        match self.nodes.members.get_mut(&node).filter(|m| usable && m.address.is_some()) {
+            Some(member) => {
+                member.idle.push(key);
+                self.deadlines.set(Due::Idle(key), self.now + self.nodes.keep);
+            }
+            None => self.drop_conn(key),
+        }
+    }
+
+    /// Ends a connection; what it carried ends by how far that had come.
+    pub fn break_conn(&mut self, key: ConnKey, cause: Cause) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let (node, stage, job) = (conn.node.clone(), conn.stage, conn.job.take());
+        self.drop_conn(key);
+        let Some(job) = job else { return };
+        let reached = job.reached(stage);
+        // A whole answer counts, whatever became of the connection behind it; so does an error.
+        let result = match (job.answer.verdict(), cause) {
+            (Ok(()), Cause::Broken | Cause::Limit) if reached == Reached::Written => Ok(()),
+            (Err(code @ Cause::Code(_)), Cause::Broken) => Err(Failure { reached, cause: code }),
+            _ => Err(Failure { reached, cause }),
+        };
+        self.ended(node, job, result);
+    }
+
+    /// Closes a connection that carries nothing, or whose work has been taken off it.
+    fn drop_conn(&mut self, key: ConnKey) {
+        let Some(conn) = self.nodes.conns.remove(key) else { return };
+        [Due::Work(key), Due::Dial(key), Due::Idle(key)]
+            .into_iter()
+            .for_each(|due| self.deadlines.clear(due));
+        if let Some(member) = self.nodes.members.get_mut(&conn.node) {
+            member.idle.retain(|k| *k != key);
+        }
+        if let Some(token) = conn.token {
+            self.handle.remove(token);
+        }
+    }
+
+    /// Work is over: the module is told at the next turn's start.
+    fn ended(&mut self, node: Id, job: Job, result: Result<(), Failure>) {
+        let Answer { raw, value, note, mut report, .. } = job.answer;
+        let outcome = match result {
+            Ok(()) => Ending::Answered,
+            Err(failure) => {
+                if !matches!(failure.cause, Cause::CalledOff | Cause::Code(_)) {
+                    log!("node {node}: {:?} ended: {failure}", job.work);
+                }
+                ending(failure)
+            }
+        };
+        let took = self.now - job.since;
+        self.news.push_back(match job.work {
+            Work::Dispatch(key, dispatch) => {
+                News::Dispatch { key, dispatch, ending: outcome, took, note, report, answer: raw }
+            }
+            Work::Probe => {
+                if outcome == Ending::Answered && report.position.is_none() {
+                    report = self::report(
+                        std::str::from_utf8(&raw[value]).unwrap_or_default(),
+                        &self.nodes.report_fields,
+                    );
+                }
+                News::Probe { node, ending: outcome, report }
+            }
+        });
+    }
+
+    /// The limit of what a connection carries has passed.
+    pub fn work_overdue(&mut self, key: ConnKey) {
+        self.give_up_work(key, Cause::Limit);
+    }
+
+    /// Calls off a dispatch that is out.
+    pub fn call_off(&mut self, key: CommandKey, dispatch: u32) {
+        let work = Work::Dispatch(key, dispatch);
+        let carrier = self.nodes.conns.iter().find(|(_, c)| c.job.as_ref().is_some_and(|j| j.work == work));
+        if let Some((conn, _)) = carrier {
+            self.give_up_work(conn, Cause::CalledOff);
+        }
+    }
+
+    /// A dial goes on without its work and is kept for later; an open connection is closed.
+    fn give_up_work(&mut self, key: ConnKey, cause: Cause) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        if conn.stage == Stage::Open {
+            return self.break_conn(key, cause);
+        }
+        self.deadlines.clear(Due::Work(key));
+        if let Some(job) = conn.job.take() {
+            let node = conn.node.clone();
+            self.ended(node, job, Err(Failure { reached: Reached::Dialling, cause }));
+        }
+    }
+
+    /// Closes the kept connections to a node.
+    pub fn let_go(&mut self, node: &str) {
+        let idle = self.nodes.members.get_mut(node).map(|m| std::mem::take(&mut m.idle)).unwrap_or_default();
+        idle.into_iter().for_each(|key| self.drop_conn(key));
+    }
+
+    /// Closes the kept connections to all nodes but those that `stays` names.
+    pub fn let_go_unless(&mut self, stays: impl Fn(&Id) -> bool) {
+        let others: Vec<Id> = self.nodes.members.keys().filter(|n| !stays(n)).cloned().collect();
+        others.iter().for_each(|node| self.let_go(node));
+    }
+
+    /// A list names a member. Kept connections to where it no longer is are closed; what runs may finish.
+    pub fn member_told(&mut self, node: &Id, address: Option<SocketAddr>, started: Tenths, gone: bool) {
+        let member = self.nodes.members.entry(node.clone()).or_default();
+        let moved = address.is_some() && member.address != address;
+        let changed = moved || member.started != started || gone;
+        member.address = address.or(member.address);
+        member.started = started;
+        if changed {
+            self.let_go(node);
+        }
+    }
+
+    /// A dial has not led to an open connection in time.
+    pub fn dial_overdue(&mut self, key: ConnKey) {
+        self.break_conn(key, Cause::DialLimit);
+    }
+
+    pub fn idle_overdue(&mut self, key: ConnKey) {
+        self.drop_conn(key);
+    }
+}
--- /dev/null
+++ b/router/src/startup.rs
@@ -0,0 +1,124 @@
+//! What the program is told at its start: the environment and the configuration, flattened to the names that
+//! the simulator's wire spells.
+
+use serde_json::Value;
+use std::net::SocketAddr;
+use vetchkeel::Told;
+use vetchkeel_discovery::{Sheet, sheet_of};
+
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that this process may hold.
+    pub sockets: usize,
+    pub told: Told,
+    /// The list as this router had it most recently.
+    pub known: Option<Sheet>,
+}
+
+/// Reads the environment and the file it names. The error is one line that says what was expected.
+pub fn read() -> Result<Start, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|_| "expected the path of a JSON file in NODE_CONFIG")?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|e| format!("expected a JSON file at {path} (NODE_CONFIG): {e}"))?;
+    start(&text, |name| std::env::var(name).ok()).map_err(|why| format!("{path}: {why}"))
+}
+
+fn start(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+    let config: Value = serde_json::from_str(text).map_err(|e| format!("expected JSON: {e}"))?;
+    let text = |name: &str, variable_name: &str| {
+        config[name].as_str().map(str::to_owned).or_else(|| variable(variable_name))
+    };
+    let address = |name: &str, variable_name: &str| {
+        let found = text(name, variable_name).unwrap_or_default();
+        found.parse().map_err(|_| format!("expected an address and port for '{name}', found '{found}'"))
+    };
+    let settings = config["settings"].as_object().ok_or("expected an object under 'settings'")?;
+    let mut told = Told::new();
+    settings.iter().for_each(|(name, value)| flatten(name, value, &mut told));
+    let seed = match &config["seed"] {
+        Value::String(s) => {
+            u64::from_str_radix(s, 16).map_err(|_| format!("expected a hex 'seed', found '{s}'"))?
+        }
+        other => other.as_u64().ok_or("expected a 'seed'")?,
+    };
+    let known = match &config["known"] {
+        Value::Null => None,
+        list => Some(sheet_of(list).map_err(|why| format!("expected a list under 'known': {why}"))?),
+    };
+    Ok(Start {
+        name: text("name", "NODE_NAME").unwrap_or_else(|| "router".to_owned()),
+        listen: address("listen", "NODE_LISTEN")?,
+        discovery: address("discovery", "NODE_DISCOVERY")?,
+        seed,
+        sockets: config["limits"]["sockets"].as_u64().unwrap_or(1024) as usize,
+        told,
+        known,
+    })
+}
+
+/// The form in which a name or value stands among flattened settings.
+pub fn spelled(text: &str) -> String {
+    text.replace([' ', ','], "_")
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => spelled(text),
+        other => other.to_string(),
+    }
+}
+
+fn flatten(name: &str, value: &Value, told: &mut Told) {
+    match value {
+        Value::Null => {}
+        Value::Object(parts) => parts.iter().for_each(|(n, v)| flatten(&format!("{name}.{n}"), v, told)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            told.insert(format!("{name}.count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| flatten(&format!("{name}.{i}"), v, told));
+        }
+        Value::Array(items) => {
+            told.insert(name.to_owned(), items.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+        other => {
+            told.insert(name.to_owned(), plain(other));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    fn settings_are_flattened_as_the_wire_spells_them() {
+        let text = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+            "settings":{"me":2,"kinds":["std-4","big one"],"permissions":{"cancel":true,"dial_timeout_ms":250.0},
+            "request_classes":[{"name":"map view","aim_ms":600.0}]}}"#;
+        let start = start(text, |_| None).expect("readable");
+        let want = [
+            ("kinds", "std-4,big_one"),
+            ("me", "2"),
+            ("permissions.cancel", "true"),
+            ("permissions.dial_timeout_ms", "250.0"),
+            ("request_classes.0.aim_ms", "600.0"),
+            ("request_classes.0.name", "map_view"),
+            ("request_classes.count", "1"),
+        ];
+        let told: Vec<(&str, &str)> = start.told.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+        assert_eq!((told, start.seed), (want.to_vec(), 0x8c1f30d27a5be964));
+    }
+
+    #[rstest]
+    #[case::no_json("{", "expected JSON")]
+    #[case::no_settings("{}", "'settings'")]
+    #[case::no_address(r#"{"settings":{},"seed":"1"}"#, "'listen'")]
+    #[case::bad_seed(r#"{"settings":{},"seed":"xyz"}"#, "'seed'")]
+    fn what_was_expected_is_named(#[case] text: &str, #[case] expected: &str) {
+        let why = start(text, |_| None).err().expect("unreadable");
+        assert!(why.contains(expected) && !why.contains('\n'), "{why}");
+    }
+}
