Integration tests over sockets; idle clients no longer closed for nobody

Seen: with the limit of clients reached, accept() closed an idle client before it knew that anyone waited. Cause: room was made before accept (clients.rs, accept). Now one above the limit shows that more want in; a client accepted within the last second is not the one closed. Nodes get 11/20 of the descriptors, so each command in hand has its connection. 44 integration tests start the program and speak to it over sockets, with stand-ins on loopback ports.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -22,6 +22,7 @@
 /// How long a client may take to open its connection, to read its answers, or to close at the end.
 const PATIENCE: Tenths = 300_000;
 const CLOSING: Tenths = 10_000;
+const ACCEPT_AGAIN: Tenths = 1_000;
 /// Unsent bytes from which on nothing more is taken from a client.
 const UNSENT_MOST: usize = 256 * 1024;
 
@@ -72,9 +73,11 @@
         Clients { table: SlotMap::with_key(), most, listener: None, crowded: false, unsent: Vec::new() }
     }
 
-    fn is_idle(&self, key: ClientKey) -> bool {
+    /// Between commands; one that was accepted a moment ago may be about to ask.
+    fn is_idle(&self, key: ClientKey, now: Tenths) -> bool {
         let client = &self.table[key];
-        client.command.is_none() && client.unsent == 0 && client.input.is_empty()
+        let settled = client.asked || client.quiet_since + CLOSING <= now;
+        settled && client.command.is_none() && client.unsent == 0 && client.input.is_empty()
     }
 }
 
@@ -92,10 +95,11 @@
         let Some((listener, _)) = &self.clients.listener else { return };
         let listener = listener.clone();
         self.clients.crowded = false;
+        self.deadlines.clear(Due::Accept);
         loop {
-            if self.clients.table.len() >= self.clients.most && !self.make_room() {
-                self.clients.crowded = true;
-                return;
+            // Nobody is sent away for a client that does not come: one above the limit shows that more want in.
+            if self.clients.table.len() > self.clients.most && !self.make_room() {
+                return self.accept_later();
             }
             match listener.accept() {
                 Ok((stream, _)) => self.welcome(stream),
@@ -103,23 +107,21 @@
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     log!("cannot accept: {e}");
-                    self.clients.crowded = true;
-                    return;
+                    return self.accept_later();
                 }
             }
         }
     }
 
-    /// Tries again to accept where that had to stop.
-    pub fn accept_waiting(&mut self) {
-        if self.clients.crowded && self.clients.table.len() < self.clients.most {
-            self.accept();
-        }
+    /// No room: tried again when a client has gone, and now and then for those that have become idle.
+    fn accept_later(&mut self) {
+        self.clients.crowded = true;
+        self.deadlines.set(Due::Accept, self.now + ACCEPT_AGAIN);
     }
 
     /// Closes the client that has been between commands for longest.
     fn make_room(&mut self) -> bool {
-        let idle = self.clients.table.keys().filter(|key| self.clients.is_idle(*key));
+        let idle = self.clients.table.keys().filter(|key| self.clients.is_idle(*key, self.now));
         let Some(key) = idle.min_by_key(|key| self.clients.table[*key].quiet_since) else { return false };
         log!("at the limit of {} clients: an idle one is closed", self.clients.most);
         self.drop_client(key);
@@ -413,6 +415,9 @@
     pub fn drop_client(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.remove(key) else { return };
         self.deadlines.clear(Due::Client(key));
+        if self.clients.crowded {
+            self.deadlines.set(Due::Accept, self.now);
+        }
         if let Some(token) = client.token {
             self.handle.remove(token);
         }
--- a/router/src/deadlines.rs
+++ b/router/src/deadlines.rs
@@ -17,6 +17,8 @@
     Idle(ConnKey),
     /// A client that does not open its connection, read its answers or close.
     Client(ClientKey),
+    /// Clients wait to be accepted.
+    Accept,
     /// The watch is silent or does not open.
     Watch,
     /// Steps of stopping.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -87,20 +87,22 @@
     fn new(start: Start, handle: LoopHandle<'static, Program>) -> Result<Program, String> {
         let clock = Clock::new();
         let now = clock.now();
-        let room = start.sockets.saturating_sub(RESERVE).max(2) / 2;
+        // Each command in hand can have its connection to a node, and probes and kept ones theirs beside it.
+        let room = start.sockets.saturating_sub(RESERVE).max(4);
+        let room_for_clients = room * 9 / 20;
         let told = &start.told;
         let dial_limit = tenths(told, "permissions.dial_timeout_ms", 250.0);
         let keep = tenths(told, "permissions.conn_idle_ms", 10_000.0) / 2;
         let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
         let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
-        let nodes = Nodes::new(room, dial_limit, keep, probe, text("report.fields"));
+        let nodes = Nodes::new(room - room_for_clients, dial_limit, keep, probe, text("report.fields"));
         let router = Router::start(told.clone(), start.seed, now)?;
         let mut program = Program {
             clock,
             now,
             handle,
             commands: Commands::new(told, router),
-            clients: Clients::new(room),
+            clients: Clients::new(room_for_clients),
             nodes,
             watch: Watch::new(start.discovery),
             deadlines: Deadlines::default(),
@@ -149,11 +151,11 @@
                 Due::Dial(key) => self.dial_overdue(key),
                 Due::Idle(key) => self.idle_overdue(key),
                 Due::Client(key) => self.client_overdue(key),
+                Due::Accept => self.accept(),
                 Due::Watch => self.break_watch("silence"),
                 Due::Stop => self.stop_accepting(),
             }
         }
-        self.accept_waiting();
         self.tell_news();
         self.decide();
         self.write_clients();
@@ -204,7 +206,10 @@
     let heard = handle.insert_source(signals, |event, _, program| program.signalled(event.signal()));
     heard.map_err(|e| e.to_string())?;
     let mut program = Program::new(start, handle)?;
-    log!("router {name} serves");
+    if let Some((listener, _)) = &program.clients.listener {
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        log!("router {name} serves on {address}");
+    }
     program.turn();
     while !program.finished() {
         let sleep = program.sleep();
--- /dev/null
+++ b/router/tests/common/mod.rs
@@ -0,0 +1,365 @@
+//! Stand-ins for discovery and nodes on loopback ports that the system picks, a client, and the program itself.
+//! Everything waits for events; a wait that lasts ten seconds fails the test.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+pub const WAIT: Duration = Duration::from_secs(10);
+
+pub fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis()
+}
+
+fn framed(kind: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = vec![kind];
+    out.extend((body.len() as u32 + 4).to_be_bytes());
+    out.extend(body);
+    out
+}
+
+/// A row of one column with its description before and its completion behind it.
+pub fn row(value: &str) -> Vec<u8> {
+    let description =
+        [&[0, 1][..], b"v\0", &[0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1]];
+    let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value.as_bytes()];
+    [framed(b'T', &description.concat()), framed(b'D', &data.concat()), framed(b'C', b"SELECT 1\0")].concat()
+}
+
+pub fn parameter(name: &str, value: &str) -> Vec<u8> {
+    framed(b'S', format!("{name}\0{value}\0").as_bytes())
+}
+
+pub fn code(code: &str) -> Vec<u8> {
+    framed(b'E', format!("SERROR\0C{code}\0Mstand-in\0\0").as_bytes())
+}
+
+pub fn ready() -> Vec<u8> {
+    framed(b'Z', b"I")
+}
+
+/// What a node stand-in does with a statement.
+pub enum Reply {
+    /// These bytes and ReadyForQuery.
+    Send(Vec<u8>),
+    /// These bytes; then the connection is closed.
+    Close(Vec<u8>),
+    /// Nothing: the connection stays open until the router ends it.
+    Silence,
+}
+
+/// What a node stand-in has seen.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Seen {
+    Statement(String),
+    /// A connection that had carried a command was ended by the router.
+    Ended,
+}
+
+pub struct Node {
+    pub address: SocketAddr,
+    pub seen: Receiver<Seen>,
+}
+
+fn read_packet(stream: &mut impl Read, opening: bool) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    let head = if opening { &mut head[1..] } else { &mut head[..] };
+    stream.read_exact(head).ok()?;
+    let kind = if opening { 0 } else { head[0] };
+    let length = u32::from_be_bytes(head[head.len() - 4..].try_into().ok()?);
+    let mut body = vec![0; length as usize - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((kind, body))
+}
+
+impl Node {
+    /// Answers probes as `role` with a position of now, and commands as `reply` says.
+    pub fn start(role: &'static str, reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> Node {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (tell, seen) = channel();
+        let reply = Arc::new(reply);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (tell, reply) = (tell.clone(), reply.clone());
+                thread::spawn(move || Node::serve(stream.ok()?, role, &tell, &*reply));
+            }
+        });
+        Node { address, seen }
+    }
+
+    fn serve(
+        mut stream: TcpStream,
+        role: &str,
+        tell: &Sender<Seen>,
+        reply: &(dyn Fn(&str) -> Reply + Send + Sync),
+    ) -> Option<()> {
+        read_packet(&mut stream, true)?;
+        stream.write_all(&[framed(b'R', &[0; 4]), ready()].concat()).ok()?;
+        let mut carried = false;
+        while let Some((b'Q', body)) = read_packet(&mut stream, false) {
+            let statement = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
+            let answer = if statement == "SHOW load" {
+                let report = format!("x0={:.3},x1={}", unix_ms() as f64 / 1000.0, (role == "primary") as u8);
+                Reply::Send(row(&report))
+            } else {
+                carried = true;
+                tell.send(Seen::Statement(statement.clone())).ok()?;
+                reply(&statement)
+            };
+            match answer {
+                Reply::Send(bytes) => {
+                    stream.write_all(&[parameter("role", role), bytes, ready()].concat()).ok()?;
+                }
+                Reply::Close(bytes) => {
+                    stream.write_all(&bytes).ok()?;
+                    return stream.shutdown(Shutdown::Both).ok();
+                }
+                Reply::Silence => {}
+            }
+        }
+        if carried {
+            tell.send(Seen::Ended).ok()?;
+        }
+        Some(())
+    }
+
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(WAIT).expect("news of the node")
+    }
+
+    /// The next statement, but for connections that end.
+    pub fn statement(&self) -> String {
+        loop {
+            if let Seen::Statement(statement) = self.next() {
+                return statement;
+            }
+        }
+    }
+}
+
+/// What the discovery stand-in was asked, and the connection to answer on.
+pub struct Asked {
+    pub path: String,
+    stream: TcpStream,
+}
+
+impl Asked {
+    pub fn send(&mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+        self.stream.write_all(chunk.as_bytes()).expect("the watch is open");
+    }
+}
+
+pub struct Discovery {
+    pub address: SocketAddr,
+    asked: Receiver<Asked>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (tell, asked) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut lines = BufReader::new(stream.try_clone().expect("a handle")).lines();
+                let path = lines.next().and_then(Result::ok).unwrap_or_default();
+                while lines.next().and_then(Result::ok).is_some_and(|line| !line.is_empty()) {}
+                let mut asked = Asked { path, stream };
+                let _ = asked.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let _ = tell.send(asked);
+            }
+        });
+        Discovery { address, asked }
+    }
+
+    pub fn asked(&self) -> Asked {
+        self.asked.recv_timeout(WAIT).expect("a watch")
+    }
+}
+
+/// An entry of the list, as discovery spells it.
+pub fn entry(id: &str, node: &Node, state: &str, role: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","addr":"{}","zone":"a","kind":"std","cell":2,"state":"{state}","weight":1.0,"started_ms":0,"role":"{role}"}}"#,
+        node.address
+    )
+}
+
+pub fn list(version: u32, full: bool, entries: &[String]) -> String {
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, entries.join(","))
+}
+
+const SETTINGS: &str = r#"{"me":0,"balancers":1,"tick_ms":5.0,"membership_mode":"automatic",
+    "family_info":{"class_read":["any","write"],"server_checks":"wait","token_mode":"remembered"},
+    "report":{"via":"probe","fields":["x0","x1"]},
+    "permissions":{"cancel":true,"may_probe":true,"retry_after":true,"max_attempts":6,
+        "conn_idle_ms":15000.0,"dial_timeout_ms":250.0},
+    "projects":[{"name":"acme","share":1.0}],
+    "rules":{"drain_grace_ms":500.0},
+    "request_classes":[
+        {"name":"look","semantics":"pure","hard_limit_ms":60000.0,"aim_ms":60000.0,"importance":1.0},
+        {"name":"order","semantics":"side_effect","hard_limit_ms":60000.0,"aim_ms":60000.0,"importance":6.0}]}"#;
+
+/// The built program, with its log.
+pub struct Router {
+    child: Child,
+    pub address: SocketAddr,
+    log: Receiver<String>,
+    pub discovery: Discovery,
+}
+
+impl Router {
+    /// Starts the program with this list as the one it had most recently.
+    pub fn start(entries: &[String]) -> Router {
+        Router::with_sockets(entries, 1024)
+    }
+
+    pub fn with_sockets(entries: &[String], sockets: u32) -> Router {
+        let discovery = Discovery::start();
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+            "known":{},"settings":{SETTINGS}}}"#,
+            discovery.address,
+            list(41, true, entries)
+        );
+        let folder = std::env::temp_dir();
+        let path = folder.join(format!("vetchkeel-{}-{:?}.json", std::process::id(), thread::current().id()));
+        std::fs::write(&path, config).expect("a temporary file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_vetchkeel-router"))
+            .env("NODE_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let (tell, log) = channel();
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| tell.send(line)));
+        let mut router = Router { child, address: discovery.address, log, discovery };
+        let serving = router.logged("serves on ");
+        router.address = serving.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        std::fs::remove_file(&path).expect("written above");
+        router
+    }
+
+    /// The next line of the log that holds this text.
+    pub fn logged(&self, text: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(WAIT).unwrap_or_else(|e| panic!("a line with '{text}': {e}"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    /// The counters of the line whose name this is.
+    pub fn counters(&self, line: &str) -> BTreeMap<String, u64> {
+        let text = self.logged(&format!("counters {line}:"));
+        text.split_whitespace()
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, count)| (name.to_owned(), count.parse().expect("a number")))
+            .collect()
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What a client was answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Row(String),
+    Empty,
+    /// The SQLSTATE, and the field D if there is one.
+    Error(String, Option<String>),
+    /// The connection has ended.
+    Closed,
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+}
+
+pub fn query_bytes(statement: &str) -> Vec<u8> {
+    framed(b'Q', format!("{statement}\0").as_bytes())
+}
+
+/// A read and a write as clients word them, with an id of their own.
+pub fn look(id: &str, wait: u32) -> String {
+    format!("SELECT v FROM records WHERE k = 'k1' /* id={id},c=look,t=acme,d={wait},cluster=2 */")
+}
+
+pub fn order(id: &str, wait: u32) -> String {
+    format!(
+        r"INSERT INTO records (k, v) VALUES ('k1', '\x01') RETURNING v /* id={id},c=order,t=acme,d={wait},cluster=2 */"
+    )
+}
+
+impl Client {
+    pub fn raw(router: &Router) -> Client {
+        let stream = TcpStream::connect(router.address).expect("the router listens");
+        stream.set_read_timeout(Some(WAIT)).expect("a time-out");
+        Client { stream }
+    }
+
+    pub fn connect(router: &Router) -> Client {
+        let mut client = Client::raw(router);
+        client.send(&startup(3 << 16));
+        assert_eq!(client.answer(), Answer::Empty, "ready after startup");
+        client
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("the router reads");
+    }
+
+    pub fn query(&mut self, statement: &str) -> Answer {
+        self.send(&query_bytes(statement));
+        self.answer()
+    }
+
+    /// Everything up to the next ReadyForQuery or the end; `Empty` if it held neither row nor error.
+    pub fn answer(&mut self) -> Answer {
+        let mut answer = Answer::Empty;
+        loop {
+            match read_packet(&mut self.stream, false) {
+                Some((b'Z', _)) => return answer,
+                Some((b'D', body)) => answer = Answer::Row(String::from_utf8_lossy(&body[6..]).into_owned()),
+                Some((b'E', body)) => {
+                    let text = String::from_utf8_lossy(&body).into_owned();
+                    let field = |kind| text.split('\0').find_map(|f| f.strip_prefix(kind).map(str::to_owned));
+                    answer = Answer::Error(field('C').expect("a code"), field('D'));
+                    if text.starts_with("SFATAL") {
+                        return answer;
+                    }
+                }
+                Some(_) => {}
+                None => return Answer::Closed,
+            }
+        }
+    }
+}
+
+pub fn startup(version: u32) -> Vec<u8> {
+    let body = [&version.to_be_bytes()[..], b"user\0svc\0database\0main\0\0"].concat();
+    framed(0, &body)[1..].to_vec()
+}
--- /dev/null
+++ b/router/tests/router.rs
@@ -0,0 +1,319 @@
+//! The built program beside stand-ins, over sockets.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
+
+fn always(bytes: Vec<u8>) -> impl Fn(&str) -> Reply + Send + Sync {
+    move |_| Reply::Send(bytes.clone())
+}
+
+/// A set of one primary that does this, and the router before it.
+fn one(reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> (Node, Router) {
+    let node = Node::start("primary", reply);
+    let router = Router::start(&[entry("s-a", &node, "ready", "primary")]);
+    (node, router)
+}
+
+fn error(code: &str) -> Answer {
+    Answer::Error(code.to_owned(), None)
+}
+
+#[rstest]
+fn the_row_goes_back_and_the_statement_on_but_for_its_wait() {
+    let (node, router) = one(always(row("r1")));
+    let mut client = Client::connect(&router);
+    assert_eq!(client.query(&look("i1", 5000)), Answer::Row("r1".into()));
+    let statement = node.statement();
+    let (before, after) = statement.split_once(",d=").expect("a wait");
+    let (wait, rest) = after.split_once(',').expect("more behind it");
+    assert_eq!(
+        (before, rest),
+        ("SELECT v FROM records WHERE k = 'k1' /* id=i1,c=look,t=acme", "cluster=2 */")
+    );
+    assert!((1..=5000).contains(&wait.parse::<u32>().expect("a number")), "{wait}");
+}
+
+#[rstest]
+fn pipelined_queries_are_answered_in_order() {
+    let (_node, router) = one(|s| Reply::Send(row(if s.contains("id=i1") { "first" } else { "second" })));
+    let mut client = Client::raw(&router);
+    let queries = [query_bytes(&look("i1", 5000)), query_bytes(""), query_bytes(&look("i2", 5000))];
+    client.send(&[startup(3 << 16), queries.concat()].concat());
+    let answers: Vec<Answer> = (0..4).map(|_| client.answer()).collect();
+    assert_eq!(
+        answers,
+        [Answer::Empty, Answer::Row("first".into()), Answer::Empty, Answer::Row("second".into())]
+    );
+}
+
+#[rstest]
+#[case::throttled(order("i1", 400), "25006", "53300")]
+#[case::failed(order("i1", 5000), "XX000", "40003")]
+fn what_no_node_serves_is_throttled_or_failed(
+    #[case] query: String,
+    #[case] node: &str,
+    #[case] client: &str,
+) {
+    let (_node, router) = one(always(code(node)));
+    let Answer::Error(code, detail) = Client::connect(&router).query(&query) else { panic!("no error") };
+    let told = detail.is_some_and(|d| d.parse::<u32>().is_ok());
+    assert_eq!((code.as_str(), told), (client, client == "53300"));
+}
+
+#[rstest]
+fn a_miss_walks_on_to_the_next_member() {
+    let old = Node::start("replica", always(code("25006")));
+    let new = Node::start("primary", always(row("w")));
+    let list = [entry("s-a", &old, "ready", "primary"), entry("s-b", &new, "ready", "replica")];
+    let router = Router::start(&list);
+    assert_eq!(Client::connect(&router).query(&order("i1", 5000)), Answer::Row("w".into()));
+    assert!(new.statement().contains("id=i1"));
+}
+
+#[rstest]
+#[case::broken(Vec::new(), "40003")]
+#[case::half_a_message(row("w")[..9].to_vec(), "40003")]
+fn a_mutating_command_that_may_have_run_is_not_sent_again(#[case] bytes: Vec<u8>, #[case] answer: &str) {
+    let (node, router) = one(move |_| Reply::Close(bytes.clone()));
+    let mut client = Client::connect(&router);
+    assert_eq!(client.query(&order("i1", 5000)), error(answer));
+    assert!(node.statement().contains("id=i1"));
+    router.signal("-USR1");
+    let dispatches = router.counters("dispatches");
+    assert_eq!((dispatches.len(), dispatches["reset"]), (1, 1));
+}
+
+#[rstest]
+#[case::two_rows([row("a"), row("b")].concat())]
+#[case::no_row(Vec::new())]
+#[case::garbage(b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec())]
+#[case::row_and_error([row("a"), code("XX000")].concat())]
+fn what_is_no_answer_may_have_run(#[case] bytes: Vec<u8>) {
+    let (_node, router) = one(always(bytes));
+    assert_eq!(Client::connect(&router).query(&order("i1", 5000)), error("40003"));
+}
+
+#[rstest]
+fn a_kept_connection_that_the_node_closed_is_not_written_to() {
+    let (closed, is_closed) = channel();
+    let closed = Mutex::new(closed);
+    let (node, router) = one(move |s| {
+        if s.contains("id=i1") {
+            return Reply::Close([parameter("role", "primary"), row("r1"), ready()].concat());
+        }
+        closed.lock().expect("one at a time").send(()).expect("the test waits");
+        Reply::Send(row("w2"))
+    });
+    let mut client = Client::connect(&router);
+    assert_eq!(client.query(&look("i1", 5000)), Answer::Row("r1".into()));
+    assert_eq!(client.query(&order("i2", 5000)), Answer::Row("w2".into()));
+    is_closed.recv_timeout(WAIT).expect("the second came");
+    assert_eq!((node.statement().contains("id=i1"), node.statement().contains("id=i2")), (true, true));
+}
+
+#[rstest]
+fn a_client_that_leaves_has_its_dispatch_called_off() {
+    let (node, router) = one(|_| Reply::Silence);
+    let mut client = Client::connect(&router);
+    client.send(&query_bytes(&look("i1", 30_000)));
+    assert!(node.statement().contains("id=i1"));
+    client.stream.shutdown(Shutdown::Both).expect("open");
+    assert_eq!(node.next(), Seen::Ended);
+    router.signal("-USR1");
+    let counters = router.counters("commands");
+    assert_eq!((counters["taken"], counters["left"], counters["open"]), (1, 1, 0));
+}
+
+#[rstest]
+fn a_draining_member_gets_nothing_new_and_a_broken_watch_is_asked_for_again() {
+    let first = Node::start("primary", always(row("first")));
+    let second = Node::start("primary", always(row("second")));
+    let router = Router::start(&[entry("s-a", &first, "ready", "primary")]);
+    let mut client = Client::connect(&router);
+    assert_eq!(client.query(&order("i1", 5000)), Answer::Row("first".into()));
+    let mut watch = router.discovery.asked();
+    assert!(watch.path.contains("index=41"), "{}", watch.path);
+    let change = [entry("s-a", &first, "draining", "replica"), entry("s-b", &second, "ready", "primary")];
+    watch.send("");
+    watch.send(&list(42, false, &change));
+    drop(watch);
+    // The next watch shows that the change was taken in.
+    let mut watch = router.discovery.asked();
+    assert!(watch.path.contains("index=42"), "{}", watch.path);
+    assert_eq!(client.query(&order("i2", 5000)), Answer::Row("second".into()));
+    // What can't be read is asked for as a whole.
+    watch.send("no list");
+    assert!(router.discovery.asked().path.contains("index=0"));
+}
+
+#[rstest]
+fn sigterm_answers_what_was_taken_and_the_counters_add_up() {
+    let (go, going) = channel();
+    let going = Mutex::new(going);
+    let (node, mut router) = one(move |s| {
+        if s.contains("id=i2") {
+            going.lock().expect("one at a time").recv_timeout(WAIT).expect("the test goes on");
+        }
+        Reply::Send(row("r"))
+    });
+    let (mut idle, mut busy) = (Client::connect(&router), Client::connect(&router));
+    assert_eq!(idle.query(&look("i1", 5000)), Answer::Row("r".into()));
+    busy.send(&query_bytes(&look("i2", 30_000)));
+    node.statement();
+    node.statement();
+    router.signal("-TERM");
+    router.logged("stopping");
+    // Between commands a connection is ended; new ones are still served.
+    assert_eq!(idle.answer(), Answer::Closed);
+    let mut late = Client::connect(&router);
+    assert_eq!(late.query(&look("i3", 5000)), Answer::Row("r".into()));
+    go.send(()).expect("the node waits");
+    assert_eq!((busy.answer(), busy.answer()), (Answer::Row("r".into()), Answer::Closed));
+    let counters = router.counters("commands");
+    let sum = ["answered", "throttled", "failed", "left", "open"].iter().map(|n| counters[*n]).sum::<u64>();
+    assert_eq!((counters["taken"], counters["answered"], sum), (3, 3, 3));
+    assert_eq!(router.wait().code(), Some(0));
+}
+
+#[rstest]
+fn at_the_limit_of_descriptors_idle_clients_make_room() {
+    let node = Node::start("primary", always(row("r")));
+    let router = Router::with_sockets(&[entry("s-a", &node, "ready", "primary")], 40);
+    let ask = |i| {
+        let mut client = Client::connect(&router);
+        assert_eq!(client.query(&look(&format!("i{i}"), 5000)), Answer::Row("r".into()));
+        client
+    };
+    let mut clients: Vec<Client> = (0..12).map(ask).collect();
+    assert_eq!(clients[0].answer(), Answer::Closed);
+}
+
+#[rstest]
+fn commands_in_hand_keep_their_connections_at_the_limit() {
+    let node = Node::start("primary", |_| Reply::Silence);
+    let router = Router::with_sockets(&[entry("s-a", &node, "ready", "primary")], 40);
+    let ask = |i| {
+        let mut client = Client::connect(&router);
+        client.send(&query_bytes(&look(&format!("i{i}"), 30_000)));
+        assert!(node.statement().contains(&format!("id=i{i}")));
+        client
+    };
+    let mut busy: Vec<Client> = (0..4).map(ask).collect();
+    // A fifth waits to be accepted until one of the four has left.
+    let mut fifth = Client::raw(&router);
+    fifth.send(&startup(3 << 16));
+    busy.pop();
+    assert_eq!(fifth.answer(), Answer::Empty);
+    router.signal("-USR1");
+    let counters = router.counters("commands");
+    assert_eq!((counters["open"], counters["left"]), (3, 1));
+}
+
+#[rstest]
+#[case::no_comment("SELECT 1", "42601")]
+#[case::no_id("SELECT v /* c=look,d=10,cluster=2 */", "42601")]
+#[case::no_group("SELECT v /* id=x,d=10,cluster=2 */", "42601")]
+#[case::no_wait("SELECT v /* id=x,c=look,cluster=2 */", "42601")]
+#[case::open_comment("SELECT v /* id=x,c=look,d=10,cluster=2", "42601")]
+#[case::unknown_group("SELECT v /* id=x,c=peek,d=10,cluster=2 */", "22023")]
+#[case::unknown_customer("SELECT v /* id=x,c=look,t=none,d=10,cluster=2 */", "22023")]
+#[case::no_such_set("SELECT v /* id=x,c=look,d=10,cluster=77 */", "3D000")]
+#[case::set_no_number("SELECT v /* id=x,c=look,d=10,cluster=two */", "22P02")]
+#[case::negative_wait("SELECT v /* id=x,c=look,d=-5,cluster=2 */", "22023")]
+#[case::wait_no_number("SELECT v /* id=x,c=look,d=soon,cluster=2 */", "22P02")]
+#[case::endless_wait("SELECT v /* id=x,c=look,d=inf,cluster=2 */", "22P02")]
+#[case::after_no_number("SELECT v /* id=x,c=look,d=10,cluster=2,after=then */", "22P02")]
+#[case::nothing_readable("\u{1}\u{2}/*,=,=*/", "42601")]
+fn a_bad_query_gets_its_error_and_the_connection_goes_on(#[case] query: &str, #[case] code: &str) {
+    let (node, router) = one(always(row("r")));
+    let mut client = Client::connect(&router);
+    assert_eq!(client.query(query), error(code));
+    assert_eq!(client.query(&look("good", 5000)), Answer::Row("r".into()));
+    assert!(node.statement().contains("id=good"), "only what a client worded well is sent");
+}
+
+#[rstest]
+fn a_huge_wait_and_an_id_that_is_open_are_withstood() {
+    let (node, router) = one(|s| if s.contains("d=") { Reply::Silence } else { Reply::Send(row("r")) });
+    let (mut first, mut second) = (Client::connect(&router), Client::connect(&router));
+    first.send(&query_bytes("SELECT v /* id=x,c=look,d=1e300,cluster=2 */"));
+    node.statement();
+    assert_eq!(second.query(&look("x", 5000)), error("42710"));
+}
+
+#[rstest]
+fn extended_messages_get_one_error_and_are_in_step_after_sync() {
+    let (_node, router) = one(always(row("r")));
+    let mut client = Client::connect(&router);
+    let extended =
+        [b"P\0\0\0\x08\0\0\0\0".as_slice(), b"B\0\0\0\x04", b"E\0\0\0\x04", b"S\0\0\0\x04"].concat();
+    client.send(&[extended, query_bytes(&look("i1", 5000))].concat());
+    assert_eq!((client.answer(), client.answer()), (error("0A000"), Answer::Row("r".into())));
+}
+
+#[rstest]
+#[case::other_version(startup(2 << 16), "0A000")]
+#[case::short_opening(vec![0, 0, 0, 3], "08P01")]
+#[case::long_opening(vec![0x7f, 0, 0, 0], "08P01")]
+#[case::short_message([startup(3 << 16), vec![b'Q', 0, 0, 0, 3]].concat(), "08P01")]
+#[case::long_message([startup(3 << 16), vec![b'Q', 0, 0x40, 0, 0]].concat(), "08P01")]
+#[case::unknown_kind([startup(3 << 16), vec![b'!', 0, 0, 0, 4]].concat(), "08P01")]
+#[case::query_without_end([startup(3 << 16), vec![b'Q', 0, 0, 0, 5, b'S']].concat(), "08P01")]
+fn what_cannot_be_read_on_from_ends_that_connection_alone(#[case] bytes: Vec<u8>, #[case] code: &str) {
+    let (_node, router) = one(always(row("r")));
+    let mut other = Client::connect(&router);
+    let mut client = Client::raw(&router);
+    client.send(&bytes);
+    let mut answer = client.answer();
+    if answer == Answer::Empty {
+        answer = client.answer();
+    }
+    assert_eq!((answer, client.answer()), (error(code), Answer::Closed));
+    assert_eq!(other.query(&look("i1", 5000)), Answer::Row("r".into()));
+}
+
+#[rstest]
+fn encryption_is_declined_and_a_cancel_closed() {
+    let (_node, router) = one(always(row("r")));
+    let mut client = Client::raw(&router);
+    for code in [80_877_103u32, 80_877_104] {
+        client.send(&[8u32.to_be_bytes(), code.to_be_bytes()].concat());
+        let mut answer = [0];
+        std::io::Read::read_exact(&mut client.stream, &mut answer).expect("an answer");
+        assert_eq!(answer, [b'N']);
+    }
+    client.send(&startup(3 << 16));
+    assert_eq!(client.answer(), Answer::Empty);
+    let mut cancel = Client::raw(&router);
+    cancel.send(&[16u32.to_be_bytes(), 80_877_102u32.to_be_bytes(), [0; 4], [0; 4]].concat());
+    assert_eq!(cancel.answer(), Answer::Closed);
+}
+
+#[rstest]
+fn bytes_cut_off_anywhere_harm_nobody() {
+    let (_node, router) = one(always(row("r")));
+    let whole = [startup(3 << 16), query_bytes(&look("cut", 5000))].concat();
+    for end in 0..whole.len() {
+        let mut stream = TcpStream::connect(router.address).expect("the router listens");
+        stream.write_all(&whole[..end]).expect("the router reads");
+    }
+    assert_eq!(Client::connect(&router).query(&look("i1", 5000)), Answer::Row("r".into()));
+}
+
+#[rstest]
+#[case::nothing_told(None, "NODE_CONFIG")]
+#[case::no_such_file(Some("/nonexistent/config.json"), "expected a JSON file")]
+fn a_missing_configuration_ends_the_start_with_one_line(#[case] path: Option<&str>, #[case] expected: &str) {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_vetchkeel-router"));
+    let output =
+        command.env_remove("NODE_CONFIG").envs(path.map(|p| ("NODE_CONFIG", p))).output().expect("it runs");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!((output.status.code(), text.lines().count()), (Some(2), 1), "{text}");
+    assert!(text.contains(expected), "{text}");
+}
