A dispatch says until when it may be written; a later one ends as never sent

Between decision and last byte a connection may have to be opened (up to 250 ms here). The transport (nodes.rs, write_work) ends what is not written by then as never sent. Tests: three cases in the module, one over sockets with a node that never opens.

--- a/router/src/commands.rs
+++ b/router/src/commands.rs
@@ -5,7 +5,7 @@
 use crate::clients::ClientKey;
 use crate::deadlines::Due;
 use crate::log;
-use crate::nodes::Statement;
+use crate::nodes::{Statement, Work};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -196,14 +196,15 @@
 
     fn carry_out(&mut self, decision: Decision) {
         match decision {
-            Decision::Dispatch { command, node, limit } => {
+            Decision::Dispatch { command, node, limit, until } => {
                 let Some(&key) = self.commands.by_id.get(&command) else { return };
                 let Some(taken) = self.commands.taken.get_mut(key) else { return };
                 let number = taken.number;
                 taken.number += 1;
                 taken.out += 1;
                 let statement = taken.statement.clone();
-                self.dispatch(&node, key, number, statement, limit);
+                let work = Work::Dispatch(key, number);
+                self.begin(&node, work, statement, self.now + limit.max(0), until);
             }
             Decision::Throttle { command, hold_off } => {
                 let detail = (hold_off > 0).then(|| (hold_off / 10).max(1).to_string());
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -44,6 +44,8 @@
     wait: Option<String>,
     since: Tenths,
     limit_at: Tenths,
+    /// Until when its last byte may be written.
+    until: Tenths,
     written: usize,
     answer: Answer,
 }
@@ -237,27 +239,23 @@
 }
 
 impl Program {
-    pub fn dispatch(
-        &mut self,
-        node: &Id,
-        key: CommandKey,
-        number: u32,
-        statement: Rc<Statement>,
-        limit: Tenths,
-    ) {
-        let limit_at = self.now + limit.max(0);
-        self.begin(node, Work::Dispatch(key, number), statement, limit_at);
-    }
-
     pub fn probe(&mut self, node: &Id) {
         let limit_at = self.now + self.nodes.dial_limit;
-        self.begin(node, Work::Probe, self.nodes.probe.clone(), limit_at);
+        self.begin(node, Work::Probe, self.nodes.probe.clone(), limit_at, limit_at);
     }
 
-    /// Puts work on a kept connection, or on one that it begins to open.
-    fn begin(&mut self, node: &Id, work: Work, statement: Rc<Statement>, limit_at: Tenths) {
+    /// Puts work on a kept connection, or on one that it begins to open. What is not written whole by `until`
+    /// is not written any more.
+    pub fn begin(
+        &mut self,
+        node: &Id,
+        work: Work,
+        statement: Rc<Statement>,
+        limit_at: Tenths,
+        until: Tenths,
+    ) {
         let (since, wait, answer) = (self.now, None, Answer::default());
-        let job = Job { work, statement, wait, since, limit_at, written: 0, answer };
+        let job = Job { work, statement, wait, since, limit_at, until, written: 0, answer };
         while let Some(key) = self.nodes.members.get_mut(node).and_then(|m| m.idle.pop()) {
             self.deadlines.clear(Due::Idle(key));
             let Some(conn) = self.nodes.conns.get_mut(key) else { continue };
@@ -267,7 +265,7 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.counters.reused += 1;
                     conn.job = Some(job);
-                    self.deadlines.set(Due::Work(key), limit_at);
+                    self.deadlines.set(Due::Work(key), limit_at.min(until));
                     return self.write_work(key);
                 }
                 _ => self.drop_conn(key),
@@ -276,7 +274,7 @@
         match self.open_conn(node) {
             Ok(key) => {
                 self.counters.dials += 1;
-                self.deadlines.set(Due::Work(key), limit_at);
+                self.deadlines.set(Due::Work(key), limit_at.min(until));
                 self.deadlines.set(Due::Dial(key), self.now + self.nodes.dial_limit);
                 self.nodes.conns[key].job = Some(job);
             }
@@ -345,8 +343,14 @@
         let now = self.now;
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
         let Some(job) = &mut conn.job else { return };
-        if job.write(&conn.stream, now).is_err() {
-            self.break_conn(key, Cause::Broken);
+        // The deadline may be due and not yet heard of.
+        if now > job.until.min(job.limit_at) {
+            return self.give_up_work(key, Cause::Limit);
+        }
+        match job.write(&conn.stream, now) {
+            Ok(true) => self.deadlines.set(Due::Work(key), job.limit_at),
+            Ok(false) => {}
+            Err(_) => self.break_conn(key, Cause::Broken),
         }
     }
 
@@ -523,16 +527,17 @@
         }
     }
 
-    /// A dial goes on without its work and is kept for later; an open connection is closed.
+    /// A dial goes on without its work, and an open connection that nothing was written to is kept; any other is
+    /// closed.
     fn give_up_work(&mut self, key: ConnKey, cause: Cause) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-        if conn.stage == Stage::Open {
-            return self.break_conn(key, cause);
-        }
+        let Some(job) = conn.job.take_if(|j| j.wait.is_none()) else { return self.break_conn(key, cause) };
+        let (node, open) = (conn.node.clone(), conn.stage == Stage::Open);
+        let reached = job.reached(conn.stage);
         self.deadlines.clear(Due::Work(key));
-        if let Some(job) = conn.job.take() {
-            let node = conn.node.clone();
-            self.ended(node, job, Err(Failure { reached: Reached::Dialling, cause }));
+        self.ended(node, job, Err(Failure { reached, cause }));
+        if open {
+            self.keep(key);
         }
     }
 
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -78,7 +78,8 @@
 }
 
 impl Node {
-    /// Answers probes as `role` with a position of now, and commands as `reply` says.
+    /// Answers probes as `role` with a position of now, and commands as `reply` says. A `mute` one never gets as
+    /// far as that.
     pub fn start(role: &'static str, reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> Node {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
@@ -100,6 +101,9 @@
         reply: &(dyn Fn(&str) -> Reply + Send + Sync),
     ) -> Option<()> {
         read_packet(&mut stream, true)?;
+        if role == "mute" {
+            return read_packet(&mut stream, false).and(None);
+        }
         stream.write_all(&[framed(b'R', &[0; 4]), ready()].concat()).ok()?;
         let mut carried = false;
         while let Some((b'Q', body)) = read_packet(&mut stream, false) {
@@ -203,7 +207,7 @@
     "permissions":{"cancel":true,"may_probe":true,"retry_after":true,"max_attempts":6,
         "conn_idle_ms":15000.0,"dial_timeout_ms":250.0},
     "projects":[{"name":"acme","share":1.0}],
-    "rules":{"drain_grace_ms":500.0},
+    "rules":{"drain_grace_ms":100.0},
     "request_classes":[
         {"name":"look","semantics":"pure","hard_limit_ms":60000.0,"aim_ms":60000.0,"importance":1.0},
         {"name":"order","semantics":"side_effect","hard_limit_ms":60000.0,"aim_ms":60000.0,"importance":6.0}]}"#;
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -89,6 +89,21 @@
     assert_eq!((dispatches.len(), dispatches["reset"]), (1, 1));
 }
 
+#[rstest]
+fn a_dispatch_that_gets_no_connection_in_time_was_never_sent() {
+    let node = Node::start("mute", |_| Reply::Silence);
+    let router = Router::start(&[entry("s-a", &node, "ready", "primary")]);
+    let Answer::Error(code, _) = Client::connect(&router).query(&order("i1", 1000)) else {
+        panic!("no error")
+    };
+    router.signal("-USR1");
+    let dispatches = router.counters("dispatches");
+    assert!(
+        code == "53300" && dispatches["never_sent"] > 0 && dispatches.len() == 1,
+        "{code} {dispatches:?}"
+    );
+}
+
 #[rstest]
 #[case::two_rows([row("a"), row("b")].concat())]
 #[case::no_row(Vec::new())]
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -364,7 +364,7 @@
 fn encode(inst: u32, decision: &Decision, reply: &mut String) {
     use std::fmt::Write;
     let written = match decision {
-        Decision::Dispatch { command, node, limit } => {
+        Decision::Dispatch { command, node, limit, .. } => {
             writeln!(reply, "place\t{inst}\t{command}\t{node}\t{:.1}", *limit as f64 / 10.0)
         }
         Decision::Throttle { command, hold_off } => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -165,9 +165,7 @@
     }
 
     pub fn command_left(&mut self, id: &str) {
-        if let Some(&key) = self.by_id.get(id) {
-            self.close(key);
-        }
+        self.by_id.get(id).copied().into_iter().for_each(|key| self.close(key));
     }
 
     pub fn dispatch_ended(&mut self, now: Tenths, id: &str, end: DispatchEnd) {
@@ -362,8 +360,7 @@
         (set.broken_rounds, set.round_at) = (0, 0);
         // One primary a set: whoever was held for it before is a replica by now, or broken.
         for &other in set.nodes.iter().filter(|n| **n != node) {
-            let state = &mut self.members[other].state;
-            *state = if *state == State::Healthy { State::Unknown } else { *state };
+            self.members[other].state = self.members[other].state.max(State::Unknown);
         }
     }
 
@@ -465,7 +462,7 @@
     /// A command with nothing out waits for its turn, or is answered at once if it may not be sent again.
     fn settle(&mut self, now: Tenths, key: u64) {
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
-        let ran = cmd.maybe_ran.is_some_and(|(at, _)| !self.no_second_effect(now, cmd, at));
+        let ran = cmd.maybe_ran.is_some_and(|(at, _)| self.repeatable_for(now, cmd, at) <= 0);
         let late = cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths;
         if cmd.dispatches >= self.most || ran || cmd.hopeless || now + self.tick >= cmd.ends {
             return self.give_up(now, key);
@@ -512,10 +509,9 @@
                 self.sets.get_mut(&number).map(|set| set.waiting[kind].remove(&place));
             }
         }
-        let soon = now + PAUSE / 4;
         if let Some(set) = self.sets.get_mut(&number).filter(|s| left && s.look_at <= now) {
-            set.look_at = soon;
-            self.agenda.insert((soon, Task::Look(number)));
+            set.look_at = now + PAUSE / 4;
+            self.agenda.insert((set.look_at, Task::Look(number)));
         }
     }
 
@@ -572,8 +568,8 @@
             let m = &self.members[*n];
             !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < self.most.div_ceil(2)
         });
-        let rank = |m: &Member| (m.state, !m.listed_primary, m.tie);
-        if let Some(node) = walk.min_by_key(|n| rank(&self.members[*n])) {
+        let ranked = walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, m.tie, n));
+        if let Some((.., node)) = ranked.min() {
             cmd.tried.push(node);
             set.scout = Some(key);
             return Some(node);
@@ -651,7 +647,7 @@
             if m.shut || m.state == State::Healthy {
                 continue;
             }
-            if m.state == State::TransportError || !self.fresh_enough(now, cmd, m) {
+            if m.state == State::TransportError || self.fresh_for(now, cmd, m) <= 0 {
                 if !m.probing && self.ask_due(now, m) && ask.is_none_or(|a| m.turn < a.0) {
                     ask = Some((m.turn, node));
                 }
@@ -660,16 +656,15 @@
             count += 1.0;
             first = first.or(Some(node));
             let sooner = best.is_none_or(|b| m.turn < b.0);
-            if sooner && self.has_room(now, node, 1.0) && self.lawful(now, key, node) {
+            if sooner && self.has_room(now, node, 1.0) && self.lawful_for(now, key, node) > 0 {
                 best = Some((m.turn, node));
             }
             if long {
                 break;
             }
         }
-        if let Some((_, node)) = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0)) {
-            self.probe(node);
-        }
+        let ask = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0));
+        ask.into_iter().for_each(|(_, node)| self.probe(node));
         if let Some((_, node)) = best {
             // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
@@ -688,37 +683,41 @@
         self.groups[kind].access == Access::Any && self.groups[kind].target > self.tightest
     }
 
-    /// Known position against bound or token. Where nodes check for themselves, a miss stands for it.
-    fn fresh_enough(&self, now: Tenths, cmd: &Open, m: &Member) -> bool {
-        match self.groups[cmd.kind].access {
-            Access::Any => true,
-            Access::Bounded(_) if self.node_checks => !m.lagging,
-            Access::Bounded(bound) => m.position > now - bound,
+    /// For how long a member stays fresh enough: known position against bound or token. Where nodes check for
+    /// themselves, a miss stands for it.
+    fn fresh_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
+        let fresh = match self.groups[cmd.kind].access {
+            Access::Bounded(bound) if !self.node_checks => return m.position + bound - now,
+            Access::Bounded(_) => !m.lagging,
             Access::Session => m.position >= cmd.needs || (self.node_checks && !m.lagging),
-            Access::Fresh | Access::Write => false,
-        }
+            access => access == Access::Any,
+        };
+        if fresh { Tenths::MAX } else { 0 }
     }
 
-    /// The one gate of every send: the rules on the final answer, effects, drains, age and cold members.
-    fn lawful(&self, now: Tenths, key: u64, node: Node) -> bool {
+    /// The one gate of every send: the rules on final answers, effects, drains, age and cold members. Danger:
+    /// what must first get a connection is written when a rule forbids it by then. So it says for how long.
+    fn lawful_for(&self, now: Tenths, key: u64, node: Node) -> Tenths {
         let (cmd, m) = (&self.open[&key], &self.members[node]);
         let group = &self.groups[cmd.kind];
         let answer = !cmd.closed && now < cmd.ends && cmd.dispatches < self.most && m.set == cmd.set;
         let primary = m.state == State::Healthy || (m.been_primary && m.noted != Some(false));
-        let unaged = self.node_checks || matches!(group.access, Access::Any | Access::Write);
-        let age = unaged || primary || self.fresh_enough(now, cmd, m);
-        let effect = cmd.out.is_empty() && self.no_second_effect(now, cmd, node);
-        answer && effect && !m.shut && age && self.cold_credit(now, m) >= group.target as f64
+        let unaged = primary || self.node_checks || group.access == Access::Write;
+        let age = if unaged { Tenths::MAX } else { self.fresh_for(now, cmd, m) };
+        if !answer || !cmd.out.is_empty() || m.shut || self.cold_credit(now, m) < group.target as f64 {
+            return 0;
+        }
+        self.repeatable_for(now, cmd, node).min(age)
     }
 
     /// What may have run goes out again only if it is replayable, or keyed, in scope and in time.
-    fn no_second_effect(&self, now: Tenths, cmd: &Open, node: Node) -> bool {
-        cmd.maybe_ran.is_none_or(|(at, sent)| match self.groups[cmd.kind].effect {
-            Effect::Replayable => true,
-            Effect::Mutating => false,
+    fn repeatable_for(&self, now: Tenths, cmd: &Open, node: Node) -> Tenths {
+        cmd.maybe_ran.map_or(Tenths::MAX, |(at, sent)| match self.groups[cmd.kind].effect {
+            Effect::Replayable => Tenths::MAX,
+            Effect::Mutating => 0,
             Effect::Keyed { everywhere, by_zone, window } => {
                 let near = everywhere || !by_zone || self.members[at].zone == self.members[node].zone;
-                near && now + self.tick < sent + window
+                if near { sent + window - self.tick - now } else { 0 }
             }
         })
     }
@@ -752,7 +751,9 @@
 
     /// Every dispatch goes out here, and only through the gate.
     fn send(&mut self, now: Tenths, key: u64, node: Node) -> bool {
-        if !self.lawful(now, key, node) {
+        let grace = tenths(self.number("rules.drain_grace_ms", 500.0)).max(self.tick);
+        let until = now + self.lawful_for(now, key, node).min(grace);
+        if until <= now {
             return false;
         }
         let cmd = self.open.get_mut(&key).expect("lawful sends are of open commands");
@@ -760,7 +761,7 @@
         cmd.dispatches += 1;
         cmd.out.insert(dispatch, (node, now));
         let (command, to) = (cmd.id.clone(), self.members[node].id.clone());
-        self.ready.push_back(Decision::Dispatch { command, node: to, limit });
+        self.ready.push_back(Decision::Dispatch { command, node: to, limit, until });
         let patience = (self.usual(now, kind) * 2.5) as Tenths;
         self.agenda.insert((now + patience.max(2 * self.tick), Task::Overdue(key, dispatch)));
         let credit = self.cold_credit(now, &self.members[node]);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -128,7 +128,7 @@
     let mut r = router(&[]);
     open(&mut r, "bounded");
     r.members[1].position = position;
-    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
 }
 
 #[rstest]
@@ -138,7 +138,7 @@
     let mut r = router(&[]);
     open(&mut r, "session");
     r.members[1].position = NOW + past;
-    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
 }
 
 #[rstest]
@@ -174,7 +174,7 @@
     let mut r = router(&[]);
     open(&mut r, "write");
     r.open.get_mut(&0).unwrap().maybe_ran = ran;
-    assert_eq!(r.lawful(NOW, 0, 1), lawful);
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
 }
 
 #[rstest]
@@ -207,7 +207,28 @@
     let mut r = router(&[(&a, effect), (&b, group), (&c, "5000")]);
     open(&mut r, "write");
     r.open.get_mut(&0).unwrap().maybe_ran = Some((0, NOW - age));
-    assert_eq!(r.lawful(NOW, 0, 1), ok);
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, ok);
+}
+
+#[rstest]
+#[case::drain_grace("any", None, NOW, 5_000)]
+#[case::age("bounded", None, NOW - 2_000, 1_000)]
+#[case::window("write", Some(NOW - 48_000), NOW, 1_990)]
+fn a_dispatch_says_until_when_it_may_be_written(
+    #[case] kind: &str,
+    #[case] ran: Option<Tenths>,
+    #[case] position: Tenths,
+    #[case] left: Tenths,
+) {
+    let class = |name: &str| format!("request_classes.4.{name}");
+    let (a, b, c) = (class("semantics"), class("group"), class("window_ms"));
+    let mut r = router(&[(&a, "token"), (&b, "all"), (&c, "5000"), ("rules.drain_grace_ms", "500")]);
+    open(&mut r, kind);
+    r.open.get_mut(&0).unwrap().maybe_ran = ran.map(|at| (0, at));
+    r.members[1].position = position;
+    assert!(r.send(NOW, 0, 1));
+    let until = |d: &Decision| if let Decision::Dispatch { until, .. } = d { Some(*until) } else { None };
+    assert_eq!(r.ready.iter().find_map(until), Some(NOW + left));
 }
 
 #[rstest]
@@ -273,7 +294,7 @@
     let mut r = router(&[("rules.soft_removal", soft)]);
     r.members_changed(NOW, false, &[entry("b", phase, 0)]);
     open(&mut r, "any");
-    assert_eq!(r.lawful(NOW, 0, 1), !shut);
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, !shut);
 }
 
 #[rstest]
@@ -301,7 +322,7 @@
     let m = &mut r.members[1];
     (m.started, m.credit, m.credit_at) = (started, credit, NOW - 100);
     r.done_work.add(NOW, USUAL_HALF, usual);
-    assert_eq!(r.lawful(NOW, 0, 1), ok);
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, ok);
 }
 
 #[rstest]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,10 +88,11 @@
     Removed,
 }
 
-/// What the router wants done next. `LetGo` closes the connections to a member that idle.
+/// What the router wants done next. A dispatch not wholly written by `until` must not be written any more: it
+/// was never sent. `LetGo` closes the connections to a member that idle.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    Dispatch { command: Id, node: Id, limit: Tenths },
+    Dispatch { command: Id, node: Id, limit: Tenths, until: Tenths },
     Throttle { command: Id, hold_off: Tenths },
     Fail { command: Id },
     CallOff { command: Id, dispatch: u32 },
