Time in which nobody could read a command is not given to it a second time

Excluded: a paused client (none had unsent bytes), the limit of descriptors (351 of 4096). A process that stands still reads commands late and took their whole wait as still to come, so held ones could be answered after their client's time-out. Test: a router that is stopped while a command's time passes answers it as throttled; without the change it sends it. Unit tests of pgwire and discovery over messages cut at every byte.

--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -6,3 +6,6 @@
 
 pub use sheet::*;
 pub use watch::*;
+
+#[cfg(test)]
+mod tests;
--- a/pgwire/src/lib.rs
+++ b/pgwire/src/lib.rs
@@ -8,3 +8,6 @@
 pub use read::*;
 pub use statement::*;
 pub use write::*;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/pgwire/src/tests.rs
@@ -0,0 +1,112 @@
+use super::*;
+use rstest::rstest;
+
+const QUERY: &str =
+    "SELECT v FROM records WHERE k = 'k1' /* id=i1,c=look,t=acme,d=480,cluster=2,after=12,r=1 */";
+
+fn query(statement: &str) -> Vec<u8> {
+    [&query_head(statement.len())[..], statement.as_bytes(), &[0]].concat()
+}
+
+#[rstest]
+fn a_message_cut_anywhere_is_still_to_come() {
+    let whole = query(QUERY);
+    for end in 0..whole.len() {
+        assert_eq!(message(&whole[..end]), Ok(None), "cut at {end}");
+    }
+    let more = [whole.as_slice(), b"Q"].concat();
+    let found = message(&more).expect("readable").expect("whole");
+    assert_eq!(
+        (found.kind, found.size, text(found.body)),
+        (b'Q', whole.len(), Some((QUERY.as_bytes(), &[][..])))
+    );
+}
+
+#[rstest]
+#[case::startup(3 << 16, Opening::Startup(0))]
+#[case::newer_minor((3 << 16) + 2, Opening::Startup(2))]
+#[case::tls(80_877_103, Opening::Encryption)]
+#[case::gss(80_877_104, Opening::Encryption)]
+#[case::cancel(80_877_102, Opening::Cancel)]
+fn an_opening_cut_anywhere_is_still_to_come(#[case] version: u32, #[case] want: Opening) {
+    let mut whole = Vec::new();
+    startup(&mut whole, "svc", "main");
+    whole[4..8].copy_from_slice(&version.to_be_bytes());
+    for end in 0..whole.len() {
+        assert_eq!(opening(&whole[..end]), Ok(None), "cut at {end}");
+    }
+    assert_eq!(opening(&whole), Ok(Some((want, whole.len()))));
+}
+
+#[rstest]
+#[case::none(0, false)]
+#[case::three(3, false)]
+#[case::least(4, true)]
+#[case::most(LONGEST as u32 - 1, true)]
+#[case::beyond(LONGEST as u32, false)]
+#[case::negative(u32::MAX, false)]
+fn lengths_have_bounds(#[case] length: u32, #[case] readable: bool) {
+    let head = [&[b'Q'][..], &length.to_be_bytes()].concat();
+    assert_eq!(message(&head).is_ok(), readable);
+}
+
+#[rstest]
+fn what_a_statement_says_is_found_where_it_stands() {
+    let said = said(QUERY.as_bytes()).expect("readable");
+    assert_eq!((said.id, said.group, said.customer, said.set), ("i1", "look", Some("acme"), Some("2")));
+    assert_eq!((said.after, said.repeat, said.key, said.wait), (Some("12"), true, Some("k1"), "480"));
+    assert_eq!(&QUERY[said.wait_at], "480");
+}
+
+#[rstest]
+#[case::comment_in_a_literal("SELECT '/* id=x,c=y,d=1 */'", None)]
+#[case::literal_before("INSERT INTO r VALUES ('/*', 'z') /* id=i,c=g,d= 7 */", Some("/*"))]
+#[case::two_comments("/* id=a,c=b,d=1 */ SELECT 'k' /* id=i,c=g,d=7 */", Some("k"))]
+fn only_the_last_comment_outside_literals_counts(#[case] statement: &str, #[case] key: Option<&str>) {
+    let found = said(statement.as_bytes()).ok();
+    assert_eq!(found.as_ref().map(|s| (s.id, s.wait)), key.map(|_| ("i", "7")));
+    assert_eq!(found.and_then(|s| s.key), key);
+}
+
+#[rstest]
+#[case::nothing("", true)]
+#[case::blank(" \n;; ", true)]
+#[case::comment_alone("/* ping */", true)]
+#[case::open_comment("/* ping", false)]
+#[case::literal("''", false)]
+#[case::statement("SELECT 1", false)]
+fn empty_is_what_asks_for_nothing(#[case] statement: &str, #[case] empty: bool) {
+    assert_eq!(is_empty(statement.as_bytes()), empty);
+}
+
+#[rstest]
+fn a_statement_cut_anywhere_is_refused_or_read() {
+    for end in 0..QUERY.len() {
+        assert!(said(&QUERY.as_bytes()[..end]).is_err(), "cut at {end}");
+    }
+    assert!(said(&[0xff, 0xfe, b'/', b'*', b'*', b'/']).is_err());
+}
+
+#[rstest]
+fn errors_and_parameters_are_read_as_written() {
+    let mut out = Vec::new();
+    error(&mut out, false, "53300", "with\0zero", Some("250"));
+    let found = message(&out).expect("readable").expect("whole");
+    assert_eq!((found.kind, sqlstate(found.body)), (b'E', Some(&b"53300"[..])));
+    for end in 0..found.body.len() {
+        assert!(matches!(sqlstate(&found.body[..end]), None | Some(b"53300")), "cut at {end}");
+    }
+    assert_eq!(parameter(b"role\0primary\0"), Some(("role", "primary")));
+    assert_eq!(parameter(b"role\0prim"), None);
+}
+
+#[rstest]
+#[case::one(&[0, 1, 0, 0, 0, 2, b'a', b'b'], Some(&b"ab"[..]))]
+#[case::empty(&[0, 1, 0, 0, 0, 0], Some(&b""[..]))]
+#[case::null(&[0, 1, 255, 255, 255, 255], None)]
+#[case::two(&[0, 2, 0, 0, 0, 0, 0, 0, 0, 0], None)]
+#[case::too_long(&[0, 1, 0, 0, 0, 9, b'a'], None)]
+#[case::cut(&[0], None)]
+fn a_row_has_exactly_one_column(#[case] body: &[u8], #[case] value: Option<&[u8]>) {
+    assert_eq!(one_column(body), value);
+}
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -1,6 +1,7 @@
 //! Client connections: opening, queries one after another, answers in their order, and closing.
 
 use crate::Program;
+use crate::arrival::waited;
 use crate::commands::CommandKey;
 use crate::deadlines::Due;
 use crate::log;
@@ -185,7 +186,7 @@
                 Ok(read) => {
                     client.input.extend_from_slice(&self.scratch[..read]);
                     client.read += read as u64;
-                    client.marks.push_back((client.read, self.now));
+                    client.marks.push_back((client.read, self.now - waited(&client.stream)));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,6 +1,7 @@
 //! The query router on sockets: one process, one thread, one loop. Each turn takes in all that is readable, tells
 //! the module, pulls its decisions until there is none, writes, and sleeps until the next deadline.
 
+mod arrival;
 mod clients;
 mod commands;
 mod counters;
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -191,6 +191,19 @@
     assert_eq!(router.wait().code(), Some(0));
 }
 
+#[rstest]
+fn time_spent_standing_still_is_not_given_to_a_command_again() {
+    let (_node, router) = one(always(row("r")));
+    let mut client = Client::connect(&router);
+    router.signal("-STOP");
+    client.send(&query_bytes(&look("i1", 50)));
+    // The command's own time passes while nobody can read it.
+    std::thread::sleep(std::time::Duration::from_millis(150));
+    router.signal("-CONT");
+    let Answer::Error(code, _) = client.answer() else { panic!("answered past its time") };
+    assert_eq!(code, "53300");
+}
+
 #[rstest]
 fn at_the_limit_of_descriptors_idle_clients_make_room() {
     let node = Node::start("primary", always(row("r")));
