A command with nothing written by half its time is told to come back

Change: patience, half the time told, until something was written (settle, dispatch_ended). Shortened: give_up, header.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,9 +1,7 @@
 //! Every decision of the router, with every tuned value: the one policy file.
 //!
-//! Start a [`Router`] with the settings, its seed and the time. Tell it what happens (`command_arrived`,
-//! `command_left`, `dispatch_ended`, `probe_ended`, `members_changed`, `list_failed`): that only updates
-//! what is known. Then pull `next_decision(now)` until there is none and come back at `wake_at()`, or with
-//! news. Border types: `interface.rs`; what is held: `state.rs`; reasons: `docs/design.md`.
+//! What a [`Router`] is told (`command_arrived`, `dispatch_ended` and so on) only updates what is known. Pull
+//! `next_decision(now)` until there is none; come back at `wake_at()` or with news. Why: `docs/design.md`.
 
 use crate::decay::{Decay, Mean};
 use crate::interface::*;
@@ -158,7 +156,11 @@
         self.next_key += 1;
         self.by_id.insert(command.id.clone(), key);
         let (id, set, session) = (command.id, command.set, command.session);
-        self.open.insert(key, Open { id, kind, set, rank, ends, needs, session, ..Open::default() });
+        // Danger: a client is left waiting for what has no way to any member. With nothing written by half
+        // its time, it is told to come back while it still can.
+        let patience = now + command.time_left / 2 - 2 * self.tick;
+        self.open
+            .insert(key, Open { id, kind, set, rank, ends, patience, needs, session, ..Open::default() });
         self.agenda.insert((now, Task::Settle(key)));
         self.agenda.insert((ends, Task::GiveUp(key)));
         Ok(())
@@ -190,6 +192,8 @@
         if again && (answered || erred) {
             self.cured.add(now, USUAL_HALF, answered as u8 as f64);
         }
+        let written = !matches!(ending, Ending::ConnectFailed | Ending::NeverSent);
+        cmd.patience = if written { cmd.ends } else { cmd.patience };
         cmd.hopeless |= erred && (again || self.cured.read(now, USUAL_HALF, 0.5) < CURED);
         cmd.erred |= erred;
         self.dirty.insert(cmd.set);
@@ -463,15 +467,17 @@
     fn settle(&mut self, now: Tenths, key: u64) {
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
         let ran = cmd.maybe_ran.is_some_and(|(at, _)| self.repeatable_for(now, cmd, at) <= 0);
-        let late = cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths;
+        let late = cmd.patience.min(cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths);
         if cmd.dispatches >= self.most || ran || cmd.hopeless || now + self.tick >= cmd.ends {
             return self.give_up(now, key);
         }
         let set = self.sets.entry(cmd.set).or_default();
         set.waiting.resize(self.groups.len(), BTreeSet::new());
-        set.waiting[cmd.kind].insert((cmd.rank, Reverse(key)));
+        if !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key))) && late <= now {
+            return self.give_up(now, key);
+        }
         self.dirty.insert(cmd.set);
-        self.agenda.insert((late.max(now + self.tick), Task::GiveUp(key)));
+        self.agenda.insert((late.max(now + self.tick), Task::Settle(key)));
     }
 
     /// The final answer of a command that is given up: throttled where a repeat is harmless, else failed.
@@ -480,18 +486,12 @@
         if cmd.closed || (!cmd.out.is_empty() && now < cmd.ends) {
             return;
         }
-        let untouched = cmd.maybe_ran.is_none() && cmd.out.is_empty();
-        let harmless = match self.groups[cmd.kind].effect {
-            Effect::Replayable => true,
-            Effect::Keyed { everywhere, .. } => everywhere || untouched,
-            Effect::Mutating => untouched,
-        };
-        let (command, target) = (cmd.id.clone(), self.groups[cmd.kind].target);
-        let hold_off = if self.allows("permissions.retry_after") { target } else { 0 };
-        self.ready.push_back(match harmless {
-            true => Decision::Throttle { command, hold_off },
-            false => Decision::Fail { command },
-        });
+        let group = &self.groups[cmd.kind];
+        let free = matches!(group.effect, Effect::Replayable | Effect::Keyed { everywhere: true, .. });
+        let harmless = free || (cmd.maybe_ran.is_none() && cmd.out.is_empty());
+        let hold_off = if self.allows("permissions.retry_after") { group.target } else { 0 };
+        let throttle = Decision::Throttle { command: cmd.id.clone(), hold_off };
+        self.ready.push_back(if harmless { throttle } else { Decision::Fail { command: cmd.id.clone() } });
         self.close(key);
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -42,7 +42,8 @@
 /// An open command of the access, known under the key 0.
 fn open(router: &mut Router, kind: &str) {
     let kind = KINDS.iter().position(|k| *k == kind).expect("a known kind");
-    let cmd = Open { id: "cmd".into(), kind, set: 1, ends: NOW + 20_000, needs: NOW, ..Open::default() };
+    let (ends, patience) = (NOW + 20_000, NOW + 20_000);
+    let cmd = Open { id: "cmd".into(), kind, set: 1, ends, patience, needs: NOW, ..Open::default() };
     router.by_id.insert("cmd".into(), 0);
     router.open.insert(0, cmd);
 }
@@ -231,6 +232,31 @@
     assert_eq!(r.ready.iter().find_map(until), Some(NOW + left));
 }
 
+#[rstest]
+#[case::refused_connections(Ending::ConnectFailed, NOW + 10_000)]
+#[case::never_sent(Ending::NeverSent, NOW + 10_000)]
+#[case::a_miss(Ending::Miss, NOW + 20_000)]
+fn patience_grows_once_something_was_written(#[case] ending: Ending, #[case] patience: Tenths) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.patience, cmd.out) = (NOW + 10_000, BTreeMap::from([(0, (0, NOW))]));
+    r.dispatch_ended(NOW, "cmd", ended(ending, None));
+    assert_eq!(r.open[&0].patience, patience);
+}
+
+#[rstest]
+#[case::in_time(NOW + 1, 0)]
+#[case::out_of_patience(NOW, 1)]
+fn a_waiting_command_out_of_patience_is_told_to_come_back(#[case] patience: Tenths, #[case] answers: usize) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.settle(NOW - 1, 0);
+    r.open.get_mut(&0).unwrap().patience = patience;
+    r.settle(NOW, 0);
+    assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Throttle { .. })).count(), answers);
+}
+
 #[rstest]
 #[case::in_window(10, 0)]
 #[case::past_window(60_000, 1)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -108,6 +108,8 @@
     pub rank: u8,
     /// When the last use of an answer ends.
     pub ends: Tenths,
+    /// How long it waits for a first dispatch to be written.
+    pub patience: Tenths,
     /// The position that a session or fresh read must see.
     pub needs: Tenths,
     pub session: Option<String>,
