--- /dev/null
+++ b/router/examples/member.rs
@@ -0,0 +1,66 @@
+//! A member to try the router by hand: it says that it is the primary and answers every command with `value`.
+//!
+//!     cargo run --release -p vetchkeel-router --example member 127.0.0.1:5433
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{SystemTime, UNIX_EPOCH};
+use vetchkeel_pgwire::{message, opening, ready, text, welcome};
+
+fn framed(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+fn row(value: &[u8]) -> Vec<u8> {
+    let column = [&[0, 1][..], b"v\0", &[0; 6], &17u32.to_be_bytes(), &[255; 6], &[0, 1]].concat();
+    let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
+    [framed(b'T', &column), framed(b'D', &data), framed(b'C', b"SELECT 1\0")].concat()
+}
+
+fn answer(statement: &[u8]) -> Vec<u8> {
+    let mut out = framed(b'S', b"role\0primary\0");
+    if statement == b"SHOW load" {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
+        out.extend(row(format!("x0={now:.3},x1=1").as_bytes()));
+    } else {
+        println!("{}", String::from_utf8_lossy(statement));
+        out.extend(row(b"value"));
+    }
+    ready(&mut out);
+    out
+}
+
+fn serve(mut stream: TcpStream) -> Option<()> {
+    let (mut input, mut opened) = (Vec::new(), false);
+    let mut bytes = [0; 4096];
+    loop {
+        let mut out = Vec::new();
+        while !opened && let Some((_, size)) = opening(&input).ok()? {
+            input.drain(..size);
+            opened = true;
+            welcome(&mut out, 0, 1);
+        }
+        while opened && let Some(found) = message(&input).ok()? {
+            match found.kind {
+                b'Q' => out.extend(answer(text(found.body)?.0)),
+                _ => return None,
+            }
+            let size = found.size;
+            input.drain(..size);
+        }
+        stream.write_all(&out).ok()?;
+        match stream.read(&mut bytes).ok()? {
+            0 => return None,
+            read => input.extend_from_slice(&bytes[..read]),
+        }
+    }
+}
+
+fn main() -> std::io::Result<()> {
+    let address = std::env::args().nth(1).unwrap_or_else(|| "127.0.0.1:5433".into());
+    for stream in TcpListener::bind(&address)?.incoming() {
+        let stream = stream?;
+        std::thread::spawn(move || serve(stream));
+    }
+    Ok(())
+}
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -24,8 +24,9 @@
 const PATIENCE: Tenths = 300_000;
 const CLOSING: Tenths = 10_000;
 const ACCEPT_AGAIN: Tenths = 1_000;
-/// Unsent bytes from which on nothing more is taken from a client.
-const UNSENT_MOST: usize = 256 * 1024;
+/// Unsent bytes from which on nothing more is taken from a client, and unread ones held behind a command.
+const UNSENT_MOST: usize = 64 * 1024;
+const BEHIND_MOST: usize = 16 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -176,7 +177,8 @@
     fn read_client(&mut self, key: ClientKey) {
         loop {
             let Some(client) = self.clients.table.get_mut(key) else { return };
-            client.paused = client.input.len() > LONGEST || client.unsent > UNSENT_MOST;
+            let most = if client.command.is_some() { BEHIND_MOST } else { LONGEST };
+            client.paused = client.input.len() > most || client.unsent > UNSENT_MOST;
             if client.paused {
                 break;
             }
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -497,11 +497,18 @@
             }
         };
         let took = self.now - job.since;
-        self.news.push_back(match job.work {
+        let news = match job.work {
             Work::Dispatch(key, dispatch) => {
                 News::Dispatch { key, dispatch, ending: outcome, took, note, report, answer: raw }
             }
             Work::Probe => {
+                // A machine that vanished leaves kept connections open and silent, and resets them once it is back.
+                if matches!(
+                    outcome,
+                    Ending::ConnectFailed | Ending::NeverSent | Ending::TimedOut | Ending::Reset
+                ) {
+                    self.let_go(&node);
+                }
                 if outcome == Ending::Answered && report.position.is_none() {
                     report = self::report(
                         std::str::from_utf8(&raw[value]).unwrap_or_default(),
@@ -510,7 +517,8 @@
                 }
                 News::Probe { node, ending: outcome, report }
             }
-        });
+        };
+        self.news.push_back(news);
     }
 
     /// The limit of what a connection carries has passed.
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -79,7 +79,7 @@
 
 impl Node {
     /// Answers probes as `role` with a position of now, and commands as `reply` says. A `mute` one never gets as
-    /// far as that.
+    /// far as that; a `deaf` one does not answer probes.
     pub fn start(role: &'static str, reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> Node {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
@@ -108,7 +108,9 @@
         let mut carried = false;
         while let Some((b'Q', body)) = read_packet(&mut stream, false) {
             let statement = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
-            let answer = if statement == "SHOW load" {
+            let answer = if statement == "SHOW load" && role == "deaf" {
+                Reply::Silence
+            } else if statement == "SHOW load" {
                 let report = format!("x0={:.3},x1={}", unix_ms() as f64 / 1000.0, (role == "primary") as u8);
                 Reply::Send(row(&report))
             } else {
@@ -205,7 +207,7 @@
     "family_info":{"class_read":["any","write"],"server_checks":"wait","token_mode":"remembered"},
     "report":{"via":"probe","fields":["x0","x1"]},
     "permissions":{"cancel":true,"may_probe":true,"retry_after":true,"max_attempts":6,
-        "conn_idle_ms":15000.0,"dial_timeout_ms":250.0},
+        "conn_idle_ms":60000.0,"dial_timeout_ms":250.0},
     "projects":[{"name":"acme","share":1.0}],
     "rules":{"drain_grace_ms":100.0},
     "request_classes":[
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -127,6 +127,16 @@
     assert_eq!(client.query(&order("i2", 5000)), Answer::Row("w".into()));
 }
 
+#[rstest]
+fn kept_connections_go_when_a_probe_fails() {
+    let node = Node::start("deaf", always(row("r")));
+    let router = Router::start(&[entry("s-a", &node, "ready", "primary")]);
+    assert_eq!(Client::connect(&router).query(&look("i1", 5000)), Answer::Row("r".into()));
+    // The first probe has no answer; the connection that the command left would be kept for half a minute.
+    assert!(node.statement().contains("id=i1"));
+    assert_eq!(node.next(), Seen::Ended);
+}
+
 #[rstest]
 fn a_client_that_leaves_has_its_dispatch_called_off() {
     let (node, router) = one(|_| Reply::Silence);
