--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -493,7 +493,11 @@
                 if !matches!(failure.cause, Cause::CalledOff | Cause::Code(_)) {
                     log!("node {node}: {:?} ended: {failure}", job.work);
                 }
-                ending(failure)
+                match (job.work, ending(failure)) {
+                    // Of a probe only the silence is known, wherever it began.
+                    (Work::Probe, Ending::NeverSent) => Ending::TimedOut,
+                    (_, ending) => ending,
+                }
             }
         };
         let took = self.now - job.since;
