--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -104,6 +104,16 @@
     );
 }
 
+#[rstest]
+fn a_probe_that_gets_no_connection_in_time_timed_out_and_is_asked_once_more() {
+    let node = Node::start("mute", |_| Reply::Silence);
+    let router = Router::start(&[entry("s-a", &node, "ready", "primary")]);
+    (0..2).for_each(|_| drop(router.logged("Probe ended: Limit while Dialling")));
+    router.signal("-USR1");
+    let probes = router.counters("probes");
+    assert_eq!((probes.len(), probes["timed_out"]), (1, 2));
+}
+
 #[rstest]
 #[case::two_rows([row("a"), row("b")].concat())]
 #[case::no_row(Vec::new())]
