--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -196,6 +196,15 @@
     assert!(router.discovery.asked().path.contains("index=0"));
 }
 
+#[rstest]
+fn a_member_that_is_gone_loses_its_kept_connections() {
+    let (node, router) = one(always(row("r")));
+    assert_eq!(Client::connect(&router).query(&look("i1", 5000)), Answer::Row("r".into()));
+    assert!(node.statement().contains("id=i1"));
+    router.discovery.asked().send(&list(42, false, &[entry("s-a", &node, "gone", "primary")]));
+    assert_eq!(node.next(), Seen::Ended);
+}
+
 #[rstest]
 fn sigterm_answers_what_was_taken_and_the_counters_add_up() {
     let (go, going) = channel();
