A client that sends more than may be held, and asks for nothing, is read on

Found by reading: reading stops when enough is held, and goes on after an answer. What is taken without one (extended messages passed over up to their Sync) made room, but no event came for bytes that already lay unread: the connection could stand still. The test sends 600 KB of such messages; it does not isolate the defect, which needs all the rest to have come before the last event was taken.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -177,14 +177,28 @@
         self.read_client(key);
     }
 
-    /// Reads all there is, as far as it may be held.
+    /// Reads all there is, as far as it may be held, and takes it in.
     fn read_client(&mut self, key: ClientKey) {
+        loop {
+            self.read_on(key);
+            self.advance(key);
+            // What was taken without an answer has made room, and no event tells of what still lies unread.
+            let Some(client) = self.clients.table.get(key) else { return };
+            let room =
+                client.command.is_none() && client.input.len() <= LONGEST && client.unsent <= UNSENT_MOST;
+            if !client.paused || !room {
+                return;
+            }
+        }
+    }
+
+    fn read_on(&mut self, key: ClientKey) {
         loop {
             let Some(client) = self.clients.table.get_mut(key) else { return };
             let most = if client.command.is_some() { BEHIND_MOST } else { LONGEST };
             client.paused = client.input.len() > most || client.unsent > UNSENT_MOST;
             if client.paused {
-                break;
+                return;
             }
             match (&*client.stream).read(&mut self.scratch) {
                 Ok(0) => return self.drop_client(key),
@@ -194,12 +208,11 @@
                     client.read += read as u64;
                     client.marks.push_back((client.read, self.now - waited(&client.stream)));
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return self.drop_client(key),
             }
         }
-        self.advance(key);
     }
 
     /// Takes messages until one becomes a command or more bytes must come.
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -323,6 +323,17 @@
     assert_eq!((client.answer(), client.answer()), (error("0A000"), Answer::Row("r".into())));
 }
 
+#[rstest]
+fn more_than_may_be_held_is_read_on_while_it_asks_for_nothing() {
+    let (_node, router) = one(always(row("r")));
+    let mut client = Client::connect(&router);
+    let bind = [&b"B"[..], &10_004u32.to_be_bytes(), &[0; 10_000]].concat();
+    let all =
+        [&b"P\0\0\0\x08\0\0\0\0"[..], &bind.repeat(60), b"S\0\0\0\x04", &query_bytes(&look("i1", 5000))];
+    client.send(&all.concat());
+    assert_eq!((client.answer(), client.answer()), (error("0A000"), Answer::Row("r".into())));
+}
+
 #[rstest]
 #[case::other_version(startup(2 << 16), "0A000")]
 #[case::short_opening(vec![0, 0, 0, 3], "08P01")]
