What a node says before it is asked is no answer; commands.rs alone calls the module

Found on a second reading. take_messages (nodes.rs) took a row that lay behind the greeting, or came before the query was written in full, for the query's answer, and kept the connection: a client could be served what no node made for it. Now the connection is out of step and ends; what was to go there was never sent. The test fails without the check. Also: watch.rs and main.rs called the module beside commands.rs; a probe's ending was derived outside ending.rs; wrappers of one line, an unused message and an own copy of a system constant are gone.

--- a/pgwire/src/write.rs
+++ b/pgwire/src/write.rs
@@ -81,7 +81,3 @@
     head[1..].copy_from_slice(&(statement as u32 + 5).to_be_bytes());
     head
 }
-
-pub fn terminate(out: &mut Vec<u8>) {
-    framed(out, b'X', |_| {});
-}
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -428,10 +428,6 @@
         }
     }
 
-    pub fn client_overdue(&mut self, key: ClientKey) {
-        self.drop_client(key);
-    }
-
     /// Closes a client's connection; a command in hand has lost its client.
     pub fn drop_client(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.remove(key) else { return };
--- a/router/src/commands.rs
+++ b/router/src/commands.rs
@@ -9,7 +9,7 @@
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use vetchkeel::{Command, Decision, DispatchEnd, Ending, Id, Note, Report, Router, Tenths, Told};
+use vetchkeel::{Command, Decision, DispatchEnd, Ending, Entry, Id, Note, Report, Router, Tenths, Told};
 use vetchkeel_pgwire as pgwire;
 
 new_key_type! {
@@ -49,7 +49,7 @@
 }
 
 pub struct Commands {
-    pub router: Router,
+    router: Router,
     taken: SlotMap<CommandKey, Taken>,
     by_id: BTreeMap<Id, CommandKey>,
     groups: BTreeSet<String>,
@@ -62,7 +62,7 @@
 type Rejection = (&'static str, String);
 
 impl Commands {
-    pub fn new(told: &Told, router: Router) -> Commands {
+    pub fn start(told: &Told, seed: u64, now: Tenths) -> Result<Commands, String> {
         let names = |list: &str| {
             let is_name =
                 |n: &str| n.starts_with(list) && n[list.len()..].starts_with('.') && n.ends_with(".name");
@@ -72,7 +72,8 @@
         let sessions =
             told.get("family_info.class_read").is_some_and(|r| r.split(',').any(|r| r == "session"));
         let (taken, by_id) = (SlotMap::with_key(), BTreeMap::new());
-        Commands { router, taken, by_id, groups, customers, sessions }
+        let router = Router::start(told.clone(), seed, now)?;
+        Ok(Commands { router, taken, by_id, groups, customers, sessions })
     }
 }
 
@@ -121,9 +122,10 @@
             // Without a write before, whatever position does.
             Some(0.0) => Some(0),
             // Rounded against ourselves, and never the 0 that stands for none.
-            Some(after) => {
-                Some(self.now - (after * 10.0).ceil() as Tenths).map(|a| if a == 0 { -1 } else { a })
-            }
+            Some(after) => match self.now - (after * 10.0).ceil() as Tenths {
+                0 => Some(-1),
+                age => Some(age),
+            },
             None => None,
         };
         if self.commands.by_id.contains_key(said.id) {
@@ -164,6 +166,15 @@
         }
     }
 
+    pub fn members_changed(&mut self, whole: bool, entries: &[Entry]) {
+        self.commands.router.members_changed(self.now, whole, entries);
+    }
+
+    /// The watch broke; the module says when to ask again.
+    pub fn list_failed(&mut self) {
+        self.commands.router.list_failed(self.now);
+    }
+
     /// Tells the module what has ended since it last decided.
     pub fn tell_news(&mut self) {
         while let Some(news) = self.news.pop_front() {
--- a/router/src/ending.rs
+++ b/router/src/ending.rs
@@ -62,6 +62,14 @@
     }
 }
 
+/// The same of a probe: of one that got no connection in its time only the silence is known.
+pub fn probe_ending(failure: Failure) -> Ending {
+    match ending(failure) {
+        Ending::NeverSent => Ending::TimedOut,
+        ending => ending,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -91,4 +99,11 @@
     ) {
         assert_eq!(ending(Failure { reached, cause }), want);
     }
+
+    #[rstest]
+    #[case::no_connection(Reached::Dialling, Cause::Limit, Ending::TimedOut)]
+    #[case::refused(Reached::Dialling, Cause::Broken, Ending::ConnectFailed)]
+    fn a_silent_probe_timed_out(#[case] reached: Reached, #[case] cause: Cause, #[case] want: Ending) {
+        assert_eq!(probe_ending(Failure { reached, cause }), want);
+    }
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -19,6 +19,7 @@
 use commands::{Commands, News};
 use counters::Counters;
 use deadlines::{Deadlines, Due};
+use ending::Cause;
 use nodes::Nodes;
 use socket2::{Domain, Protocol, Socket, Type};
 use startup::Start;
@@ -28,7 +29,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use vetchkeel::{Router, Tenths, Told};
+use vetchkeel::{Tenths, Told};
 use watch::Watch;
 
 /// Descriptors for the listener, the watch, signals, the loop itself and what may come.
@@ -97,12 +98,11 @@
         let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
         let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
         let nodes = Nodes::new(room - room_for_clients, dial_limit, keep, probe, text("report.fields"));
-        let router = Router::start(told.clone(), start.seed, now)?;
         let mut program = Program {
             clock,
             now,
             handle,
-            commands: Commands::new(told, router),
+            commands: Commands::start(told, start.seed, now)?,
             clients: Clients::new(room_for_clients),
             nodes,
             watch: Watch::new(start.discovery),
@@ -148,10 +148,10 @@
         while let Some(due) = self.deadlines.take(self.now) {
             match due {
                 Due::Wake => {}
-                Due::Work(key) => self.work_overdue(key),
-                Due::Dial(key) => self.dial_overdue(key),
-                Due::Idle(key) => self.idle_overdue(key),
-                Due::Client(key) => self.client_overdue(key),
+                Due::Work(key) => self.give_up_work(key, Cause::Limit),
+                Due::Dial(key) => self.break_conn(key, Cause::DialLimit),
+                Due::Idle(key) => self.drop_conn(key),
+                Due::Client(key) => self.drop_client(key),
                 Due::Accept => self.accept(),
                 Due::Watch => self.break_watch("silence"),
                 Due::Stop => self.stop_accepting(),
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -4,7 +4,7 @@
 use crate::Program;
 use crate::commands::{CommandKey, News};
 use crate::deadlines::Due;
-use crate::ending::{Cause, Failure, Reached, ending};
+use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
 use crate::log;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -118,14 +118,11 @@
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
     match socket.connect(&address.into()) {
-        Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
+        Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
         _ => Ok(socket.into()),
     }
 }
 
-/// What a dial that is under way says on Linux.
-const EINPROGRESS: i32 = 115;
-
 impl Job {
     fn reached(&self, stage: Stage) -> Reached {
         match stage {
@@ -399,6 +396,8 @@
                         conn.stage = Stage::Open;
                         self.deadlines.clear(Due::Dial(key));
                         match job {
+                            // It answers what it was not asked yet.
+                            Some(_) if at < conn.input.len() => Some(Err(Cause::Garbled)),
                             Some(_) => {
                                 conn.input.drain(..at);
                                 self.write_work(key);
@@ -417,20 +416,20 @@
             };
         }
         conn.input.drain(..at);
+        // What answers before it was asked in full leaves the connection out of step.
+        let in_step = conn.job.as_ref().is_none_or(|j| j.reached(conn.stage) == Reached::Written);
         match done {
             None => {}
-            Some(Ok(())) => self.keep(key),
+            Some(Ok(())) if in_step => self.keep(key),
             // After an error that leaves the node ready for more the connection is as good as before.
-            Some(Err(cause @ Cause::Code(_))) if conn.stage == Stage::Open && conn.job.is_some() => {
-                let written = conn.job.as_ref().is_some_and(|j| j.reached(conn.stage) == Reached::Written);
-                if !written {
-                    return self.break_conn(key, cause);
+            Some(Err(cause @ Cause::Code(_))) if in_step && conn.stage == Stage::Open => {
+                if let Some(job) = conn.job.take() {
+                    let node = conn.node.clone();
+                    self.ended(node, job, Err(Failure { reached: Reached::Written, cause }));
                 }
-                let (node, job) = (conn.node.clone(), conn.job.take().expect("checked"));
-                self.ended(node, job, Err(Failure { reached: Reached::Written, cause }));
                 self.keep(key);
             }
-            Some(Err(cause)) => self.break_conn(key, cause),
+            Some(result) => self.break_conn(key, result.err().unwrap_or(Cause::Garbled)),
         }
     }
 
@@ -471,7 +470,7 @@
     }
 
     /// Closes a connection that carries nothing, or whose work has been taken off it.
-    fn drop_conn(&mut self, key: ConnKey) {
+    pub fn drop_conn(&mut self, key: ConnKey) {
         let Some(conn) = self.nodes.conns.remove(key) else { return };
         [Due::Work(key), Due::Dial(key), Due::Idle(key)]
             .into_iter()
@@ -493,11 +492,7 @@
                 if !matches!(failure.cause, Cause::CalledOff | Cause::Code(_)) {
                     log!("node {node}: {:?} ended: {failure}", job.work);
                 }
-                match (job.work, ending(failure)) {
-                    // Of a probe only the silence is known, wherever it began.
-                    (Work::Probe, Ending::NeverSent) => Ending::TimedOut,
-                    (_, ending) => ending,
-                }
+                if job.work == Work::Probe { probe_ending(failure) } else { ending(failure) }
             }
         };
         let took = self.now - job.since;
@@ -507,10 +502,7 @@
             }
             Work::Probe => {
                 // A machine that vanished leaves kept connections open and silent, and resets them once it is back.
-                if matches!(
-                    outcome,
-                    Ending::ConnectFailed | Ending::NeverSent | Ending::TimedOut | Ending::Reset
-                ) {
+                if matches!(outcome, Ending::ConnectFailed | Ending::TimedOut | Ending::Reset) {
                     self.let_go(&node);
                 }
                 if outcome == Ending::Answered && report.position.is_none() {
@@ -525,11 +517,6 @@
         self.news.push_back(news);
     }
 
-    /// The limit of what a connection carries has passed.
-    pub fn work_overdue(&mut self, key: ConnKey) {
-        self.give_up_work(key, Cause::Limit);
-    }
-
     /// Calls off a dispatch that is out.
     pub fn call_off(&mut self, key: CommandKey, dispatch: u32) {
         let work = Work::Dispatch(key, dispatch);
@@ -541,7 +528,7 @@
 
     /// A dial goes on without its work, and an open connection that nothing was written to is kept; any other is
     /// closed.
-    fn give_up_work(&mut self, key: ConnKey, cause: Cause) {
+    pub fn give_up_work(&mut self, key: ConnKey, cause: Cause) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
         let Some(job) = conn.job.take_if(|j| j.wait.is_none()) else { return self.break_conn(key, cause) };
         let (node, open) = (conn.node.clone(), conn.stage == Stage::Open);
@@ -576,13 +563,4 @@
             self.let_go(node);
         }
     }
-
-    /// A dial has not led to an open connection in time.
-    pub fn dial_overdue(&mut self, key: ConnKey) {
-        self.break_conn(key, Cause::DialLimit);
-    }
-
-    pub fn idle_overdue(&mut self, key: ConnKey) {
-        self.drop_conn(key);
-    }
 }
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -81,7 +81,7 @@
         if let Some(open) = self.watch.open.take() {
             self.handle.remove(open.token);
         }
-        self.commands.router.list_failed(self.now);
+        self.list_failed();
     }
 
     fn watch_ready(&mut self, round: u64) {
@@ -154,6 +154,6 @@
             self.member_told(&row.entry.node, row.address, row.entry.started, gone);
         }
         let entries: Vec<Entry> = sheet.rows.into_iter().map(|r| r.entry).collect();
-        self.commands.router.members_changed(self.now, sheet.whole, &entries);
+        self.members_changed(sheet.whole, &entries);
     }
 }
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -79,7 +79,7 @@
 
 impl Node {
     /// Answers probes as `role` with a position of now, and commands as `reply` says. A `mute` one never gets as
-    /// far as that; a `deaf` one does not answer probes.
+    /// far as that, a `deaf` one does not answer probes, an `early` one answers before it is asked.
     pub fn start(role: &'static str, reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> Node {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
@@ -104,7 +104,8 @@
         if role == "mute" {
             return read_packet(&mut stream, false).and(None);
         }
-        stream.write_all(&[framed(b'R', &[0; 4]), ready()].concat()).ok()?;
+        let early = if role == "early" { [row("early"), ready()].concat() } else { Vec::new() };
+        stream.write_all(&[framed(b'R', &[0; 4]), ready(), early].concat()).ok()?;
         let mut carried = false;
         while let Some((b'Q', body)) = read_packet(&mut stream, false) {
             let statement = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -118,6 +118,15 @@
     );
 }
 
+#[rstest]
+fn what_a_node_says_before_it_is_asked_is_no_answer() {
+    let node = Node::start("early", always(row("r")));
+    let router = Router::start(&[entry("s-a", &node, "ready", "primary")]);
+    let answer = Client::connect(&router).query(&order("i1", 300));
+    assert!(matches!(&answer, Answer::Error(code, _) if code == "53300"), "{answer:?}");
+    assert!(node.seen.try_recv().is_err(), "nothing was sent there");
+}
+
 #[rstest]
 fn a_probe_that_gets_no_connection_in_time_timed_out_and_is_asked_once_more() {
     let node = Node::start("mute", |_| Reply::Silence);
