SIGHUP reads the configuration again and moves the watch; the program no longer ends on it

Excluded: the watch (it was never asked again). Now the file is read again; a wrong one changes nothing and says what was expected; other changed fields are named. The watch moves to the new address and asks for the whole list there, the old one is heard until that has come, and is never asked again. The agent answers at once, so a watch without a first byte for 1 s, or silent for 5 s, is asked again (10 s before). A test of the program fails without it.

--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -20,6 +20,7 @@
     pub reused: u64,
     pub lists: u64,
     pub watches_broken: u64,
+    pub reloads: u64,
     pub dispatches: Endings,
     pub probes: Endings,
 }
@@ -62,11 +63,11 @@
         )?;
         writeln!(f, "counters dispatches: {}", self.dispatches)?;
         writeln!(f, "counters probes: {}", self.probes)?;
-        let Counters { dials, reused, lists, watches_broken, .. } = self;
+        let Counters { dials, reused, lists, watches_broken, reloads, .. } = self;
         write!(
             f,
             "counters connections: clients={connections} dials={dials} reused={reused} lists={lists} \
-             watches_broken={watches_broken}"
+             watches_broken={watches_broken} reloads={reloads}"
         )
     }
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -23,7 +23,7 @@
 use nodes::Nodes;
 use socket2::{Domain, Protocol, Socket, Type};
 use startup::Start;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
@@ -70,6 +70,8 @@
     scratch: Box<[u8]>,
     /// SIGTERM has come.
     stopping: bool,
+    /// What the configuration said at the start and can't change.
+    fixed: BTreeMap<&'static str, serde_json::Value>,
 }
 
 fn tenths(told: &Told, name: &str, or: f64) -> Tenths {
@@ -111,8 +113,10 @@
             news: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
             stopping: false,
+            fixed: start.fixed,
         };
         if let Some(known) = start.known {
+            program.watch.holds(known.version);
             program.list_told(known);
         }
         program.open_watch();
@@ -170,6 +174,7 @@
         self.now = self.clock.now();
         match signal {
             Signal::SIGUSR1 => self.print_counters(),
+            Signal::SIGHUP => self.reload(),
             _ if self.stopping => {}
             _ => {
                 log!("stopping: {} commands open", self.open_commands());
@@ -180,6 +185,19 @@
         }
     }
 
+    /// The configuration is read again. A wrong one changes nothing.
+    fn reload(&mut self) {
+        let start = match startup::read() {
+            Ok(start) => start,
+            Err(why) => return log!("reload: the configuration stays as it is: {why}"),
+        };
+        self.counters.reloads += 1;
+        for (name, _) in start.fixed.iter().filter(|(name, value)| self.fixed.get(*name) != Some(*value)) {
+            log!("reload: '{name}' has changed, which takes effect at the next start");
+        }
+        self.move_watch(start.discovery);
+    }
+
     fn print_counters(&mut self) {
         self.counters.open = self.open_commands();
         eprintln!("{}", self.counters);
@@ -203,8 +221,8 @@
     let start = startup::read()?;
     let name = start.name.clone();
     let mut event_loop = EventLoop::<Program>::try_new().map_err(|e| e.to_string())?;
-    let signals =
-        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1]).map_err(|e| e.to_string())?;
+    let heeded = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
+    let signals = Signals::new(&heeded).map_err(|e| e.to_string())?;
     let handle = event_loop.handle();
     let heard = handle.insert_source(signals, |event, _, program| program.signalled(event.signal()));
     heard.map_err(|e| e.to_string())?;
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -2,6 +2,7 @@
 //! the simulator's wire spells.
 
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use vetchkeel::Told;
 use vetchkeel_discovery::{Sheet, sheet_of};
@@ -16,6 +17,8 @@
     pub told: Told,
     /// The list as this router had it most recently.
     pub known: Option<Sheet>,
+    /// What a running program can't change: field by field, as the file has it.
+    pub fixed: BTreeMap<&'static str, Value>,
 }
 
 /// Reads the environment and the file it names. The error is one line that says what was expected.
@@ -48,7 +51,10 @@
         Value::Null => None,
         list => Some(sheet_of(list).map_err(|why| format!("expected a list under 'known': {why}"))?),
     };
+    let fixed =
+        ["name", "listen", "limits", "settings"].into_iter().map(|n| (n, config[n].clone())).collect();
     Ok(Start {
+        fixed,
         name: text("name", "NODE_NAME").unwrap_or_else(|| "router".to_owned()),
         listen: address("listen", "NODE_LISTEN")?,
         discovery: address("discovery", "NODE_DISCOVERY")?,
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -13,14 +13,18 @@
 use vetchkeel::{Entry, Phase, Tenths};
 use vetchkeel_discovery::{Lines, Sheet, ask, sheet};
 
-/// An empty line comes every 2 s; after this long without a byte the connection is given up.
-const SILENCE_MOST: Tenths = 100_000;
+/// An empty line comes every 2 s; after this long without a byte the connection is given up. The agent answers
+/// at once, on this machine.
+const SILENCE_MOST: Tenths = 50_000;
+const FIRST_BYTE_MOST: Tenths = 10_000;
 
 pub struct Watch {
     address: SocketAddr,
     /// The version of the list held; 0 asks for the whole list.
     version: u64,
     open: Option<Open>,
+    /// The watch at the address before a reload. It goes on until the new one has told its list.
+    old: Option<Open>,
     /// Counts the connections, so that late news of an earlier one is told apart.
     round: u64,
     /// Every set that a list has named.
@@ -28,16 +32,24 @@
 }
 
 struct Open {
+    round: u64,
     stream: Rc<TcpStream>,
     token: RegistrationToken,
     lines: Lines,
     /// What is still to be written of the request.
     request: Vec<u8>,
+    /// It has told a list or a change.
+    told: bool,
 }
 
 impl Watch {
     pub fn new(address: SocketAddr) -> Watch {
-        Watch { address, version: 0, open: None, round: 0, sets: BTreeSet::new() }
+        Watch { address, version: 0, open: None, old: None, round: 0, sets: BTreeSet::new() }
+    }
+
+    /// The list told at the start has this version.
+    pub fn holds(&mut self, version: u64) {
+        self.version = version;
     }
 
     /// True once a list is held.
@@ -63,16 +75,42 @@
             });
             Ok((stream, token.map_err(|e| io::Error::other(e.to_string()))?))
         });
-        self.deadlines.set(Due::Watch, self.now + SILENCE_MOST);
+        self.deadlines.set(Due::Watch, self.now + FIRST_BYTE_MOST);
         match opened {
             Ok((stream, token)) => {
                 let request = ask(&self.watch.address.to_string(), self.watch.version);
-                self.watch.open = Some(Open { stream, token, lines: Lines::default(), request });
+                let lines = Lines::default();
+                self.watch.open = Some(Open { round, stream, token, lines, request, told: false });
             }
             Err(e) => self.break_watch(&e.to_string()),
         }
     }
 
+    /// A reload names where discovery is. What was told stands, and the watch there goes on until the new one has
+    /// told its list, which is asked for as a whole: its versions may be others.
+    pub fn move_watch(&mut self, address: SocketAddr) {
+        if self.watch.address == address {
+            return log!("reload: discovery stays at {address}");
+        }
+        log!("reload: discovery moves from {} to {address}", self.watch.address);
+        self.watch.address = address;
+        self.watch.version = 0;
+        let before = self.watch.open.take();
+        if before.as_ref().is_some_and(|open| open.told) {
+            self.end_old_watch();
+            self.watch.old = before;
+        } else if let Some(open) = before {
+            self.handle.remove(open.token);
+        }
+        self.open_watch();
+    }
+
+    fn end_old_watch(&mut self) {
+        if let Some(old) = self.watch.old.take() {
+            self.handle.remove(old.token);
+        }
+    }
+
     /// Ends the watch; the module says when to ask again.
     pub fn break_watch(&mut self, why: &str) {
         log!("watch broken: {why}");
@@ -84,29 +122,30 @@
         self.list_failed();
     }
 
+    /// News of the watch in use, or of the one before it, which is never asked again.
     fn watch_ready(&mut self, round: u64) {
-        if self.watch.round == round
-            && let Err(why) = self.read_watch()
+        if self.watch.open.as_ref().is_some_and(|o| o.round == round) {
+            if let Err(why) = self.read_watch(false) {
+                self.break_watch(&why);
+            }
+        } else if self.watch.old.as_ref().is_some_and(|o| o.round == round) && self.read_watch(true).is_err()
         {
-            self.break_watch(&why);
+            self.end_old_watch();
         }
     }
 
-    fn read_watch(&mut self) -> Result<(), String> {
+    fn read_watch(&mut self, old: bool) -> Result<(), String> {
         loop {
-            let Some(open) = &mut self.watch.open else { return Ok(()) };
+            let watch = if old { &mut self.watch.old } else { &mut self.watch.open };
+            let Some(open) = watch else { return Ok(()) };
             while !open.request.is_empty() {
                 match (&*open.stream).write(&open.request) {
                     Ok(written) => drop(open.request.drain(..written)),
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                     Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
                         // Not connected yet, or the dial has failed and says so.
-                        return open
-                            .stream
-                            .take_error()
-                            .ok()
-                            .flatten()
-                            .map_or(Ok(()), |e| Err(e.to_string()));
+                        let failed = open.stream.take_error().ok().flatten();
+                        return failed.map_or(Ok(()), |e| Err(e.to_string()));
                     }
                     Err(e) => return Err(e.to_string()),
                 }
@@ -118,18 +157,26 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) => return Err(e.to_string()),
             };
-            self.deadlines.set(Due::Watch, self.now + SILENCE_MOST);
             let lines = open.lines.feed(&self.scratch[..read])?;
             let ended = open.lines.ended();
+            if !old {
+                self.deadlines.set(Due::Watch, self.now + SILENCE_MOST);
+            }
             for line in lines {
-                match sheet(&line) {
-                    Ok(sheet) => self.list_told(sheet),
+                let sheet = match sheet(&line) {
+                    Ok(sheet) => sheet,
                     Err(why) => {
                         // What it said is lost: the whole list is asked for.
-                        self.watch.version = 0;
+                        self.watch.version = if old { self.watch.version } else { 0 };
                         return Err(why);
                     }
+                };
+                if !old {
+                    self.watch.version = sheet.version;
+                    self.watch.open.iter_mut().for_each(|o| o.told = true);
+                    self.end_old_watch();
                 }
+                self.list_told(sheet);
             }
             if ended {
                 return Err("ended by discovery".into());
@@ -143,7 +190,6 @@
             log!("member list: {why}");
         }
         self.counters.lists += 1;
-        self.watch.version = sheet.version;
         if sheet.whole {
             let listed: BTreeSet<_> = sheet.rows.iter().map(|r| r.entry.node.clone()).collect();
             self.let_go_unless(|node| listed.contains(node));
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -162,6 +163,12 @@
         let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
         self.stream.write_all(chunk.as_bytes()).expect("the watch is open");
     }
+
+    /// Waits for the router to end this watch.
+    pub fn ended(&mut self) -> bool {
+        self.stream.set_read_timeout(Some(WAIT)).expect("a time-out");
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
 }
 
 pub struct Discovery {
@@ -190,6 +197,10 @@
     pub fn asked(&self) -> Asked {
         self.asked.recv_timeout(WAIT).expect("a watch")
     }
+
+    pub fn never_asked(&self) -> bool {
+        self.asked.try_recv().is_err()
+    }
 }
 
 /// An entry of the list, as discovery spells it.
@@ -215,9 +226,17 @@
         {"name":"look","semantics":"pure","hard_limit_ms":60000.0,"aim_ms":60000.0,"importance":1.0},
         {"name":"order","semantics":"side_effect","hard_limit_ms":60000.0,"aim_ms":60000.0,"importance":6.0}]}"#;
 
+pub fn configuration(discovery: SocketAddr, sockets: u32, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+    )
+}
+
 /// The built program, with its log.
 pub struct Router {
     child: Child,
+    config: PathBuf,
     pub address: SocketAddr,
     log: Receiver<String>,
     pub discovery: Discovery,
@@ -231,31 +250,31 @@
 
     pub fn with_sockets(entries: &[String], sockets: u32) -> Router {
         let discovery = Discovery::start();
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
-            "known":{},"settings":{SETTINGS}}}"#,
-            discovery.address,
-            list(41, true, entries)
-        );
         let folder = std::env::temp_dir();
-        let path = folder.join(format!("vetchkeel-{}-{:?}.json", std::process::id(), thread::current().id()));
-        std::fs::write(&path, config).expect("a temporary file");
+        let config =
+            folder.join(format!("vetchkeel-{}-{:?}.json", std::process::id(), thread::current().id()));
+        let text = configuration(discovery.address, sockets, &list(41, true, entries));
+        std::fs::write(&config, text).expect("a temporary file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_vetchkeel-router"))
-            .env("NODE_CONFIG", &path)
+            .env("NODE_CONFIG", &config)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
         let (tell, log) = channel();
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| tell.send(line)));
-        let mut router = Router { child, address: discovery.address, log, discovery };
+        let mut router = Router { child, config, address: discovery.address, log, discovery };
         let serving = router.logged("serves on ");
         router.address = serving.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        std::fs::remove_file(&path).expect("written above");
         router
     }
 
+    /// Replaces the configuration and asks for it to be read.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("a temporary file");
+        self.signal("-HUP");
+    }
+
     /// The next line of the log that holds this text.
     pub fn logged(&self, text: &str) -> String {
         loop {
@@ -289,6 +308,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -205,6 +205,45 @@
     assert!(router.discovery.asked().path.contains("index=0"));
 }
 
+#[rstest]
+fn a_reload_moves_the_watch_and_keeps_commands_and_what_was_told() {
+    let (go, going) = channel();
+    let going = Mutex::new(going);
+    let (node, router) = one(move |s| {
+        if s.contains("id=i1") {
+            going.lock().expect("one at a time").recv_timeout(WAIT).expect("the test goes on");
+        }
+        Reply::Send(row("r"))
+    });
+    let mut old = router.discovery.asked();
+    old.send(&list(42, false, &[entry("s-a", &node, "ready", "primary")]));
+    let mut client = Client::connect(&router);
+    client.send(&query_bytes(&look("i1", 30_000)));
+    assert!(node.statement().contains("id=i1"));
+    // Half a file and one without discovery change nothing.
+    for wrong in [r#"{"name":"n0","lis"#, r#"{"settings":{},"seed":"1","listen":"127.0.0.1:0"}"#] {
+        router.reload(wrong);
+        router.logged("reload: the configuration stays as it is");
+    }
+    let new = Discovery::start();
+    router.reload(&configuration(new.address, 512, "null"));
+    router.logged("'limits' has changed");
+    let mut watch = new.asked();
+    assert!(watch.path.contains("index=0"), "{}", watch.path);
+    // The old one is heard until the new one has told its list, then ended, and never asked again.
+    let second = Node::start("primary", always(row("second")));
+    let other = entry("s-b", &second, "ready", "primary");
+    old.send(&list(43, false, &[entry("s-a", &node, "draining", "replica"), other.clone()]));
+    assert_eq!(Client::connect(&router).query(&order("i2", 9000)), Answer::Row("second".into()));
+    watch.send(&list(7, true, &[other]));
+    assert!(old.ended());
+    drop(watch);
+    assert!(new.asked().path.contains("index=7"), "asked at the new address alone");
+    assert!(router.discovery.never_asked());
+    go.send(()).expect("the node waits");
+    assert_eq!(client.answer(), Answer::Row("r".into()));
+}
+
 #[rstest]
 fn a_member_that_is_gone_loses_its_kept_connections() {
     let (node, router) = one(always(row("r")));
