After SIGTERM clients that stay are served on, as long as the process may live

Log: n1 stopped at 12.96, back at 17.34; n0 told to stop at 15.96 closed its clients at once and its listener 0.7 s later, so from 16.7 to 17.3 s nobody served. Excluded: commands lost in either router (all taken were answered), the restart itself (ready after 0.0 s; its moment does not follow the early end). At fault: main.rs, signalled ended idle clients at once, Stop after 0.7 s, though the process may live for the longest wait and 0.7 s more. Now clients are served until 1.2 s before that, each command's wait cut to what the process may live.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -371,7 +371,7 @@
         while let Some(key) = self.clients.unsent.pop() {
             self.flush(key);
             self.resume(key);
-            if self.stopping {
+            if self.clients.listener.is_none() {
                 self.end_if_idle(key);
             }
         }
@@ -455,14 +455,6 @@
         }
     }
 
-    pub fn end_idle_clients(&mut self) {
-        let keys: Vec<ClientKey> = self.clients.table.keys().collect();
-        for key in keys {
-            self.read_client(key);
-            self.end_if_idle(key);
-        }
-    }
-
     /// Nothing new is taken any more; who waits for an answer still gets it.
     pub fn stop_accepting(&mut self) {
         self.accept();
--- a/router/src/commands.rs
+++ b/router/src/commands.rs
@@ -131,7 +131,7 @@
         if self.commands.by_id.contains_key(said.id) {
             return Err(("42710", format!("a command with id {} is open", said.id)));
         }
-        let time_left = (wait.min(WAIT_MOST) * 10.0) as Tenths - (self.now - arrived);
+        let time_left = self.allowed((wait.min(WAIT_MOST) * 10.0) as Tenths - (self.now - arrived));
         let id = Id::from(said.id);
         // The module remembers each session's last write: where nothing reads it, a key names none.
         let session = said.key.filter(|_| self.commands.sessions).map(str::to_owned);
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -34,8 +34,13 @@
 
 /// Descriptors for the listener, the watch, signals, the loop itself and what may come.
 const RESERVE: usize = 32;
-/// After SIGTERM clients still come for this long.
+/// After SIGTERM the process is let live for the longest wait, as far as that counts, and for as long as new
+/// clients may still come.
 const STILL_COMING: Tenths = 7_000;
+const LONGEST_WAIT: Tenths = 30_000;
+/// What is left of that when nothing more is taken, and what no command may use.
+const LAST_TAKEN: Tenths = 12_000;
+const LAST_ANSWER: Tenths = 1_500;
 const BACKLOG: i32 = 1024;
 
 /// Unix time in tenths of a millisecond, that never goes back.
@@ -68,8 +73,10 @@
     /// What has ended since the module last heard.
     news: VecDeque<News>,
     scratch: Box<[u8]>,
-    /// SIGTERM has come.
-    stopping: bool,
+    /// SIGTERM has come: until when the process may expect to live.
+    stopping: Option<Tenths>,
+    /// The longest that a client may wait, by the settings.
+    longest_wait: Tenths,
     /// What the configuration said at the start and can't change.
     fixed: BTreeMap<&'static str, serde_json::Value>,
 }
@@ -78,6 +85,11 @@
     (told.get(name).and_then(|v| v.parse().ok()).unwrap_or(or) * 10.0) as Tenths
 }
 
+fn longest_wait(told: &Told) -> Tenths {
+    let waits = (0..).map_while(|i| told.get(&format!("request_classes.{i}.hard_limit_ms")));
+    waits.filter_map(|w| w.parse().ok()).fold(0.0, f64::max) as Tenths * 10
+}
+
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
@@ -112,7 +124,8 @@
             counters: Counters::default(),
             news: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
-            stopping: false,
+            stopping: None,
+            longest_wait: longest_wait(told),
             fixed: start.fixed,
         };
         if let Some(known) = start.known {
@@ -175,12 +188,12 @@
         match signal {
             Signal::SIGUSR1 => self.print_counters(),
             Signal::SIGHUP => self.reload(),
-            _ if self.stopping => {}
+            _ if self.stopping.is_some() => {}
             _ => {
                 log!("stopping: {} commands open", self.open_commands());
-                self.stopping = true;
-                self.deadlines.set(Due::Stop, self.now + STILL_COMING);
-                self.end_idle_clients();
+                let lives = STILL_COMING + self.longest_wait.min(LONGEST_WAIT);
+                self.stopping = Some(self.now + lives);
+                self.deadlines.set(Due::Stop, self.now + STILL_COMING.max(lives - LAST_TAKEN));
             }
         }
     }
@@ -203,6 +216,12 @@
         eprintln!("{}", self.counters);
     }
 
+    /// How long a command may take from now on that would wait for `wait`: a process that is told to stop must
+    /// have answered it while it lives.
+    pub fn allowed(&self, wait: Tenths) -> Tenths {
+        self.stopping.map_or(wait, |lives| wait.min(lives - LAST_ANSWER - self.now))
+    }
+
     /// Until when the loop may sleep.
     fn sleep(&self) -> Option<Duration> {
         if !self.news.is_empty() {
@@ -213,7 +232,7 @@
     }
 
     fn finished(&self) -> bool {
-        self.stopping && self.clients.listener.is_none() && !self.owes_clients()
+        self.clients.listener.is_none() && !self.owes_clients()
     }
 }
 
