Module: members that are gone, and sessions long past, are forgotten

A member that is gone leaves the tables once nothing is out on it and nothing may have run there (where removal does not bind: once it is broken as well); its place is taken by the next. A remembered session older than a minute counts as written a minute ago, which errs against the router. Shares of cold members count the members known, no longer all that ever were. Tests: members under 100 new ids take 5 places; what is out keeps its member; a forgotten session needs the position of when it was forgotten.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 use crate::decay::{Decay, Mean};
 use crate::interface::*;
 use crate::state::*;
-use crate::told::{command_group, is, need, pick, tenths};
+use crate::told::{command_groups, is, pick, shares, tenths};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -18,6 +18,9 @@
 const USUAL_HALF: Tenths = 10 * SECOND;
 const SHARE_HALF: Tenths = 60 * SECOND;
 const SLOW_HALF: Tenths = 2 * SECOND;
+/// How long a session's last write is remembered, once this many are.
+const SESSION_KEPT: Tenths = 60 * SECOND;
+const SESSIONS_LEAST: usize = 4096;
 /// Until seen, an unhurried answer is taken to need this share of the response target.
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
@@ -52,6 +55,7 @@
     rng: Chance,
     members: Vec<Member>,
     nodes: BTreeMap<Id, Node>,
+    vacant: Vec<Node>,
     sets: BTreeMap<i64, MemberSet>,
     open: BTreeMap<u64, Open>,
     by_id: BTreeMap<Id, u64>,
@@ -62,6 +66,7 @@
     used: BTreeSet<Node>,
     scarce: Decay,
     session_writes: BTreeMap<String, Tenths>,
+    sessions_kept: usize,
     list_fails: u32,
     node_checks: bool,
     done_work: Decay,
@@ -81,35 +86,24 @@
 
 impl Router {
     pub fn start(told: Told, seed: u64, now: Tenths) -> Result<Router, String> {
-        let count: usize = need(&told, "request_classes.count")?;
-        let (mut groups, mut kinds) = (Vec::new(), BTreeMap::new());
-        for i in 0..count {
-            // What is not told is read the cautious way: the primary alone, and never twice.
-            let (name, group) = command_group(&told, i, Access::Write, Effect::Mutating)?;
-            kinds.insert(name, i);
-            groups.push(group);
-        }
+        // What is not told is read the cautious way: the primary alone, and never twice.
+        let (groups, kinds) = command_groups(&told, Access::Write, Effect::Mutating)?;
         let bound = |g: &CommandGroup| if let Access::Bounded(b) = g.access { Some(b) } else { None };
         let tightest = groups.iter().filter_map(bound).min().unwrap_or(SECOND);
-        let mut order: Vec<usize> = (0..count).collect();
+        let mut order: Vec<usize> = (0..groups.len()).collect();
         let density = |i: usize| groups[i].benefit / groups[i].target as f64;
         order.sort_by(|a, b| density(*b).total_cmp(&density(*a)));
-        let mut shares = BTreeMap::new();
-        for i in 0..pick(&told, "projects.count", 0)? {
-            let name: String = need(&told, &format!("projects.{i}.name"))?;
-            shares.insert(name, (pick(&told, &format!("projects.{i}.share"), 1.0)?, Decay::default()));
-        }
         let watch = (!is(&told, "membership_mode", "automatic")).then_some((now, Task::Watch));
         Ok(Router {
             tick: tenths(pick(&told, "tick_ms", 1.0)?).max(1),
             cheap: groups.iter().map(|g| g.target).min().unwrap_or(0) * 3,
             most: pick(&told, "permissions.max_attempts", 1)?,
+            shares: shares(&told)?,
             node_checks: ["refuse", "wait"].iter().any(|c| is(&told, "family_info.server_checks", c)),
             told,
             groups,
             kinds,
             order,
-            shares,
             rng: Chance::from(seed),
             agenda: watch.into_iter().collect(),
             tightest,
@@ -138,7 +132,8 @@
         let remembered = is(&self.told, "family_info.token_mode", "remembered");
         let needs = match (group.access, command.token_age) {
             (Access::Session, _) if remembered => {
-                command.session.as_ref().and_then(|s| self.session_writes.get(s)).copied().unwrap_or(0)
+                let old = if self.sessions_kept > 0 { now - SESSION_KEPT } else { 0 };
+                command.session.as_ref().and_then(|s| self.session_writes.get(s)).copied().unwrap_or(old)
             }
             (Access::Session, Some(0)) => 0,
             (Access::Session, age) => now + 1 - age.unwrap_or(0),
@@ -183,15 +178,18 @@
         self.members[node].died |= ending == Ending::Reset;
         cmd.broken_round |= matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
         if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
+            // Danger: sessions come and go for ever. One not remembered counts as written that long ago.
+            if self.session_writes.len() >= self.sessions_kept.max(SESSIONS_LEAST) {
+                self.session_writes.retain(|_, at| *at > now - SESSION_KEPT);
+                self.sessions_kept = 2 * self.session_writes.len() + 1;
+            }
             let commit = self.session_writes.entry(session).or_insert(0);
             *commit = (note.position + 1).max(*commit);
         }
         // Danger: commands that err at any member take others' turns. Whether a dispatch after an error is
         // answered tells them from members that err; only beside the latter is one more worth it.
         let (again, erred) = (cmd.erred, ending == Ending::Error);
-        if again && (answered || erred) {
-            self.cured.add(now, USUAL_HALF, answered as u8 as f64);
-        }
+        (again && (answered || erred)).then(|| self.cured.add(now, USUAL_HALF, answered as u8 as f64));
         let written = !matches!(ending, Ending::ConnectFailed | Ending::NeverSent);
         cmd.patience = if written { cmd.ends } else { cmd.patience };
         cmd.hopeless |= erred && (again || self.cured.read(now, USUAL_HALF, 0.5) < CURED);
@@ -201,15 +199,11 @@
         let group = &mut self.groups[cmd.kind];
         let (kind, target) = (cmd.kind, group.target as f64);
         let ratio = took as f64 / target;
-        if answered {
-            group.latency.add(now, USUAL_HALF, took as f64);
-        }
-        if over {
-            self.close(key);
-        } else if cmd.closed {
-            self.forget(key);
-        } else {
-            self.agenda.insert((now, Task::Settle(key)));
+        answered.then(|| group.latency.add(now, USUAL_HALF, took as f64));
+        match (over, cmd.closed) {
+            (true, _) => self.close(key),
+            (_, true) => self.forget(key),
+            _ => _ = self.agenda.insert((now, Task::Settle(key))),
         }
         if answered || matches!(ending, Ending::TimedOut | Ending::Full) {
             self.slow.add(now, SLOW_HALF, if answered { ratio.min(1.0) } else { 1.0 });
@@ -218,9 +212,7 @@
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.out.remove(&(key, dispatch));
-        if !(write && answered) {
-            m.position = m.position.max(note.position);
-        }
+        m.position = m.position.max(if write && answered { 0 } else { note.position });
         if matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full) {
             (m.heard, m.unheard) = (now, 0);
         }
@@ -229,6 +221,7 @@
             self.learn_role(node, primary);
         }
         let refused = ending == Ending::ConnectFailed
+            && self.allows("permissions.may_probe")
             && 2 * took < tenths(self.number("permissions.dial_timeout_ms", 0.0));
         let m = &mut self.members[node];
         match ending {
@@ -287,22 +280,25 @@
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
         let removal_binds = !self.allows("rules.soft_removal");
-        for m in self.members.iter_mut().filter(|_| whole && removal_binds) {
-            m.shut |= !entries.iter().any(|e| e.node == m.id);
+        for m in self.members.iter_mut().filter(|m| whole && !entries.iter().any(|e| e.node == m.id)) {
+            (m.gone, m.shut) = (true, m.shut || removal_binds);
         }
         for e in entries {
-            let fresh = !self.nodes.contains_key(&e.node);
+            let (held, count) = (self.nodes.get(&e.node).copied(), self.members.len());
+            let fresh = held.is_none();
             if fresh && e.phase == Phase::Removed {
                 continue;
             }
-            let node = *self.nodes.entry(e.node.clone()).or_insert(self.members.len());
+            let node = held.or_else(|| self.vacant.pop()).unwrap_or(count);
             if fresh {
                 let (id, zone, set, heard) = (e.node.clone(), e.zone.clone(), e.set, now);
-                self.members.push(Member { id, zone, set, heard, ..Member::default() });
+                self.members.resize_with(count.max(node + 1), Member::default);
+                self.members[node] = Member { id, zone, set, heard, ..Member::default() };
+                self.nodes.insert(e.node.clone(), node);
                 self.sets.entry(e.set).or_default().nodes.push(node);
             }
             let m = &mut self.members[node];
-            m.listed_primary = e.primary;
+            (m.listed_primary, m.gone) = (e.primary, e.phase == Phase::Removed);
             m.been_primary |= e.primary;
             m.shut = match e.phase {
                 Phase::Up => false,
@@ -319,6 +315,7 @@
                 self.agenda.insert((now, Task::Ask(node)));
             }
         }
+        self.forget_gone();
         let me: usize = pick(&self.told, "me", 0).unwrap_or(0);
         for (&number, set) in &mut self.sets {
             self.dirty.insert(number);
@@ -330,10 +327,29 @@
         }
     }
 
+    /// Danger: members come and go under new ids for ever. One that is gone is forgotten once nothing is out on it
+    /// or may have run there; where removal does not bind, once it is broken as well.
+    fn forget_gone(&mut self) {
+        let soft = self.allows("rules.soft_removal");
+        let held = |c: &Open| c.out.values().chain(&c.maybe_ran).map(|o| o.0).collect::<Vec<Node>>();
+        let held: BTreeSet<Node> = self.open.values().flat_map(held).collect();
+        for (node, m) in self.members.iter().enumerate().filter(|(n, m)| m.gone && !held.contains(n)) {
+            let works = soft && m.state != State::TransportError;
+            if !works && self.nodes.remove(&m.id).is_some() {
+                self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
+                self.vacant.push(node);
+            }
+        }
+    }
+
+    pub fn knows(&self, node: &str) -> bool {
+        self.nodes.contains_key(node)
+    }
+
     /// A watch or a fetch failed: ask again after a backoff, well inside the stated interval.
     pub fn list_failed(&mut self, now: Tenths) {
         let most = tenths(self.number("rules.ask_every_ms", 5_000.0)) / 4;
-        let wait = self.jittered((PAUSE << self.list_fails.min(6)).min(most));
+        let wait = self.rng.jittered((PAUSE << self.list_fails.min(6)).min(most));
         self.list_fails += 1;
         self.agenda.insert((now + wait, Task::Watch));
     }
@@ -353,14 +369,12 @@
     fn learn_role(&mut self, node: Node, primary: bool) {
         let m = &mut self.members[node];
         m.been_primary |= primary;
-        if !primary {
-            if m.state != State::TransportError {
-                m.state = State::TopologyReject;
-            }
-            return;
-        }
-        m.state = State::Healthy;
-        let Some(set) = self.sets.get_mut(&m.set) else { return };
+        m.state = match m.state {
+            _ if primary => State::Healthy,
+            State::TransportError => State::TransportError,
+            _ => State::TopologyReject,
+        };
+        let Some(set) = self.sets.get_mut(&m.set).filter(|_| primary) else { return };
         (set.broken_rounds, set.round_at) = (0, 0);
         // One primary a set: whoever was held for it before is a replica by now, or broken.
         for &other in set.nodes.iter().filter(|n| **n != node) {
@@ -371,9 +385,6 @@
     /// Danger: a member that takes no more connections (full table, squeezed limit) is taken for dead. One
     /// that refuses at once is probed; while that is answered it keeps its state and gets a growing pause.
     fn refused(&mut self, now: Tenths, node: Node) {
-        if !self.allows("permissions.may_probe") {
-            return self.break_member(now, node);
-        }
         let m = &mut self.members[node];
         m.refused += 1;
         let pause = (PAUSE / 8) << m.refused.min(5);
@@ -383,7 +394,7 @@
 
     /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
     fn break_member(&mut self, now: Tenths, node: Node) {
-        let at = now + self.jittered((PAUSE << self.members[node].fails.min(6)).min(BACKOFF_MAX));
+        let at = now + self.rng.jittered((PAUSE << self.members[node].fails.min(6)).min(BACKOFF_MAX));
         let m = &mut self.members[node];
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
     }
@@ -405,10 +416,6 @@
         mine.read(now, USUAL_HALF) > *share * self.all_traffic.read(now, USUAL_HALF)
     }
 
-    fn jittered(&mut self, base: Tenths) -> Tenths {
-        base + self.rng.below(base)
-    }
-
     fn close(&mut self, key: u64) {
         let may_cancel = self.allows("permissions.cancel");
         let Some(cmd) = self.open.get_mut(&key) else { return };
@@ -580,7 +587,7 @@
         let broken = std::mem::take(&mut cmd.broken_round);
         set.broken_rounds = if broken { set.broken_rounds + 1 } else { 0 };
         let base = (PAUSE << (set.broken_rounds.clamp(1, 7) - 1)).min(BACKOFF_MAX);
-        let wait = if broken { self.jittered(base) } else { PAUSE };
+        let wait = if broken { self.rng.jittered(base) } else { PAUSE };
         self.sets.get_mut(&number)?.round_at = now + wait;
         None
     }
@@ -612,14 +619,9 @@
     /// Danger: standing checks by all routers of all members outgrow the commands. A member is asked only
     /// for a waiting read: a broken one after its backoff, else by its position's age, far behind less often.
     fn ask_due(&self, now: Tenths, m: &Member) -> bool {
-        if m.state == State::TransportError {
-            return m.retry_at <= now;
-        }
-        if m.position == 0 {
-            return m.checked_at + PAUSE <= now;
-        }
         let behind = (m.checked_at - m.position - self.tightest).clamp(0, 2 * SECOND);
-        m.checked_at + PAUSE.max(self.tightest / 2).max(behind / 4) <= now
+        let rest = if m.position == 0 { PAUSE } else { PAUSE.max(self.tightest / 2).max(behind / 4) };
+        if m.state == State::TransportError { m.retry_at <= now } else { m.checked_at + rest <= now }
     }
 
     fn has_room(&self, now: Tenths, node: Node, part: f64) -> bool {
@@ -727,16 +729,13 @@
     /// one can do by now, and starts by chance: however many and unequal the routers, together they send the
     /// ordinary load times that part. Catches mass restarts and members that fail by turns.
     fn cold_credit(&self, now: Tenths, m: &Member) -> f64 {
-        if m.started == 0 {
-            return f64::INFINITY;
-        }
         let warmth = (now - m.started).max(0) as f64 / (10.0 * self.number("rules.warm_after_ms", 20_000.0));
-        if warmth >= 1.0 {
+        if m.started == 0 || warmth >= 1.0 {
             return f64::INFINITY;
         }
         let from = self.number("rules.start_capacity", 0.1);
         let part = (from + (1.0 - from) * warmth) * self.number("rules.tip_multiple", 1.0) * COLD_PART;
-        let pace = self.done_work.rate(now, USUAL_HALF) / self.members.len() as f64 * part;
+        let pace = self.done_work.rate(now, USUAL_HALF) / self.nodes.len() as f64 * part;
         let most = (pace * 10.0 * self.number("rules.fall_ms", 1000.0)).max(self.cheap as f64);
         (m.credit + (now - m.credit_at) as f64 * pace).min(most)
     }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -332,6 +332,54 @@
     assert_eq!(r.members[1].shut, shut);
 }
 
+#[rstest]
+#[case::nothing_out(None, None, "false", false)]
+#[case::a_dispatch_out(Some((1, NOW)), None, "false", true)]
+#[case::may_have_run_there(None, Some((1, NOW)), "false", true)]
+#[case::not_binding_and_not_broken(None, None, "true", true)]
+fn members_that_are_gone_are_forgotten(
+    #[case] out: Option<(Node, Tenths)>,
+    #[case] ran: Option<(Node, Tenths)>,
+    #[case] soft: &str,
+    #[case] known: bool,
+) {
+    let mut r = router(&[("rules.soft_removal", soft)]);
+    open(&mut r, "any");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.out, cmd.maybe_ran) = (out.map(|o| (0, o)).into_iter().collect(), ran);
+    r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
+    assert_eq!((r.knows("b"), r.sets[&1].nodes.contains(&1)), (known, known));
+}
+
+#[rstest]
+fn members_under_ever_new_ids_take_the_places_of_those_gone() {
+    let mut r = router(&[]);
+    for i in 0..100 {
+        let (id, before) = (format!("n{i}"), format!("n{}", i - 1));
+        r.members_changed(NOW + i, false, &[entry(&before, Phase::Removed, 0), entry(&id, Phase::Up, 0)]);
+    }
+    assert_eq!((r.members.len(), r.nodes.len(), r.sets[&1].nodes.len()), (5, 4, 4));
+}
+
+#[rstest]
+#[case::remembered(NOW - SESSION_KEPT + 2, NOW - SESSION_KEPT + 2)]
+#[case::forgotten(NOW - SESSION_KEPT - 5, NOW - SESSION_KEPT)]
+fn a_forgotten_session_counts_as_written_when_it_was_forgotten(#[case] wrote: Tenths, #[case] needs: Tenths) {
+    let mut r = router(&[("family_info.token_mode", "remembered")]);
+    r.session_writes = (0..SESSIONS_LEAST).map(|i| (format!("{i}"), 1)).collect();
+    r.session_writes.insert("s".into(), wrote);
+    open(&mut r, "write");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.session, cmd.out) = (Some("t".into()), BTreeMap::from([(0, (0, NOW))]));
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Answered, None));
+    assert!(r.session_writes.len() <= 2, "{}", r.session_writes.len());
+    let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
+    let (customer, time_left, token_age, repeat) = (None, 9_000, None, false);
+    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat };
+    r.command_arrived(NOW, cmd).unwrap();
+    assert_eq!(r.open[&0].needs, needs);
+}
+
 #[rstest]
 #[case::warm(0, 0.0, 0.0, true)]
 #[case::credit_left(NOW - 10, 2_500.0, 0.0, true)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,8 @@
     pub listed_primary: bool,
     /// Told as draining or gone.
     pub shut: bool,
+    /// The list has it no more.
+    pub gone: bool,
     pub started: Tenths,
     pub state: State,
     pub been_primary: bool,
@@ -155,4 +157,9 @@
     pub(crate) fn below(&mut self, most: Tenths) -> Tenths {
         self.0.generate_range(0..most.max(1) as u64) as Tenths
     }
+
+    /// `base` and up to as much again.
+    pub(crate) fn jittered(&mut self, base: Tenths) -> Tenths {
+        base + self.below(base)
+    }
 }
--- a/src/told.rs
+++ b/src/told.rs
@@ -1,7 +1,9 @@
 //! Reads values out of the settings as told.
 
+use crate::decay::Decay;
 use crate::interface::{Tenths, Told};
 use crate::state::{Access, CommandGroup, Effect};
+use std::collections::BTreeMap;
 use std::str::FromStr;
 
 pub(crate) fn tenths(ms: f64) -> Tenths {
@@ -23,8 +25,31 @@
     told.get(name)?.split(',').nth(at)
 }
 
-/// A command group and its name; `access` and `effect` stand where none is told.
-pub(crate) fn command_group(
+/// The command groups, and their places by name; `access` and `effect` stand where none is told.
+pub(crate) fn command_groups(
+    told: &Told,
+    access: Access,
+    effect: Effect,
+) -> Result<(Vec<CommandGroup>, BTreeMap<String, usize>), String> {
+    let (mut groups, mut kinds) = (Vec::new(), BTreeMap::new());
+    for i in 0..need(told, "request_classes.count")? {
+        let (name, group) = command_group(told, i, access, effect)?;
+        kinds.insert(name, i);
+        groups.push(group);
+    }
+    Ok((groups, kinds))
+}
+
+/// The customers' shares, each with nothing counted yet.
+pub(crate) fn shares(told: &Told) -> Result<BTreeMap<String, (f64, Decay)>, String> {
+    let share = |i: usize| {
+        let share = pick(told, &format!("projects.{i}.share"), 1.0)?;
+        Ok((need(told, &format!("projects.{i}.name"))?, (share, Decay::default())))
+    };
+    (0..pick(told, "projects.count", 0)?).map(share).collect()
+}
+
+fn command_group(
     told: &Told,
     at: usize,
     access: Access,
