Bad clients and spoilt answers are seen from their heads; silent clients give way, free room is lent

By test on the text before: silent, half opened and half asking clients got no word within 3 s (clients.rs, 30 s to open and no time at all after it); a query's unknown kind was seen only when it was whole; a wait of +5 or 5e3 was taken; a node's row whose column did not fit, or half a description, was waited for until the limit (nodes.rs, verdict only at ReadyForQuery); role, position and report of a spoilt answer were believed, as was a position yet to come. Now: 2.5 s from connecting to the first whole query, and for each message begun; at most 32 reads or messages of a client in a turn, 64 accepts; what clients sent and is not taken is held to an eighth of the memory, the largest gives way; at the limit who asked for nothing goes first; the nodes' unused part of the descriptors is lent, but for an eighth. Nodes gone from the module are forgotten here too.

--- a/pgwire/src/read.rs
+++ b/pgwire/src/read.rs
@@ -4,6 +4,8 @@
 pub const LONGEST: usize = 2 * 64 * 1024 + 8 * 1024;
 /// The longest opening packet, as PostgreSQL itself has it.
 const LONGEST_OPENING: usize = 10_000;
+/// The longest message of a node: a row of one value of 64 KiB, or an error of many words.
+const LONGEST_ANSWER: usize = 64 * 1024 + 1024;
 
 const VERSION_3: u32 = 3 << 16;
 const CANCEL: u32 = 80_877_102;
@@ -15,6 +17,9 @@
 pub enum Unreadable {
     Length(u32),
     Version(u32),
+    Kind(u8),
+    /// A row whose one column does not fill it.
+    Row,
 }
 
 /// What a client may open its connection with.
@@ -68,6 +73,29 @@
     Ok(bytes.get(5..size).map(|body| Message { kind: bytes[0], body, size }))
 }
 
+/// The next message of a node. What can't be one is seen from its head, before the rest has come.
+pub fn answer(bytes: &[u8]) -> Result<Option<Message<'_>>, Unreadable> {
+    if let Some(kind) = bytes.first().filter(|kind| !b"RKvSNATDCEZ".contains(kind)) {
+        return Err(Unreadable::Kind(*kind));
+    }
+    if let Some(length) = word(bytes, 1) {
+        let fits = if bytes[0] == b'Z' { length == 5 } else { length as usize <= LONGEST_ANSWER };
+        if !fits {
+            return Err(Unreadable::Length(length));
+        }
+        let column = word(bytes, 7).filter(|_| bytes[0] == b'D');
+        if column.is_some_and(|column| bytes[5..7] != [0, 1] || u64::from(column) + 10 != u64::from(length)) {
+            return Err(Unreadable::Row);
+        }
+    }
+    message(bytes)
+}
+
+/// True for the description of a row of exactly one column.
+pub fn describes_one(body: &[u8]) -> bool {
+    body.strip_prefix(&[0, 1]).and_then(text).is_some_and(|(_, rest)| rest.len() == 18)
+}
+
 /// The text up to the first zero byte, and what follows that byte.
 pub fn text(body: &[u8]) -> Option<(&[u8], &[u8])> {
     let end = body.iter().position(|b| *b == 0)?;
@@ -77,7 +105,7 @@
 /// The name and value of a ParameterStatus.
 pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
     let (name, rest) = text(body)?;
-    let (value, _) = text(rest)?;
+    let (value, _) = text(rest).filter(|(_, more)| more.is_empty())?;
     Some((std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?))
 }
 
--- a/pgwire/src/tests.rs
+++ b/pgwire/src/tests.rs
@@ -110,3 +110,39 @@
 fn a_row_has_exactly_one_column(#[case] body: &[u8], #[case] value: Option<&[u8]>) {
     assert_eq!(one_column(body), value);
 }
+
+#[rstest]
+#[case::unknown_kind(b"?", Unreadable::Kind(b'?'))]
+#[case::words(b"HTTP/1.1 200", Unreadable::Kind(b'H'))]
+#[case::three_gigabytes(b"D\xb2\xd0\x5e\x00", Unreadable::Length(3_000_000_000))]
+#[case::too_long(b"S\x00\x01\x10\x00", Unreadable::Length(69_632))]
+#[case::ready_and_more(b"Z\x00\x00\x00\x06", Unreadable::Length(6))]
+#[case::two_columns(b"D\x00\x00\x00\x0b\x00\x02\x00\x00\x00\x01", Unreadable::Row)]
+#[case::column_past_its_row(b"D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x09", Unreadable::Row)]
+#[case::null(b"D\x00\x00\x00\x0b\x00\x01\xff\xff\xff\xff", Unreadable::Row)]
+fn what_no_node_sends_is_seen_from_its_head(#[case] head: &[u8], #[case] why: Unreadable) {
+    assert_eq!(answer(head), Err(why));
+    let cut: Vec<_> = (0..head.len()).map(|end| answer(&head[..end])).collect();
+    assert!(cut.iter().all(|found| *found == Ok(None) || *found == Err(why)), "{cut:?}");
+}
+
+#[rstest]
+fn a_row_of_the_longest_value_is_taken() {
+    let value = vec![7; 64 * 1024];
+    let body = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), &value].concat();
+    let whole = [&b"D"[..], &(body.len() as u32 + 4).to_be_bytes(), &body].concat();
+    for end in [0, 1, 5, 10, 11, whole.len() - 1] {
+        assert_eq!(answer(&whole[..end]), Ok(None), "cut at {end}");
+    }
+    let found = answer(&whole).expect("readable").expect("whole");
+    assert_eq!(one_column(found.body), Some(&value[..]));
+}
+
+#[rstest]
+#[case::one(b"\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01", true)]
+#[case::two(b"\x00\x02v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01", false)]
+#[case::cut(b"\x00\x01v\x00\x00\x00\x00\x00\x00", false)]
+#[case::no_end(b"\x00\x01vvvvvv", false)]
+fn a_description_is_of_one_column(#[case] body: &[u8], #[case] one: bool) {
+    assert_eq!(describes_one(body), one);
+}
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -20,9 +20,18 @@
     pub struct ClientKey;
 }
 
-/// How long a client may take to open its connection, to read its answers, or to close at the end.
-const PATIENCE: Tenths = 300_000;
+/// How long a client may take from connecting to its first whole query, and over any message that it has begun; to
+/// read its answers; to close at the end.
+const BEGUN_MOST: Tenths = 25_000;
+const PATIENCE: Tenths = 100_000;
 const CLOSING: Tenths = 10_000;
+/// A client that has been silent for this long since it connected gives way where others want in.
+const SILENT_LEAST: Tenths = 1_000;
+/// Reads and messages that one client may have taken in one turn, and clients accepted in one.
+const TURN_MOST: u32 = 32;
+const ACCEPTED_MOST: usize = 64;
+/// The part of all descriptors that is not lent to clients.
+const SPARE_PART: usize = 8;
 const ACCEPT_AGAIN: Tenths = 1_000;
 /// Unsent bytes from which on nothing more is taken from a client, and unread ones held behind a command.
 const UNSENT_MOST: usize = 64 * 1024;
@@ -58,6 +67,9 @@
     /// Reading stopped because enough is held.
     paused: bool,
     quiet_since: Tenths,
+    /// The turn of the loop that it was last heard in, and what it took up in that.
+    turn: u64,
+    spent: u32,
 }
 
 pub struct Clients {
@@ -68,22 +80,44 @@
     crowded: bool,
     /// Those with something to write.
     unsent: Vec<ClientKey>,
+    /// Those that have used up this turn: they are heard again in the next.
+    later: Vec<ClientKey>,
+    turn: u64,
+    /// Unread messages held for all clients together, and the most that may be.
+    held: usize,
+    held_most: usize,
 }
 
 impl Clients {
-    pub fn new(most: usize) -> Clients {
-        Clients { table: SlotMap::with_key(), most, listener: None, crowded: false, unsent: Vec::new() }
+    pub fn new(most: usize, held_most: usize) -> Clients {
+        let (table, unsent, later) = (SlotMap::with_key(), Vec::new(), Vec::new());
+        let (listener, crowded, turn, held) = (None, false, 0, 0);
+        Clients { table, most, listener, crowded, unsent, later, turn, held, held_most }
+    }
+
+    pub fn has_later(&self) -> bool {
+        !self.later.is_empty()
+    }
+
+    pub fn held(&self) -> usize {
+        self.table.len()
     }
 
     pub fn has_unsent(&self) -> bool {
         !self.unsent.is_empty()
     }
 
-    /// Between commands; one that was accepted a moment ago may be about to ask.
-    fn is_idle(&self, key: ClientKey, now: Tenths) -> bool {
-        let client = &self.table[key];
-        let settled = client.asked || client.quiet_since + CLOSING <= now;
-        settled && client.command.is_none() && client.unsent == 0 && client.input.is_empty()
+    /// Who gives way where others want in, first of all whoever asked for nothing yet; of each kind the one that
+    /// is quiet for longest. One that was accepted a moment ago may be about to ask.
+    fn gives_way(&self, now: Tenths) -> Option<ClientKey> {
+        let idle = self.table.iter().filter(|(_, c)| match c.stage {
+            Stage::Ending => false,
+            Stage::Told => true,
+            _ if c.asked => c.command.is_none() && c.unsent == 0 && c.input.is_empty(),
+            _ => c.quiet_since + SILENT_LEAST <= now,
+        });
+        let first = idle.min_by_key(|(_, c)| (c.asked && c.stage != Stage::Told, c.quiet_since));
+        first.map(|(key, _)| key)
     }
 }
 
@@ -102,9 +136,9 @@
         let listener = listener.clone();
         self.clients.crowded = false;
         self.deadlines.clear(Due::Accept);
-        loop {
+        for _ in 0..ACCEPTED_MOST {
             // Nobody is sent away for a client that does not come: one above the limit shows that more want in.
-            if self.clients.table.len() > self.clients.most && !self.make_room() {
+            if self.at_limit() && !self.make_room() {
                 return self.accept_later();
             }
             match listener.accept() {
@@ -117,6 +151,14 @@
                 }
             }
         }
+        // Those who wait for an answer come before more of those who want in.
+        self.deadlines.set(Due::Accept, self.now + 1);
+    }
+
+    /// Clients hold their part and more is not free: what nodes don't use of theirs is lent, but for a spare part.
+    fn at_limit(&self) -> bool {
+        let clients = self.clients.table.len();
+        clients > self.clients.most && clients + self.nodes.held() + self.room / SPARE_PART >= self.room
     }
 
     /// No room: tried again when a client has gone, and now and then for those that have become idle.
@@ -125,13 +167,20 @@
         self.deadlines.set(Due::Accept, self.now + ACCEPT_AGAIN);
     }
 
-    /// Closes the client that has been between commands for longest.
-    fn make_room(&mut self) -> bool {
-        let idle = self.clients.table.keys().filter(|key| self.clients.is_idle(*key, self.now));
-        let Some(key) = idle.min_by_key(|key| self.clients.table[*key].quiet_since) else { return false };
-        log!("at the limit of {} clients: an idle one is closed", self.clients.most);
-        self.drop_client(key);
-        true
+    /// Closes the client that gives way. What it has sent meanwhile is taken in before.
+    pub fn make_room(&mut self) -> bool {
+        while let Some(key) = self.clients.gives_way(self.now) {
+            self.read_client(key);
+            let Some(client) = self.clients.table.get(key) else { return true };
+            if self.clients.gives_way(self.now) == Some(key) {
+                let kind = if client.asked { "an idle one" } else { "one that asked for nothing" };
+                log!("at the limit with {} clients: {kind} is closed", self.clients.table.len());
+                self.counters.gave_way += 1;
+                self.drop_client(key);
+                return true;
+            }
+        }
+        false
     }
 
     fn welcome(&mut self, stream: TcpStream) {
@@ -154,6 +203,8 @@
             asked: false,
             paused: false,
             quiet_since: self.now,
+            turn: 0,
+            spent: 0,
         });
         let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
             program.guarded("a client's connection", |p| p.client_ready(key), |p| p.drop_client(key));
@@ -163,7 +214,7 @@
             Ok(token) => {
                 self.clients.table[key].token = Some(token);
                 self.counters.connections += 1;
-                self.deadlines.set(Due::Client(key), self.now + PATIENCE);
+                self.deadlines.set(Due::Message(key), self.now + BEGUN_MOST);
             }
             Err(e) => {
                 log!("cannot watch a client: {e}");
@@ -177,6 +228,26 @@
         self.read_client(key);
     }
 
+    /// False once a client has used up its part of this turn; it is heard again in the next.
+    fn has_turn(&mut self, key: ClientKey) -> bool {
+        let turn = self.clients.turn;
+        let Some(client) = self.clients.table.get_mut(key) else { return false };
+        client.spent = if client.turn == turn { client.spent + 1 } else { 0 };
+        client.turn = turn;
+        if client.spent == TURN_MOST {
+            self.clients.later.push(key);
+        }
+        client.spent < TURN_MOST
+    }
+
+    /// A turn begins: those who used up the last one are heard.
+    pub fn hear_clients(&mut self) {
+        self.clients.turn += 1;
+        for key in std::mem::take(&mut self.clients.later) {
+            self.read_client(key);
+        }
+    }
+
     /// Reads all there is, as far as it may be held, and takes it in.
     fn read_client(&mut self, key: ClientKey) {
         loop {
@@ -186,7 +257,7 @@
             let Some(client) = self.clients.table.get(key) else { return };
             let room =
                 client.command.is_none() && client.input.len() <= LONGEST && client.unsent <= UNSENT_MOST;
-            if !client.paused || !room {
+            if !client.paused || !room || !self.has_turn(key) {
                 return;
             }
         }
@@ -207,54 +278,99 @@
                     client.input.extend_from_slice(&self.scratch[..read]);
                     client.read += read as u64;
                     client.marks.push_back((client.read, self.now - waited(&client.stream)));
+                    self.clients.held += read;
+                    self.hold_less();
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return self.drop_client(key),
             }
+            if !self.has_turn(key) {
+                return;
+            }
+        }
+    }
+
+    /// More is held for clients together than may be: whoever has sent most and is owed nothing gives way.
+    fn hold_less(&mut self) {
+        if self.clients.held > self.clients.held_most {
+            let owed_nothing = |c: &Client| c.command.is_none() && !c.input.is_empty();
+            let holding = self.clients.table.iter().filter(|(_, c)| owed_nothing(c));
+            let most = holding.max_by_key(|(_, c)| c.input.len()).map(|(key, _)| key);
+            if let Some(key) = most {
+                self.end_client(key, "53200", "more is held for clients than may be");
+            }
         }
     }
 
     /// Takes messages until one becomes a command or more bytes must come.
     fn advance(&mut self, key: ClientKey) {
-        loop {
-            let Some(client) = self.clients.table.get_mut(key) else { return };
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let input = std::mem::take(&mut client.input);
+        let mut at = 0;
+        let failed = loop {
+            let Some(client) = self.clients.table.get_mut(key) else { break None };
             if client.command.is_some() || client.unsent > UNSENT_MOST {
-                return;
+                break None;
             }
-            let input = std::mem::take(&mut client.input);
-            let before = client.stage;
-            let taken = match before {
-                Stage::Opening => self.open_with(key, &input),
-                Stage::Ready | Stage::Skipping => self.take_message(key, &input),
-                Stage::Ending | Stage::Told => return,
+            let taken = match client.stage {
+                Stage::Opening => self.open_with(key, &input[at..]),
+                Stage::Ready | Stage::Skipping => self.take_message(key, &input[at..]),
+                Stage::Ending | Stage::Told => break None,
             };
-            // The bytes taken go; the rest stays for the next message.
-            let Some(client) = self.clients.table.get_mut(key) else { return };
-            client.input = input;
             match taken {
-                Ok(Some(size)) => {
-                    client.input.drain(..size);
-                    let start = client.read - client.input.len() as u64;
-                    while client.marks.front().is_some_and(|(read, _)| *read <= start) {
-                        client.marks.pop_front();
-                    }
-                    if client.input.is_empty() {
-                        client.input.shrink_to(4096);
-                    }
-                }
-                Ok(None) => return,
-                Err((sqlstate, why)) => {
-                    client.input.clear();
-                    client.stage = Stage::Ending;
-                    self.counters.rejected += 1;
-                    log!("a client sent what can't be read on from: {why}");
-                    let mut answer = Vec::new();
-                    pgwire::error(&mut answer, true, sqlstate, &why, None);
-                    return self.send(key, answer);
-                }
+                Ok(Some(size)) => at += size,
+                Ok(None) => break None,
+                Err(why) => break Some(why),
+            }
+            if !self.has_turn(key) {
+                break None;
             }
+        };
+        // The bytes taken go; the rest stays for the next message, which has begun.
+        let Some(client) = self.clients.table.get_mut(key) else {
+            self.clients.held -= input.len();
+            return;
+        };
+        self.clients.held -= at;
+        client.input = input;
+        client.input.drain(..at);
+        let start = client.read - client.input.len() as u64;
+        while client.marks.front().is_some_and(|(read, _)| *read <= start) {
+            client.marks.pop_front();
         }
+        if client.input.is_empty() {
+            client.input.shrink_to(4096);
+        }
+        let waits = client.command.is_none() && client.unsent <= UNSENT_MOST && !client.input.is_empty();
+        let due = Due::Message(key);
+        if client.asked && (!waits || at > 0) {
+            self.deadlines.clear(due);
+        }
+        if waits && self.deadlines.time(due).is_none() {
+            self.deadlines.set(due, self.now + BEGUN_MOST);
+        }
+        if let Some((sqlstate, why)) = failed {
+            self.end_client(key, sqlstate, &why);
+        }
+    }
+
+    /// What a client sent can't be read on from, or does not come: it is told, and its connection ends.
+    pub fn end_client(&mut self, key: ClientKey, sqlstate: &str, why: &str) {
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        if matches!(client.stage, Stage::Ending | Stage::Told) {
+            return;
+        }
+        self.clients.held -= client.input.len();
+        client.input = Vec::new();
+        client.marks.clear();
+        client.stage = Stage::Ending;
+        self.deadlines.clear(Due::Message(key));
+        self.counters.rejected += 1;
+        log!("a client's connection is ended: {why}");
+        let mut answer = Vec::new();
+        pgwire::error(&mut answer, true, sqlstate, why, None);
+        self.send(key, answer);
     }
 
     fn open_with(&mut self, key: ClientKey, input: &[u8]) -> Result<Option<usize>, (&'static str, String)> {
@@ -262,7 +378,7 @@
             Unreadable::Version(version) => {
                 ("0A000", format!("protocol version {}.{} is not spoken", version >> 16, version & 0xffff))
             }
-            Unreadable::Length(length) => ("08P01", format!("an opening of length {length}")),
+            other => ("08P01", format!("an opening of {other:?}")),
         })?
         else {
             return Ok(None);
@@ -274,7 +390,6 @@
                 let mut answer = Vec::new();
                 pgwire::welcome(&mut answer, minor, self.counters.connections as u32);
                 self.clients.table[key].stage = Stage::Ready;
-                self.deadlines.clear(Due::Client(key));
                 self.send(key, answer);
             }
         }
@@ -287,6 +402,9 @@
         input: &[u8],
     ) -> Result<Option<usize>, (&'static str, String)> {
         let wrong = |why: String| ("08P01", why);
+        if let Some(kind) = input.first().filter(|kind| !b"XSQPBDECFHdcf".contains(kind)) {
+            return Err(wrong(format!("a message of kind {kind}")));
+        }
         let message = pgwire::message(input).map_err(|why| wrong(format!("a message of {why:?}")))?;
         let Some(message) = message else { return Ok(None) };
         let skipping = self.clients.table[key].stage == Stage::Skipping;
@@ -314,8 +432,7 @@
                 pgwire::ready(&mut answer);
             }
             // Flush asks for nothing, and what belongs to a copy that was never begun is passed over.
-            b'H' | b'd' | b'c' | b'f' => {}
-            other => return Err(wrong(format!("a message of kind {other}"))),
+            _ => {}
         }
         self.send(key, answer);
         Ok(Some(message.size))
@@ -326,6 +443,7 @@
         let now = self.now;
         let Some(client) = self.clients.table.get_mut(key) else { return };
         client.asked = true;
+        self.deadlines.clear(Due::Message(key));
         let arrived = client.came(left, now);
         let mut answer = Vec::new();
         if pgwire::is_empty(statement) {
@@ -413,7 +531,7 @@
             client.stage = Stage::Told;
             let _ = client.stream.shutdown(Shutdown::Write);
             self.deadlines.set(Due::Client(key), self.now + CLOSING);
-        } else if before > 0 && client.stage != Stage::Opening {
+        } else if before > 0 && client.stage != Stage::Told {
             self.deadlines.clear(Due::Client(key));
         }
     }
@@ -423,7 +541,7 @@
         let Some(client) = self.clients.table.get(key) else { return };
         if client.paused && client.command.is_none() {
             self.read_client(key);
-        } else if !client.input.is_empty() {
+        } else if !client.input.is_empty() && self.has_turn(key) {
             self.advance(key);
         }
     }
@@ -431,7 +549,8 @@
     /// Closes a client's connection; a command in hand has lost its client.
     pub fn drop_client(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.remove(key) else { return };
-        self.deadlines.clear(Due::Client(key));
+        self.clients.held -= client.input.len();
+        [Due::Client(key), Due::Message(key)].into_iter().for_each(|due| self.deadlines.clear(due));
         if self.clients.crowded {
             self.deadlines.set(Due::Accept, self.now);
         }
--- a/router/src/commands.rs
+++ b/router/src/commands.rs
@@ -78,7 +78,9 @@
 }
 
 fn number(text: &str, what: &str) -> Result<f64, Rejection> {
-    let found = text.parse::<f64>().ok().filter(|v| v.is_finite());
+    // Only as clients write them: no sign, no exponent, nothing that a node would read in another way.
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let found = text.parse::<f64>().ok().filter(|v| plain && v.is_finite());
     found.ok_or_else(|| ("22P02", format!("expected {what} as a number, found '{text}'")))
 }
 
@@ -97,9 +99,6 @@
     ) -> Result<CommandKey, Rejection> {
         let said = pgwire::said(statement).map_err(|why| ("42601", why.to_owned()))?;
         let wait = number(said.wait, "d")?;
-        if wait < 0.0 {
-            return Err(("22023", format!("expected d of 0 or more, found '{}'", said.wait)));
-        }
         let set = match said.set {
             Some(set) => {
                 set.parse().map_err(|_| ("22P02", format!("expected cluster as a number, found '{set}'")))?
@@ -168,6 +167,10 @@
 
     pub fn members_changed(&mut self, whole: bool, entries: &[Entry]) {
         self.commands.router.members_changed(self.now, whole, entries);
+        // What is out at a member that is gone may keep it known for longer; then a later list forgets it.
+        let known: BTreeSet<Id> =
+            self.nodes.named().filter(|node| self.commands.router.knows(node)).cloned().collect();
+        self.forget_nodes(|node| known.contains(node));
     }
 
     /// The watch broke; the module says when to ask again.
--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -21,6 +21,8 @@
     pub lists: u64,
     pub watches_broken: u64,
     pub reloads: u64,
+    /// Clients closed for others that wanted in.
+    pub gave_way: u64,
     pub dispatches: Endings,
     pub probes: Endings,
 }
@@ -63,11 +65,11 @@
         )?;
         writeln!(f, "counters dispatches: {}", self.dispatches)?;
         writeln!(f, "counters probes: {}", self.probes)?;
-        let Counters { dials, reused, lists, watches_broken, reloads, .. } = self;
+        let Counters { dials, reused, lists, watches_broken, reloads, gave_way, .. } = self;
         write!(
             f,
             "counters connections: clients={connections} dials={dials} reused={reused} lists={lists} \
-             watches_broken={watches_broken} reloads={reloads}"
+             watches_broken={watches_broken} reloads={reloads} gave_way={gave_way}"
         )
     }
 }
--- a/router/src/deadlines.rs
+++ b/router/src/deadlines.rs
@@ -15,8 +15,10 @@
     Dial(ConnKey),
     /// The end of a connection that is kept for later.
     Idle(ConnKey),
-    /// A client that does not open its connection, read its answers or close.
+    /// A client that does not read its answers or close.
     Client(ClientKey),
+    /// A client whose first query, or whose message that has begun, does not come.
+    Message(ClientKey),
     /// Clients wait to be accepted.
     Accept,
     /// The watch is silent or does not open.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -42,6 +42,8 @@
 const LAST_TAKEN: Tenths = 12_000;
 const LAST_ANSWER: Tenths = 1_500;
 const BACKLOG: i32 = 1024;
+/// The part of the memory told that what clients have sent and is not yet taken may fill.
+const HELD_PART: usize = 8;
 
 /// Unix time in tenths of a millisecond, that never goes back.
 struct Clock {
@@ -70,6 +72,8 @@
     watch: Watch,
     deadlines: Deadlines,
     counters: Counters,
+    /// Connections that may be held, of clients and to nodes.
+    room: usize,
     /// What has ended since the module last heard.
     news: VecDeque<News>,
     scratch: Box<[u8]>,
@@ -117,11 +121,12 @@
             now,
             handle,
             commands: Commands::start(told, start.seed, now)?,
-            clients: Clients::new(room_for_clients),
+            clients: Clients::new(room_for_clients, start.memory / HELD_PART),
             nodes,
             watch: Watch::new(start.discovery),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
+            room,
             news: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
             stopping: None,
@@ -162,6 +167,7 @@
     }
 
     fn steps(&mut self) {
+        self.hear_clients();
         while let Some(due) = self.deadlines.take(self.now) {
             match due {
                 Due::Wake => {}
@@ -169,6 +175,7 @@
                 Due::Dial(key) => self.break_conn(key, Cause::DialLimit),
                 Due::Idle(key) => self.drop_conn(key),
                 Due::Client(key) => self.drop_client(key),
+                Due::Message(key) => self.end_client(key, "08P01", "no whole query came in time"),
                 Due::Accept => self.accept(),
                 Due::Watch => self.break_watch("silence"),
                 Due::Stop => self.stop_accepting(),
@@ -224,7 +231,7 @@
 
     /// Until when the loop may sleep.
     fn sleep(&self) -> Option<Duration> {
-        if !self.news.is_empty() {
+        if !self.news.is_empty() || self.clients.has_later() {
             return Some(Duration::ZERO);
         }
         let wait = (self.deadlines.first()? - self.clock.now()).max(0);
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -23,6 +23,9 @@
     pub struct ConnKey;
 }
 
+/// How far this machine's clock and a node's may be apart.
+const CLOCKS_APART: Tenths = 50;
+
 /// A statement as its client worded it, and where in it the wait stands.
 #[derive(Debug)]
 pub struct Statement {
@@ -110,6 +113,15 @@
         let (members, conns) = (BTreeMap::new(), SlotMap::with_key());
         Nodes { members, conns, most, dial_limit, keep, probe, report_fields }
     }
+
+    pub fn held(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// The nodes that are known here.
+    pub fn named(&self) -> impl Iterator<Item = &Id> {
+        self.members.keys()
+    }
 }
 
 /// Begins to open a connection.
@@ -170,6 +182,7 @@
         match kind {
             b'T' if !self.described && self.code.is_none() => {
                 self.described = true;
+                self.garbled |= !pgwire::describes_one(body);
                 self.raw.extend_from_slice(whole);
             }
             b'D' if self.described && self.rows == 0 => {
@@ -185,6 +198,7 @@
             }
             b'C' if self.rows == 1 && !self.complete => {
                 self.complete = true;
+                self.garbled |= pgwire::text(body).is_none_or(|(_, rest)| !rest.is_empty());
                 self.raw.extend_from_slice(whole);
             }
             b'E' => {
@@ -206,13 +220,14 @@
             b'Z' => return true,
             _ => self.garbled = true,
         }
-        false
+        // Nothing that follows could make an answer of it.
+        self.garbled
     }
 
     fn verdict(&self) -> Result<(), Cause> {
         match self.code {
-            // An error behind a whole answer is neither the one nor the other.
-            Some(code) if !self.complete && !self.garbled => Err(Cause::Code(code)),
+            // An error behind a row is neither the one nor the other.
+            Some(code) if !self.described && !self.garbled => Err(Cause::Code(code)),
             None if self.complete && !self.garbled => Ok(()),
             _ => Err(Cause::Garbled),
         }
@@ -228,13 +243,23 @@
             name if !fields.iter().any(|f| f == name) => {}
             // Seconds to tenths of a millisecond, less one millisecond in case the text was rounded up.
             "x0" => report.position = Some((value * 10_000.0).floor() as Tenths - 10),
-            "x1" => report.primary = Some(value > 0.5),
+            "x1" => report.primary = Some(value == 1.0).filter(|p| *p || value == 0.0),
             _ => {}
         }
     }
     report
 }
 
+/// Nothing in a spoilt answer is believed, and nobody has applied what is yet to come: such a position is none.
+fn believed(result: &Result<(), Failure>, note: Note, report: Report, now: Tenths) -> (Note, Report) {
+    if matches!(result, Err(Failure { cause: Cause::Garbled, .. })) {
+        return (Note::default(), Report::default());
+    }
+    let past = |position: &Tenths| *position <= now + CLOCKS_APART;
+    let position = Some(note.position).filter(past).unwrap_or(0);
+    (Note { position, ..note }, Report { position: report.position.filter(past), ..report })
+}
+
 impl Program {
     pub fn probe(&mut self, node: &Id) {
         let limit_at = self.now + self.nodes.dial_limit;
@@ -287,7 +312,9 @@
     }
 
     fn open_conn(&mut self, node: &Id) -> io::Result<ConnKey> {
-        if self.nodes.conns.len() >= self.nodes.most {
+        // What was lent to clients is wanted back.
+        let lent = self.nodes.held() + self.clients.held() >= self.room;
+        if self.nodes.held() >= self.nodes.most || (lent && !self.make_room()) {
             // Room comes from the connection that idles longest.
             let idle = self.nodes.members.values().filter_map(|m| m.idle.first().copied());
             let oldest = idle.min_by_key(|key| self.deadlines.time(Due::Idle(*key)));
@@ -375,7 +402,7 @@
         let mut at = 0;
         let mut done = None;
         while done.is_none() {
-            let message = match pgwire::message(&conn.input[at..]) {
+            let message = match pgwire::answer(&conn.input[at..]) {
                 Ok(Some(message)) => message,
                 Ok(None) => break,
                 Err(_) => {
@@ -485,7 +512,12 @@
 
     /// Work is over: the module is told at the next turn's start.
     fn ended(&mut self, node: Id, job: Job, result: Result<(), Failure>) {
-        let Answer { raw, value, note, mut report, .. } = job.answer;
+        let Answer { raw, value, mut note, mut report, .. } = job.answer;
+        if job.work == Work::Probe && result.is_ok() && report.position.is_none() {
+            let text = std::str::from_utf8(&raw[value]).unwrap_or_default();
+            report = self::report(text, &self.nodes.report_fields);
+        }
+        (note, report) = believed(&result, note, report, self.now);
         let outcome = match result {
             Ok(()) => Ending::Answered,
             Err(failure) => {
@@ -505,12 +537,6 @@
                 if matches!(outcome, Ending::ConnectFailed | Ending::TimedOut | Ending::Reset) {
                     self.let_go(&node);
                 }
-                if outcome == Ending::Answered && report.position.is_none() {
-                    report = self::report(
-                        std::str::from_utf8(&raw[value]).unwrap_or_default(),
-                        &self.nodes.report_fields,
-                    );
-                }
                 News::Probe { node, ending: outcome, report }
             }
         };
@@ -546,10 +572,13 @@
         idle.into_iter().for_each(|key| self.drop_conn(key));
     }
 
-    /// Closes the kept connections to all nodes but those that `stays` names.
-    pub fn let_go_unless(&mut self, stays: impl Fn(&Id) -> bool) {
+    /// Forgets the nodes that `stays` does not name; what runs there may finish.
+    pub fn forget_nodes(&mut self, stays: impl Fn(&Id) -> bool) {
         let others: Vec<Id> = self.nodes.members.keys().filter(|n| !stays(n)).cloned().collect();
-        others.iter().for_each(|node| self.let_go(node));
+        for node in others {
+            self.let_go(&node);
+            self.nodes.members.remove(&node);
+        }
     }
 
     /// A list names a member. Kept connections to where it no longer is are closed; what runs may finish.
@@ -564,3 +593,55 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const NOW: Tenths = 1_000_000;
+
+    #[rstest]
+    #[case::good(Ok(()), NOW, Some(NOW), Some(true))]
+    #[case::turned_away(Err(Cause::Code(*b"25006")), NOW, Some(NOW), Some(true))]
+    #[case::spoilt(Err(Cause::Garbled), 0, None, None)]
+    fn nothing_in_a_spoilt_answer_is_believed(
+        #[case] result: Result<(), Cause>,
+        #[case] applied: Tenths,
+        #[case] reported: Option<Tenths>,
+        #[case] primary: Option<bool>,
+    ) {
+        let result = result.map_err(|cause| Failure { reached: Reached::Written, cause });
+        let note = Note { primary: Some(true), position: NOW };
+        let report = Report { primary: Some(true), position: Some(NOW) };
+        let (note, report) = believed(&result, note, report, NOW);
+        assert_eq!((note.position, note.primary), (applied, primary));
+        assert_eq!((report.position, report.primary), (reported, primary));
+    }
+
+    #[rstest]
+    #[case::past(NOW - 1, NOW - 1)]
+    #[case::yet_to_come(NOW + 10_000, 0)]
+    #[case::endless(Tenths::MAX, 0)]
+    fn a_position_yet_to_come_is_none(#[case] told: Tenths, #[case] want: Tenths) {
+        let (note, report) = (Note { primary: None, position: told }, Report::default());
+        let report = Report { position: Some(told), ..report };
+        let (note, report) = believed(&Ok(()), note, report, NOW);
+        assert_eq!((note.position, report.position.unwrap_or(0)), (want, want));
+    }
+
+    #[rstest]
+    #[case::whole("x0=100.0,x1=1", Some(999_990), Some(true))]
+    #[case::no_numbers("x0=soon,x1=yes", None, None)]
+    #[case::neither_role("x0=nan,x1=7", None, None)]
+    #[case::other_fields("x3=1,x1=0,,=,x0", None, Some(false))]
+    fn a_report_is_read_as_far_as_it_is_one(
+        #[case] text: &str,
+        #[case] position: Option<Tenths>,
+        #[case] primary: Option<bool>,
+    ) {
+        let fields = ["x0".to_owned(), "x1".to_owned()];
+        let found = report(text, &fields);
+        assert_eq!((found.position, found.primary), (position, primary));
+    }
+}
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -14,6 +14,8 @@
     pub seed: u64,
     /// File descriptors that this process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may hold.
+    pub memory: usize,
     pub told: Told,
     /// The list as this router had it most recently.
     pub known: Option<Sheet>,
@@ -60,6 +62,7 @@
         discovery: address("discovery", "NODE_DISCOVERY")?,
         seed,
         sockets: config["limits"]["sockets"].as_u64().unwrap_or(1024) as usize,
+        memory: config["limits"]["memory_mb"].as_u64().unwrap_or(192) as usize * 1024 * 1024,
         told,
         known,
     })
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -190,10 +190,6 @@
             log!("member list: {why}");
         }
         self.counters.lists += 1;
-        if sheet.whole {
-            let listed: BTreeSet<_> = sheet.rows.iter().map(|r| r.entry.node.clone()).collect();
-            self.let_go_unless(|node| listed.contains(node));
-        }
         for row in &sheet.rows {
             self.watch.sets.insert(row.entry.set);
             let gone = row.entry.phase == Phase::Removed;
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -48,6 +48,8 @@
 pub enum Reply {
     /// These bytes and ReadyForQuery.
     Send(Vec<u8>),
+    /// These bytes alone; the connection stays open.
+    Raw(Vec<u8>),
     /// These bytes; then the connection is closed.
     Close(Vec<u8>),
     /// Nothing: the connection stays open until the router ends it.
@@ -129,6 +131,7 @@
                     stream.shutdown(Shutdown::Both).ok()?;
                     return tell.send(Seen::Ended).ok();
                 }
+                Reply::Raw(bytes) => stream.write_all(&bytes).ok()?,
                 Reply::Silence => {}
             }
         }
