A slow primary is kept busy with writes: its window spares it only while others could serve

At fault: has_room: answers of a slow primary are late against the target and narrow its window down to pauses, though nobody else takes its writes. Now writes may hold four over all routers out there, rounded, whatever the window, unless it refuses connections; from nine routers on nothing changes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,8 +25,10 @@
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
 const CROWDED: f64 = 0.27;
-/// Dispatches out to one member, over all routers, that a start supposes; the least for one router.
+/// Dispatches out to one member, over all routers: what a start supposes, and what keeps a slow primary busy;
+/// the least for one router.
 const WINDOW_START: f64 = 10.0;
+const WINDOW_BUSY: f64 = 4.0;
 const WINDOW_LEAST: f64 = 0.3;
 const WINDOW_LOSS: f64 = 0.5;
 /// A cold member's part of the ordinary load, times what it can do and the multiple that pushes it over.
@@ -81,6 +83,7 @@
     cheap: Tenths,
     tick: Tenths,
     tightest: Tenths,
+    busy: f64,
     most: u32,
 }
 
@@ -98,6 +101,7 @@
             tick: tenths(pick(&told, "tick_ms", 1.0)?).max(1),
             cheap: groups.iter().map(|g| g.target).min().unwrap_or(0) * 3,
             most: pick(&told, "permissions.max_attempts", 1)?,
+            busy: (WINDOW_BUSY / pick(&told, "balancers", 1.0)?).round(),
             shares: shares(&told)?,
             node_checks: ["refuse", "wait"].iter().any(|c| is(&told, "family_info.server_checks", c)),
             told,
@@ -197,8 +201,7 @@
         self.dirty.insert(cmd.set);
         self.used.insert(node);
         let group = &mut self.groups[cmd.kind];
-        let (kind, target) = (cmd.kind, group.target as f64);
-        let ratio = took as f64 / target;
+        let (kind, target, ratio) = (cmd.kind, group.target as f64, took as f64 / group.target as f64);
         answered.then(|| group.latency.add(now, USUAL_HALF, took as f64));
         match (over, cmd.closed) {
             (true, _) => self.close(key),
@@ -357,8 +360,7 @@
     fn learn_report(&mut self, now: Tenths, node: Node, report: Report) {
         let Some(position) = report.position else { return };
         let m = &mut self.members[node];
-        m.position = m.position.max(position);
-        m.checked_at = now;
+        (m.position, m.checked_at) = (m.position.max(position), now);
         m.lagging &= position + self.tightest <= now;
         // A report older than the last answer's note proves nothing against it; its position dates it.
         if let (Some(primary), true) = (report.primary, position > m.noted_at) {
@@ -539,7 +541,7 @@
     fn offer(&mut self, now: Tenths, number: i64, key: u64) -> bool {
         let node = match self.groups[self.open[&key].kind].access {
             Access::Write | Access::Fresh => match self.primary(number) {
-                Some(primary) => Some(primary).filter(|p| self.has_room(now, *p, 1.0)),
+                Some(primary) => Some(primary).filter(|p| self.has_room(now, *p, 1.0, self.busy)),
                 None => {
                     self.seek(now, number);
                     self.scout(now, number, key)
@@ -624,9 +626,10 @@
         if m.state == State::TransportError { m.retry_at <= now } else { m.checked_at + rest <= now }
     }
 
-    fn has_room(&self, now: Tenths, node: Node, part: f64) -> bool {
-        let m = &self.members[node];
-        m.shy_until <= now && (m.out.len() as f64) < (m.window * part).max(1.0)
+    /// Danger: a primary that is slow, not crowded, is spared until it idles, and nobody else takes its writes.
+    fn has_room(&self, now: Tenths, node: Node, part: f64, least: f64) -> bool {
+        let (m, out) = (&self.members[node], self.members[node].out.len() as f64);
+        (m.shy_until <= now && out < (m.window * part).max(1.0)) || (m.refused == 0 && out < least)
     }
 
     /// The usual latency of a command group's answers.
@@ -655,10 +658,9 @@
                 }
                 continue;
             }
-            count += 1.0;
-            first = first.or(Some(node));
+            (count, first) = (count + 1.0, first.or(Some(node)));
             let sooner = best.is_none_or(|b| m.turn < b.0);
-            if sooner && self.has_room(now, node, 1.0) && self.lawful_for(now, key, node) > 0 {
+            if sooner && self.has_room(now, node, 1.0, 0.0) && self.lawful_for(now, key, node) > 0 {
                 best = Some((m.turn, node));
             }
             if long {
@@ -677,7 +679,7 @@
             return Some(node);
         }
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
-        self.primary(number).filter(|p| self.has_room(now, *p, PRIMARY_SPARE))
+        self.primary(number).filter(|p| self.has_room(now, *p, PRIMARY_SPARE, 0.0))
     }
 
     /// A read that may outlast the tightest bound.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -522,7 +522,7 @@
     r.members[0].state = State::Healthy;
     r.open.get_mut(&0).unwrap().out.insert(0, (0, NOW));
     r.dispatch_ended(NOW, "cmd", DispatchEnd { took, ..ended(Ending::ConnectFailed, None) });
-    assert_eq!((r.members[0].state, r.has_room(NOW, 0, 1.0)), (state, state != State::Healthy));
+    assert_eq!((r.members[0].state, r.has_room(NOW, 0, 1.0, 0.0)), (state, state != State::Healthy));
 }
 
 #[rstest]
@@ -560,6 +560,25 @@
     assert_eq!(r.members[0].state, state);
 }
 
+#[rstest]
+#[case::one_out("2", 1, 0, true)]
+#[case::its_part_out("2", 2, 0, false)]
+#[case::no_more_connections("2", 1, 1, false)]
+#[case::many_routers("100", 0, 0, false)]
+fn a_slow_primary_is_kept_busy_by_all_routers_together(
+    #[case] routers: &str,
+    #[case] out: u64,
+    #[case] refused: u32,
+    #[case] sent: bool,
+) {
+    let mut r = router(&[("balancers", routers)]);
+    open(&mut r, "write");
+    let m = &mut r.members[0];
+    (m.state, m.window, m.shy_until, m.refused) = (State::Healthy, WINDOW_LEAST, NOW + 500, refused);
+    m.out = (1..=out).map(|key| ((key, 0), NOW)).collect();
+    assert_eq!(r.offer(NOW, 1, 0), sent);
+}
+
 #[rstest]
 fn full_member_gets_half_its_window() {
     let mut r = router(&[]);
@@ -633,7 +652,7 @@
     r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
     r.members[1].window = window;
     r.dispatch_ended(NOW, "cmd", DispatchEnd { took: 2_000, ..ended(Ending::Answered, None) });
-    assert_eq!(r.has_room(NOW, 1, 1.0), room);
+    assert_eq!(r.has_room(NOW, 1, 1.0, 0.0), room);
 }
 
 #[rstest]
