A connection that breaks is no death: the member is probed, and probes fail twice

At fault in dispatch_ended: one Ending::Reset marked its member as died and broke it, so its next answer made it cold for its whole warm-up; and one failed probe broke a member unless it had timed out. Now a reset asks a probe, as a refused connection does; a member is dead when two probes in a row fail, when it was broken already, or where no probe may be sent. The backoff of members broken by probes is as before. Test: each of these.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -178,8 +178,6 @@
         let answered = ending == Ending::Answered;
         let unproven = matches!(ending, Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff);
         cmd.maybe_ran = cmd.maybe_ran.or(unproven.then_some((node, sent)));
-        // Danger: a member that died is back, and cold, before the list says so, or unlisted.
-        self.members[node].died |= ending == Ending::Reset;
         cmd.broken_round |= matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
         if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
             // Danger: sessions come and go for ever. One not remembered counts as written that long ago.
@@ -208,29 +206,30 @@
             (_, true) => self.forget(key),
             _ => _ = self.agenda.insert((now, Task::Settle(key))),
         }
-        if answered || matches!(ending, Ending::TimedOut | Ending::Full) {
-            self.slow.add(now, SLOW_HALF, if answered { ratio.min(1.0) } else { 1.0 });
-        }
+        let tells = answered || matches!(ending, Ending::TimedOut | Ending::Full);
+        tells.then(|| self.slow.add(now, SLOW_HALF, if answered { ratio.min(1.0) } else { 1.0 }));
         let usual = self.usual(now, kind);
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.out.remove(&(key, dispatch));
         m.position = m.position.max(if write && answered { 0 } else { note.position });
-        if matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full) {
-            (m.heard, m.unheard) = (now, 0);
-        }
+        let spoke = matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full);
+        (m.heard, m.unheard) = if spoke { (now, 0) } else { (m.heard, m.unheard) };
         if let Some(primary) = note.primary {
             (m.noted, m.noted_at) = (Some(primary), now);
             self.learn_role(node, primary);
         }
-        let refused = ending == Ending::ConnectFailed
-            && self.allows("permissions.may_probe")
-            && 2 * took < tenths(self.number("permissions.dial_timeout_ms", 0.0));
+        let can_probe = self.allows("permissions.may_probe");
+        let refused = can_probe && 2 * took < tenths(self.number("permissions.dial_timeout_ms", 0.0));
         let m = &mut self.members[node];
+        // Danger: a member that died is back, and cold, before the list says so, or unlisted; or only a connection
+        // broke, and one that works is held for dead and cold. A probe tells which.
+        let (reset, doubted) = (ending == Ending::Reset, can_probe && m.state != State::TransportError);
+        (m.broke, m.died) = (m.broke || (reset && doubted), m.died || (reset && !doubted));
         match ending {
             Ending::Answered => {
                 self.scarce.add(now, USUAL_HALF, m.refused.min(1) as f64);
-                (m.fails, m.refused) = (0, 0);
+                (m.fails, m.refused, m.broke) = (0, 0, false);
                 self.done_work.add(now, USUAL_HALF, target);
                 self.recover(now, node);
             }
@@ -238,14 +237,14 @@
             // Danger: a full member turned to again at once, by every waiting command in turn.
             Ending::Full => m.window = (m.window / 2.0).max(WINDOW_LEAST),
             Ending::ConnectFailed if refused => self.refused(now, node),
+            Ending::Reset if doubted => _ = self.agenda.insert((now, Task::Ask(node))),
             Ending::ConnectFailed | Ending::Reset => self.break_member(now, node),
             _ => {}
         }
         let m = &mut self.members[node];
         // Danger: many routers, each with one out, crowd a small member. A window below one is a pause.
-        if m.window < 1.0 {
-            m.shy_until = m.shy_until.max(now + (usual * (1.0 / m.window - 1.0)) as Tenths);
-        }
+        let pause = (usual * (1.0 / m.window.min(1.0) - 1.0)) as Tenths;
+        m.shy_until = m.shy_until.max(now + pause);
         let judged = answered || matches!(ending, Ending::TimedOut | Ending::CalledOff);
         if judged && ratio > CROWDED {
             let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
@@ -261,14 +260,14 @@
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.probing = false;
-        if ending == Ending::TimedOut && m.fails == 0 && m.state != State::TransportError {
+        if ending != Ending::Answered && m.fails == 0 && m.state != State::TransportError {
             // One lost probe proves nothing: it is asked once more.
             m.fails = 1;
             self.agenda.insert((now, Task::Ask(node)));
             return;
         }
         if ending != Ending::Answered {
-            m.died |= m.refused > 0;
+            m.died |= m.refused > 0 || m.broke;
             return self.break_member(now, node);
         }
         m.checked_at = now;
@@ -276,7 +275,7 @@
             self.recover(now, node);
             report.primary.into_iter().for_each(|primary| self.learn_role(node, primary));
         } else {
-            m.fails = 0;
+            (m.fails, m.broke) = (0, false);
         }
     }
 
@@ -396,7 +395,10 @@
 
     /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
     fn break_member(&mut self, now: Tenths, node: Node) {
-        let at = now + self.rng.jittered((PAUSE << self.members[node].fails.min(6)).min(BACKOFF_MAX));
+        let at = now
+            + self
+                .rng
+                .jittered((PAUSE << self.members[node].fails.saturating_sub(1).min(6)).min(BACKOFF_MAX));
         let m = &mut self.members[node];
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
     }
@@ -589,8 +591,7 @@
         let broken = std::mem::take(&mut cmd.broken_round);
         set.broken_rounds = if broken { set.broken_rounds + 1 } else { 0 };
         let base = (PAUSE << (set.broken_rounds.clamp(1, 7) - 1)).min(BACKOFF_MAX);
-        let wait = if broken { self.rng.jittered(base) } else { PAUSE };
-        self.sets.get_mut(&number)?.round_at = now + wait;
+        self.sets.get_mut(&number)?.round_at = now + if broken { self.rng.jittered(base) } else { PAUSE };
         None
     }
 
@@ -667,8 +668,7 @@
                 break;
             }
         }
-        let ask = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0));
-        ask.into_iter().for_each(|(_, node)| self.probe(node));
+        ask.filter(|a| best.is_none_or(|b| a.0 <= b.0)).into_iter().for_each(|(_, node)| self.probe(node));
         if let Some((_, node)) = best {
             // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -66,7 +66,7 @@
 #[case::miss(Ending::Miss, Some(false), State::TopologyReject)]
 #[case::answer_of_a_primary(Ending::Answered, Some(true), State::Healthy)]
 #[case::connection(Ending::ConnectFailed, None, State::TransportError)]
-#[case::reset(Ending::Reset, None, State::TransportError)]
+#[case::a_reset_is_asked_about(Ending::Reset, None, State::Unknown)]
 #[case::time_out_proves_nothing(Ending::TimedOut, None, State::Unknown)]
 fn endings_rank_members(#[case] ending: Ending, #[case] role: Option<bool>, #[case] state: State) {
     let mut r = router(&[]);
@@ -525,6 +525,28 @@
     assert_eq!((r.members[0].state, r.has_room(NOW, 0, 1.0, 0.0)), (state, state != State::Healthy));
 }
 
+#[rstest]
+#[case::it_works("true", State::Healthy, &[Ending::Answered], State::Healthy, false)]
+#[case::one_probe_broke_too("true", State::Healthy, &[Ending::Reset, Ending::Answered], State::Healthy, false)]
+#[case::it_died("true", State::Healthy, &[Ending::ConnectFailed; 2], State::TransportError, true)]
+#[case::it_was_broken_before("true", State::TransportError, &[], State::TransportError, true)]
+#[case::nobody_may_ask("false", State::Healthy, &[], State::TransportError, true)]
+fn a_connection_that_breaks_is_not_a_death(
+    #[case] may_probe: &str,
+    #[case] before: State,
+    #[case] probes: &[Ending],
+    #[case] state: State,
+    #[case] died: bool,
+) {
+    let mut r = router(&[("permissions.may_probe", may_probe)]);
+    open(&mut r, "write");
+    r.members[0].state = before;
+    r.open.get_mut(&0).unwrap().out.insert(0, (0, NOW));
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Reset, None));
+    probes.iter().for_each(|ending| r.probe_ended(NOW, "a", *ending, Report::default()));
+    assert_eq!((r.members[0].state, r.members[0].died), (state, died));
+}
+
 #[rstest]
 #[case::connections_scarce(5.0, true)]
 #[case::enough(0.0, false)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,6 +84,8 @@
     pub fails: u32,
     /// Connections refused since the last answer.
     pub refused: u32,
+    /// A connection there broke, and no probe has told yet whether it died.
+    pub broke: bool,
     pub retry_at: Tenths,
 }
 
