Kept connections rest after an answer, and idle only as long as those that work

And connections were let go after each command, as single refusals counted as scarce. At fault: nodes.rs kept each for half the told time and used it again in the same turn; the module summed refusals instead of their part. Now kept.rs learns by age which break at once (15 in a hundred, four at least, half forgotten in a minute), a connection rests for 1 ms behind its answer, when the rest of a reset or a second copy would show, and connections are scarce when a tenth of answers came after a refusal.

--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod deadlines;
 mod ending;
+mod kept;
 mod log;
 mod nodes;
 mod startup;
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -5,6 +5,7 @@
 use crate::commands::{CommandKey, News};
 use crate::deadlines::Due;
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
+use crate::kept::{Fitness, Kept};
 use crate::log;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -84,6 +85,9 @@
     stage: Stage,
     job: Option<Job>,
     input: Vec<u8>,
+    /// Since when it has carried nothing, and for how long it had done so before its job; None for a new one.
+    idle_since: Tenths,
+    idled: Option<Tenths>,
 }
 
 #[derive(Default)]
@@ -100,7 +104,7 @@
     /// Connections to nodes that may be held.
     most: usize,
     dial_limit: Tenths,
-    keep: Tenths,
+    kept: Kept,
     probe: Rc<Statement>,
     report_fields: Vec<String>,
 }
@@ -111,7 +115,8 @@
         let probe = Rc::new(Statement { wait_at: text.len()..text.len(), text });
         let report_fields = report_fields.split(',').map(str::to_owned).collect();
         let (members, conns) = (BTreeMap::new(), SlotMap::with_key());
-        Nodes { members, conns, most, dial_limit, keep, probe, report_fields }
+        let kept = Kept::new(keep);
+        Nodes { members, conns, most, dial_limit, kept, probe, report_fields }
     }
 
     pub fn held(&self) -> usize {
@@ -278,9 +283,15 @@
     ) {
         let (since, wait, answer) = (self.now, None, Answer::default());
         let job = Job { work, statement, wait, since, limit_at, until, written: 0, answer };
-        while let Some(key) = self.nodes.members.get_mut(node).and_then(|m| m.idle.pop()) {
+        while let Some(key) = self.rested(node) {
             self.deadlines.clear(Due::Idle(key));
             let Some(conn) = self.nodes.conns.get_mut(key) else { continue };
+            let idled = self.now - conn.idle_since;
+            if self.nodes.kept.fitness(self.now, idled) == Fitness::TooOld {
+                self.drop_conn(key);
+                continue;
+            }
+            conn.idled = Some(idled);
             // One that has ended meanwhile, or holds bytes nobody asked for, can't be used again.
             let mut byte = [0];
             match conn.stream.peek(&mut byte) {
@@ -311,6 +322,19 @@
         }
     }
 
+    /// Takes the connection that idles for the shortest time, but for its rest.
+    fn rested(&mut self, node: &Id) -> Option<ConnKey> {
+        let Nodes { members, conns, kept, .. } = &mut self.nodes;
+        let idle = &mut members.get_mut(node)?.idle;
+        let resting = |key: &ConnKey| {
+            conns
+                .get(*key)
+                .is_some_and(|c| kept.fitness(self.now, self.now - c.idle_since) == Fitness::Resting)
+        };
+        let at = idle.iter().rposition(|key| !resting(key))?;
+        Some(idle.remove(at))
+    }
+
     fn open_conn(&mut self, node: &Id) -> io::Result<ConnKey> {
         // What was lent to clients is wanted back.
         let lent = self.nodes.held() + self.clients.held() >= self.room;
@@ -324,7 +348,9 @@
         let stream = Rc::new(dial(address.ok_or_else(|| io::Error::other("no address"))?)?);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let (node, input, stage) = (node.clone(), Vec::new(), Stage::Dialling);
-        let key = self.nodes.conns.insert(Conn { node, stream, token: None, stage, job: None, input });
+        let (token, job, idle_since, idled) = (None, None, self.now, None);
+        let conn = Conn { node, stream, token, stage, job, input, idle_since, idled };
+        let key = self.nodes.conns.insert(conn);
         let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
             let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
             program.guarded("a node's connection", |p| p.conn_ready(key), broken);
@@ -469,12 +495,16 @@
             self.ended(node.clone(), job, Ok(()));
         }
         let conn = &mut self.nodes.conns[key];
+        if let Some(idled) = conn.idled.take() {
+            self.nodes.kept.used(self.now, idled, None);
+        }
+        conn.idle_since = self.now;
         let usable = conn.input.is_empty();
         conn.input.shrink_to(4096);
         match self.nodes.members.get_mut(&node).filter(|m| usable && m.address.is_some()) {
             Some(member) => {
                 member.idle.push(key);
-                self.deadlines.set(Due::Idle(key), self.now + self.nodes.keep);
+                self.deadlines.set(Due::Idle(key), self.now + self.nodes.kept.limit(self.now));
             }
             None => self.drop_conn(key),
         }
@@ -483,10 +513,15 @@
     /// Ends a connection; what it carried ends by how far that had come.
     pub fn break_conn(&mut self, key: ConnKey, cause: Cause) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-        let (node, stage, job) = (conn.node.clone(), conn.stage, conn.job.take());
+        let (node, stage, job, idled) = (conn.node.clone(), conn.stage, conn.job.take(), conn.idled);
         self.drop_conn(key);
         let Some(job) = job else { return };
         let reached = job.reached(stage);
+        if let Some(idled) = idled.filter(|_| cause == Cause::Broken) {
+            let nothing_came = !job.answer.described && job.answer.code.is_none();
+            let after = Some(self.now - job.since).filter(|_| nothing_came);
+            self.nodes.kept.used(self.now, idled, after);
+        }
         // A whole answer counts, whatever became of the connection behind it; so does an error.
         let result = match (job.answer.verdict(), cause) {
             (Ok(()), Cause::Broken | Cause::Limit) if reached == Reached::Written => Ok(()),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,6 +45,8 @@
 const TIME_TO_RUN: f64 = 1.2;
 /// Part of the primary's window open to reads.
 const PRIMARY_SPARE: f64 = 0.5;
+/// The part of answers after a refused connection above which connections are scarce.
+const SCARCE: f64 = 0.1;
 
 #[derive(Default)]
 pub struct Router {
@@ -66,7 +68,7 @@
     dirty: BTreeSet<i64>,
     ready: VecDeque<Decision>,
     used: BTreeSet<Node>,
-    scarce: Decay,
+    scarce: Mean,
     session_writes: BTreeMap<String, Tenths>,
     sessions_kept: usize,
     list_fails: u32,
@@ -370,11 +372,8 @@
     fn learn_role(&mut self, node: Node, primary: bool) {
         let m = &mut self.members[node];
         m.been_primary |= primary;
-        m.state = match m.state {
-            _ if primary => State::Healthy,
-            State::TransportError => State::TransportError,
-            _ => State::TopologyReject,
-        };
+        let no_primary = if m.state == State::TransportError { m.state } else { State::TopologyReject };
+        m.state = if primary { State::Healthy } else { no_primary };
         let Some(set) = self.sets.get_mut(&m.set).filter(|_| primary) else { return };
         (set.broken_rounds, set.round_at) = (0, 0);
         // One primary a set: whoever was held for it before is a replica by now, or broken.
@@ -467,7 +466,7 @@
             } else {
                 let node = self.used.pop_first()?;
                 // Danger: connections that idle at one router are missed at others while members take few.
-                if self.scarce.read(now, USUAL_HALF) > 1.0 {
+                if self.scarce.read(now, USUAL_HALF, 0.0) > SCARCE {
                     return Some(Decision::LetGo { node: self.members[node].id.clone() });
                 }
             }
