Clients that ask once and stay leave connections to others; a begun answer that stops is spoilt

At fault in clients.rs: gives_way at the limit of descriptors alone, which lending had raised from 158 to 278. Now from three quarters of a third of the descriptors on the longest quiet is ended, first who never sent a command; an empty query no longer counts as having asked for something when somebody must give way. Tests: the thirteenth of twelve that stay, half an answer that stops.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -62,8 +62,9 @@
     written: usize,
     unsent: usize,
     command: Option<CommandKey>,
-    /// Has sent a query.
+    /// Has sent a query, and one that became a command.
     asked: bool,
+    served: bool,
     /// Reading stopped because enough is held.
     paused: bool,
     quiet_since: Tenths,
@@ -75,6 +76,8 @@
 pub struct Clients {
     table: SlotMap<ClientKey, Client>,
     most: usize,
+    /// From how many that have asked on the quiet ones are ended.
+    asked_most: usize,
     pub listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     /// Clients wait to be accepted until one of those held has gone.
     crowded: bool,
@@ -89,10 +92,10 @@
 }
 
 impl Clients {
-    pub fn new(most: usize, held_most: usize) -> Clients {
+    pub fn new(most: usize, asked_most: usize, held_most: usize) -> Clients {
         let (table, unsent, later) = (SlotMap::with_key(), Vec::new(), Vec::new());
         let (listener, crowded, turn, held) = (None, false, 0, 0);
-        Clients { table, most, listener, crowded, unsent, later, turn, held, held_most }
+        Clients { table, most, asked_most, listener, crowded, unsent, later, turn, held, held_most }
     }
 
     pub fn has_later(&self) -> bool {
@@ -107,21 +110,25 @@
         !self.unsent.is_empty()
     }
 
-    /// Who gives way where others want in, first of all whoever asked for nothing yet; of each kind the one that
+    /// Who gives way where others want in, first of all whoever sent no command yet; of each kind the one that
     /// is quiet for longest. One that was accepted a moment ago may be about to ask.
     fn gives_way(&self, now: Tenths) -> Option<ClientKey> {
         let idle = self.table.iter().filter(|(_, c)| match c.stage {
             Stage::Ending => false,
             Stage::Told => true,
-            _ if c.asked => c.command.is_none() && c.unsent == 0 && c.input.is_empty(),
-            _ => c.quiet_since + SILENT_LEAST <= now,
+            _ if c.served => c.is_between(),
+            _ => c.command.is_none() && c.quiet_since + SILENT_LEAST <= now,
         });
-        let first = idle.min_by_key(|(_, c)| (c.asked && c.stage != Stage::Told, c.quiet_since));
+        let first = idle.min_by_key(|(_, c)| (c.served && c.stage != Stage::Told, c.quiet_since));
         first.map(|(key, _)| key)
     }
 }
 
 impl Client {
+    fn is_between(&self) -> bool {
+        self.command.is_none() && self.unsent == 0 && self.input.is_empty()
+    }
+
     /// When the message came that ends this many bytes before the end of what was read.
     fn came(&self, left: usize, now: Tenths) -> Tenths {
         let end = self.read - left as u64;
@@ -173,7 +180,7 @@
             self.read_client(key);
             let Some(client) = self.clients.table.get(key) else { return true };
             if self.clients.gives_way(self.now) == Some(key) {
-                let kind = if client.asked { "an idle one" } else { "one that asked for nothing" };
+                let kind = if client.served { "an idle one" } else { "one that asked for nothing" };
                 log!("at the limit with {} clients: {kind} is closed", self.clients.table.len());
                 self.counters.gave_way += 1;
                 self.drop_client(key);
@@ -201,6 +208,7 @@
             unsent: 0,
             command: None,
             asked: false,
+            served: false,
             paused: false,
             quiet_since: self.now,
             turn: 0,
@@ -455,7 +463,10 @@
             return self.answer(key, answer);
         }
         match self.take_command(key, statement, arrived) {
-            Ok(command) => self.clients.table[key].command = Some(command),
+            Ok(command) => {
+                let client = &mut self.clients.table[key];
+                (client.command, client.served) = (Some(command), true);
+            }
             Err((sqlstate, why)) => {
                 self.counters.rejected += 1;
                 log!("a query is rejected: {why}");
@@ -489,6 +500,7 @@
         while let Some(key) = self.clients.unsent.pop() {
             self.flush(key);
             self.resume(key);
+            self.thin_out();
             if self.clients.listener.is_none() {
                 self.end_if_idle(key);
             }
@@ -562,6 +574,26 @@
         }
     }
 
+    /// Clients may hold so many connections and no more. Some ask once and stay; before those have all, whoever has
+    /// been between queries for longest is ended, first who never sent a command.
+    fn thin_out(&mut self) {
+        let asked = |c: &Client| c.asked && matches!(c.stage, Stage::Ready | Stage::Skipping);
+        let clients = &self.clients;
+        if clients.table.len() <= clients.asked_most
+            || clients.table.values().filter(|c| asked(c)).count() <= clients.asked_most
+        {
+            return;
+        }
+        let quiet = clients
+            .table
+            .iter()
+            .filter(|(_, c)| asked(c) && c.is_between() && c.quiet_since + SILENT_LEAST <= self.now);
+        if let Some(key) = quiet.min_by_key(|(_, c)| (c.served, c.quiet_since)).map(|(key, _)| key) {
+            self.counters.quiet += 1;
+            self.end_if_idle(key);
+        }
+    }
+
     // ---- stopping ----
 
     /// Ends the connection if it is between commands; whatever it has sent before is served first.
--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -23,6 +23,8 @@
     pub reloads: u64,
     /// Clients closed for others that wanted in.
     pub gave_way: u64,
+    /// Clients ended because they asked for nothing more and many had asked.
+    pub quiet: u64,
     pub dispatches: Endings,
     pub probes: Endings,
 }
@@ -65,11 +67,11 @@
         )?;
         writeln!(f, "counters dispatches: {}", self.dispatches)?;
         writeln!(f, "counters probes: {}", self.probes)?;
-        let Counters { dials, reused, lists, watches_broken, reloads, gave_way, .. } = self;
+        let Counters { dials, reused, lists, watches_broken, reloads, gave_way, quiet, .. } = self;
         write!(
             f,
             "counters connections: clients={connections} dials={dials} reused={reused} lists={lists} \
-             watches_broken={watches_broken} reloads={reloads} gave_way={gave_way}"
+             watches_broken={watches_broken} reloads={reloads} gave_way={gave_way} quiet={quiet}"
         )
     }
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -43,6 +43,8 @@
 const LAST_TAKEN: Tenths = 12_000;
 const LAST_ANSWER: Tenths = 1_500;
 const BACKLOG: i32 = 1024;
+/// Clients hold this part of the descriptors at most, as the deployment has it; some are to be left to them.
+const LENT_PART: usize = 3;
 /// The part of the memory told that what clients have sent and is not yet taken may fill.
 const HELD_PART: usize = 8;
 
@@ -122,7 +124,11 @@
             now,
             handle,
             commands: Commands::start(told, start.seed, now)?,
-            clients: Clients::new(room_for_clients, start.memory / HELD_PART),
+            clients: Clients::new(
+                room_for_clients,
+                start.sockets / LENT_PART * 3 / 4,
+                start.memory / HELD_PART,
+            ),
             nodes,
             watch: Watch::new(start.discovery),
             deadlines: Deadlines::default(),
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -24,6 +24,9 @@
     pub struct ConnKey;
 }
 
+/// An answer that has begun and stops for this long is not going to be whole.
+const STOPPED_SHORT: Tenths = 1_000;
+
 /// How far this machine's clock and a node's may be apart.
 const CLOCKS_APART: Tenths = 50;
 
@@ -141,6 +144,11 @@
 }
 
 impl Job {
+    /// Something of its answer has come.
+    fn begun(&self, conn: &Conn) -> bool {
+        self.answer.described || self.answer.code.is_some() || !conn.input.is_empty()
+    }
+
     fn reached(&self, stage: Stage) -> Reached {
         match stage {
             Stage::Open if self.wait.is_some() && self.written == self.size() => Reached::Written,
@@ -418,7 +426,12 @@
             self.take_messages(key);
         }
         if over {
-            self.break_conn(key, Cause::Broken);
+            return self.break_conn(key, Cause::Broken);
+        }
+        if let Some(conn) = self.nodes.conns.get(key)
+            && let Some(job) = conn.job.as_ref().filter(|job| conn.stage == Stage::Open && job.begun(conn))
+        {
+            self.deadlines.set(Due::Work(key), job.limit_at.min(self.now + STOPPED_SHORT));
         }
     }
 
@@ -591,7 +604,11 @@
     /// closed.
     pub fn give_up_work(&mut self, key: ConnKey, cause: Cause) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-        let Some(job) = conn.job.take_if(|j| j.wait.is_none()) else { return self.break_conn(key, cause) };
+        let Some(job) = conn.job.take_if(|j| j.wait.is_none()) else {
+            let stopped = cause == Cause::Limit
+                && conn.job.as_ref().is_some_and(|j| j.begun(conn) && j.answer.verdict().is_err());
+            return self.break_conn(key, if stopped { Cause::Garbled } else { cause });
+        };
         let (node, open) = (conn.node.clone(), conn.stage == Stage::Open);
         let reached = job.reached(conn.stage);
         self.deadlines.clear(Due::Work(key));
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -152,6 +152,7 @@
 #[case::column_past_its_row([row("r")[..27].to_vec(), b"D\0\0\0\x0b\0\x01\0\0\0\x09x".to_vec()].concat())]
 #[case::no_message_at_all(b"!!".to_vec())]
 #[case::half_a_description(b"T\0\0\0\x0b\0\x01vvvvv".to_vec())]
+#[case::stopped_short(row("r")[..30].to_vec())]
 fn a_spoilt_answer_is_seen_at_once(#[case] spoilt: Vec<u8>) {
     // The stand-in keeps such a connection open and says no more.
     let node = Node::start("replica", move |s| {
@@ -223,6 +224,23 @@
     drop((silent, late));
 }
 
+#[rstest]
+fn clients_that_ask_once_and_stay_leave_connections_to_others() {
+    let node = Node::start("primary", always(row("r")));
+    let router = Router::with_sockets(&[entry("s-a", &node, "ready", "primary")], 48);
+    let ask = |id: String| {
+        let mut client = Client::connect(&router);
+        assert_eq!(client.query(&look(&id, 5000)), Answer::Row("r".into()));
+        client
+    };
+    // 48 descriptors: clients hold 16 at most, and 12 of them stay.
+    let mut stay: Vec<Client> = (0..12).map(|i| ask(format!("i{i}"))).collect();
+    std::thread::sleep(std::time::Duration::from_millis(150));
+    stay.push(ask("one more".into()));
+    assert_eq!(stay[0].answer(), Answer::Closed);
+    assert_eq!(stay[12].query(&look("again", 5000)), Answer::Row("r".into()));
+}
+
 #[rstest]
 fn a_flood_of_bad_queries_leaves_others_their_turns() {
     let (_node, router) = one(always(row("r")));
