--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,8 +45,6 @@
 const TIME_TO_RUN: f64 = 1.2;
 /// Part of the primary's window open to reads.
 const PRIMARY_SPARE: f64 = 0.5;
-/// The part of answers after a refused connection above which connections are scarce.
-const SCARCE: f64 = 0.1;
 
 #[derive(Default)]
 pub struct Router {
@@ -68,7 +66,7 @@
     dirty: BTreeSet<i64>,
     ready: VecDeque<Decision>,
     used: BTreeSet<Node>,
-    scarce: Mean,
+    scarce: Decay,
     session_writes: BTreeMap<String, Tenths>,
     sessions_kept: usize,
     list_fails: u32,
@@ -466,7 +464,7 @@
             } else {
                 let node = self.used.pop_first()?;
                 // Danger: connections that idle at one router are missed at others while members take few.
-                if self.scarce.read(now, USUAL_HALF, 0.0) > SCARCE {
+                if self.scarce.read(now, USUAL_HALF) > 1.0 {
                     return Some(Decision::LetGo { node: self.members[node].id.clone() });
                 }
             }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -548,13 +548,12 @@
 }
 
 #[rstest]
-#[case::connections_scarce(20, true)]
-#[case::one_here_and_there(3, false)]
-#[case::enough(0, false)]
-fn idle_connections_are_let_go_while_scarce(#[case] refusals: usize, #[case] gone: bool) {
+#[case::connections_scarce(5.0, true)]
+#[case::enough(0.0, false)]
+fn idle_connections_are_let_go_while_scarce(#[case] refusals: f64, #[case] gone: bool) {
     let mut r = router(&[]);
     (r.agenda, r.dirty) = Default::default();
-    (0..100).for_each(|i| r.scarce.add(NOW, USUAL_HALF, (i < refusals) as u8 as f64));
+    r.scarce.add(NOW, USUAL_HALF, refusals);
     r.used.insert(1);
     assert_eq!(r.next_decision(NOW) == Some(Decision::LetGo { node: "b".into() }), gone);
 }
