--- a/src/decide.rs
+++ b/src/decide.rs
@@ -335,11 +335,12 @@
         let soft = self.allows("rules.soft_removal");
         let held = |c: &Open| c.out.values().chain(&c.maybe_ran).map(|o| o.0).collect::<Vec<Node>>();
         let held: BTreeSet<Node> = self.open.values().flat_map(held).collect();
-        for (node, m) in self.members.iter().enumerate().filter(|(n, m)| m.gone && !held.contains(n)) {
+        for (node, m) in self.members.iter_mut().enumerate().filter(|(n, m)| m.gone && !held.contains(n)) {
             let works = soft && m.state != State::TransportError;
             if !works && self.nodes.remove(&m.id).is_some() {
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
                 self.vacant.push(node);
+                *m = Member::default();
             }
         }
     }
