Whoever the system has let in is taken in when the listener closes

Found by reading: accepting stops after 64 in a turn, so that at the end of serving, 65 and more that wait would be reset with what they had sent, which counts as taken. Test: 200 that come while the process stands still after SIGTERM; it fails without the change.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -1,10 +1,10 @@
 //! Client connections: opening, queries one after another, answers in their order, and closing.
 
-use crate::Program;
 use crate::arrival::waited;
 use crate::commands::CommandKey;
 use crate::deadlines::Due;
 use crate::log;
+use crate::{BACKLOG, Program};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use slotmap::{SlotMap, new_key_type};
@@ -608,7 +608,10 @@
 
     /// Nothing new is taken any more; who waits for an answer still gets it.
     pub fn stop_accepting(&mut self) {
-        self.accept();
+        // Whoever the system has let in is not left behind, however many.
+        for _ in 0..BACKLOG as usize / ACCEPTED_MOST {
+            self.accept();
+        }
         if let Some((_, token)) = self.clients.listener.take() {
             self.handle.remove(token);
         }
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -391,6 +391,27 @@
     assert_eq!(router.wait().code(), Some(0));
 }
 
+#[rstest]
+fn nobody_is_left_behind_when_the_listener_closes() {
+    let (_node, router) = one(always(row("r")));
+    router.signal("-TERM");
+    router.logged("stopping");
+    router.signal("-STOP");
+    let ask = |i| {
+        let mut client = Client::raw(&router);
+        client.send(&[startup(3 << 16), query_bytes(&look(&format!("i{i}"), 30_000))].concat());
+        client
+    };
+    let mut clients: Vec<Client> = (0..200).map(ask).collect();
+    // By now nothing more is to be taken, and the system holds all of them.
+    std::thread::sleep(std::time::Duration::from_millis(2_700));
+    router.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(client.answer(), Answer::Empty, "after startup");
+        assert_ne!(client.answer(), Answer::Closed);
+    }
+}
+
 #[rstest]
 fn what_comes_after_sigterm_is_answered_while_the_process_may_live() {
     let (_node, mut router) = one(|_| Reply::Silence);
