--- a/src/decide.rs
+++ b/src/decide.rs
@@ -222,8 +222,8 @@
         let can_probe = self.allows("permissions.may_probe");
         let refused = can_probe && 2 * took < tenths(self.number("permissions.dial_timeout_ms", 0.0));
         let m = &mut self.members[node];
-        // Danger: a member that died is back, and cold, before the list says so, or unlisted; or only a connection
-        // broke, and one that works is held for dead and cold. A probe tells which.
+        // Danger: a member that died is back, and cold, before the list says so, or unlisted; or only a
+        // connection broke, and one that works is held for dead and cold. A probe tells which.
         let (reset, doubted) = (ending == Ending::Reset, can_probe && m.state != State::TransportError);
         (m.broke, m.died) = (m.broke || (reset && doubted), m.died || (reset && !doubted));
         match ending {
@@ -329,8 +329,8 @@
         }
     }
 
-    /// Danger: members come and go under new ids for ever. One that is gone is forgotten once nothing is out on it
-    /// or may have run there; where removal does not bind, once it is broken as well.
+    /// Danger: members come and go under new ids for ever. One that is gone is forgotten once nothing is out on
+    /// it or may have run there; where removal does not bind, once it is broken as well.
     fn forget_gone(&mut self) {
         let soft = self.allows("rules.soft_removal");
         let held = |c: &Open| c.out.values().chain(&c.maybe_ran).map(|o| o.0).collect::<Vec<Node>>();
@@ -340,7 +340,7 @@
             if !works && self.nodes.remove(&m.id).is_some() {
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
                 self.vacant.push(node);
-                *m = Member::default();
+                *m = Member { shut: true, ..Member::default() };
             }
         }
     }
@@ -393,11 +393,9 @@
 
     /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
     fn break_member(&mut self, now: Tenths, node: Node) {
-        let at = now
-            + self
-                .rng
-                .jittered((PAUSE << self.members[node].fails.saturating_sub(1).min(6)).min(BACKOFF_MAX));
         let m = &mut self.members[node];
+        let backoff = (PAUSE << m.fails.saturating_sub(1).min(6)).min(BACKOFF_MAX);
+        let at = now + self.rng.jittered(backoff);
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
     }
 
@@ -625,7 +623,7 @@
         if m.state == State::TransportError { m.retry_at <= now } else { m.checked_at + rest <= now }
     }
 
-    /// Danger: a primary that is slow, not crowded, is spared until it idles, and nobody else takes its writes.
+    /// Danger: a primary that is slow, not crowded, is spared until it idles; nobody else takes its writes.
     fn has_room(&self, now: Tenths, node: Node, part: f64, least: f64) -> bool {
         let (m, out) = (&self.members[node], self.members[node].out.len() as f64);
         (m.shy_until <= now && out < (m.window * part).max(1.0)) || (m.refused == 0 && out < least)
