--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -102,7 +102,7 @@
         !self.later.is_empty()
     }
 
-    pub fn held(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.table.len()
     }
 
@@ -145,8 +145,12 @@
         self.deadlines.clear(Due::Accept);
         for _ in 0..ACCEPTED_MOST {
             // Nobody is sent away for a client that does not come: one above the limit shows that more want in.
-            if self.at_limit() && !self.make_room() {
-                return self.accept_later();
+            if self.at_limit() {
+                // What it has sent meanwhile is taken in before anybody is closed for another.
+                self.clients.gives_way(self.now).into_iter().for_each(|key| self.read_client(key));
+                if !self.make_room() {
+                    return self.accept_later();
+                }
             }
             match listener.accept() {
                 Ok((stream, _)) => self.welcome(stream),
@@ -165,7 +169,7 @@
     /// Clients hold their part and more is not free: what nodes don't use of theirs is lent, but for a spare part.
     fn at_limit(&self) -> bool {
         let clients = self.clients.table.len();
-        clients > self.clients.most && clients + self.nodes.held() + self.room / SPARE_PART >= self.room
+        clients > self.clients.most && clients + self.nodes.count() + self.room / SPARE_PART >= self.room
     }
 
     /// No room: tried again when a client has gone, and now and then for those that have become idle.
@@ -174,20 +178,19 @@
         self.deadlines.set(Due::Accept, self.now + ACCEPT_AGAIN);
     }
 
-    /// Closes the client that gives way. What it has sent meanwhile is taken in before.
+    /// Closes the client that gives way. One that has sent something meanwhile is left to be heard first: the
+    /// module may be in the middle of deciding.
     pub fn make_room(&mut self) -> bool {
-        while let Some(key) = self.clients.gives_way(self.now) {
-            self.read_client(key);
-            let Some(client) = self.clients.table.get(key) else { return true };
-            if self.clients.gives_way(self.now) == Some(key) {
-                let kind = if client.served { "an idle one" } else { "one that asked for nothing" };
-                log!("at the limit with {} clients: {kind} is closed", self.clients.table.len());
-                self.counters.gave_way += 1;
-                self.drop_client(key);
-                return true;
-            }
-        }
-        false
+        let Some(key) = self.clients.gives_way(self.now) else { return false };
+        let client = &self.clients.table[key];
+        if matches!(client.stream.peek(&mut [0]), Ok(unread) if unread > 0) && client.stage != Stage::Told {
+            return false;
+        }
+        let kind = if client.served { "an idle one" } else { "one that asked for nothing" };
+        log!("at the limit with {} clients: {kind} is closed", self.clients.table.len());
+        self.counters.gave_way += 1;
+        self.drop_client(key);
+        true
     }
 
     fn welcome(&mut self, stream: TcpStream) {
--- a/router/src/commands.rs
+++ b/router/src/commands.rs
@@ -168,9 +168,9 @@
     pub fn members_changed(&mut self, whole: bool, entries: &[Entry]) {
         self.commands.router.members_changed(self.now, whole, entries);
         // What is out at a member that is gone may keep it known for longer; then a later list forgets it.
-        let known: BTreeSet<Id> =
-            self.nodes.named().filter(|node| self.commands.router.knows(node)).cloned().collect();
-        self.forget_nodes(|node| known.contains(node));
+        let forgotten = self.nodes.named().filter(|node| !self.commands.router.knows(node));
+        let forgotten: Vec<Id> = forgotten.cloned().collect();
+        forgotten.iter().for_each(|node| self.forget_node(node));
     }
 
     /// The watch broke; the module says when to ask again.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -130,7 +130,7 @@
                 start.memory / HELD_PART,
             ),
             nodes,
-            watch: Watch::new(start.discovery),
+            watch: Watch::new(start.discovery, start.known.as_ref().map_or(0, |list| list.version)),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
             room,
@@ -141,7 +141,6 @@
             fixed: start.fixed,
         };
         if let Some(known) = start.known {
-            program.watch.holds(known.version);
             program.list_told(known);
         }
         program.open_watch();
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -122,7 +122,7 @@
         Nodes { members, conns, most, dial_limit, kept, probe, report_fields }
     }
 
-    pub fn held(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.conns.len()
     }
 
@@ -345,8 +345,8 @@
 
     fn open_conn(&mut self, node: &Id) -> io::Result<ConnKey> {
         // What was lent to clients is wanted back.
-        let lent = self.nodes.held() + self.clients.held() >= self.room;
-        if self.nodes.held() >= self.nodes.most || (lent && !self.make_room()) {
+        let lent = self.nodes.count() + self.clients.count() >= self.room;
+        if self.nodes.count() >= self.nodes.most || (lent && !self.make_room()) {
             // Room comes from the connection that idles longest.
             let idle = self.nodes.members.values().filter_map(|m| m.idle.first().copied());
             let oldest = idle.min_by_key(|key| self.deadlines.time(Due::Idle(*key)));
@@ -624,13 +624,10 @@
         idle.into_iter().for_each(|key| self.drop_conn(key));
     }
 
-    /// Forgets the nodes that `stays` does not name; what runs there may finish.
-    pub fn forget_nodes(&mut self, stays: impl Fn(&Id) -> bool) {
-        let others: Vec<Id> = self.nodes.members.keys().filter(|n| !stays(n)).cloned().collect();
-        for node in others {
-            self.let_go(&node);
-            self.nodes.members.remove(&node);
-        }
+    /// Forgets a node; what runs there may finish.
+    pub fn forget_node(&mut self, node: &Id) {
+        self.let_go(node);
+        self.nodes.members.remove(node);
     }
 
     /// A list names a member. Kept connections to where it no longer is are closed; what runs may finish.
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -43,13 +43,9 @@
 }
 
 impl Watch {
-    pub fn new(address: SocketAddr) -> Watch {
-        Watch { address, version: 0, open: None, old: None, round: 0, sets: BTreeSet::new() }
-    }
-
-    /// The list told at the start has this version.
-    pub fn holds(&mut self, version: u64) {
-        self.version = version;
+    /// The list held has this version; 0 where there is none.
+    pub fn new(address: SocketAddr, version: u64) -> Watch {
+        Watch { address, version, open: None, old: None, round: 0, sets: BTreeSet::new() }
     }
 
     /// True once a list is held.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -329,8 +329,8 @@
         }
     }
 
-    /// Danger: members come and go under new ids for ever. One that is gone is forgotten once nothing is out on
-    /// it or may have run there; where removal does not bind, once it is broken as well.
+    /// Danger: members come and go under new ids for ever. One that is gone is forgotten once nothing is out
+    /// on it or may have run there; where removal does not bind, once it is broken as well.
     fn forget_gone(&mut self) {
         let soft = self.allows("rules.soft_removal");
         let held = |c: &Open| c.out.values().chain(&c.maybe_ran).map(|o| o.0).collect::<Vec<Node>>();
