How long a kept connection may idle is learned in the module, not beside it

Read again: kept.rs held three tuned values and fading sums of its own, a decision outside the policy file and decay.rs said twice. The host now tells with each ended dispatch how long its connection had idled, and asks idle_most after its turn; the sums by age are in decay.rs, the sessions' in state.rs.

--- a/router/src/commands.rs
+++ b/router/src/commands.rs
@@ -37,6 +37,7 @@
         dispatch: u32,
         ending: Ending,
         took: Tenths,
+        idled: Option<Tenths>,
         note: Note,
         report: Report,
         answer: Vec<u8>,
@@ -186,13 +187,13 @@
                     self.counters.probes.add(ending);
                     self.commands.router.probe_ended(self.now, &node, ending, report);
                 }
-                News::Dispatch { key, dispatch, ending, took, note, report, answer } => {
+                News::Dispatch { key, dispatch, ending, took, idled, note, report, answer } => {
                     self.counters.dispatches.add(ending);
                     let Some(taken) = self.commands.taken.get_mut(key) else { continue };
                     taken.out -= 1;
                     let client = if ending == Ending::Answered { taken.client.take() } else { None };
                     let over = taken.client.is_none();
-                    let end = DispatchEnd { dispatch, ending, took, over, note, report };
+                    let end = DispatchEnd { dispatch, ending, took, idled, over, note, report };
                     self.commands.router.dispatch_ended(self.now, &taken.id, end);
                     self.forget(key);
                     if let Some(client) = client {
@@ -209,6 +210,7 @@
         while let Some(decision) = self.commands.router.next_decision(self.now) {
             self.carry_out(decision);
         }
+        self.nodes.limit_idle(self.commands.router.idle_most(self.now));
         match self.commands.router.wake_at() {
             Some(at) => self.deadlines.set(Due::Wake, at),
             None => self.deadlines.clear(Due::Wake),
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -7,7 +7,6 @@
 mod counters;
 mod deadlines;
 mod ending;
-mod kept;
 mod log;
 mod nodes;
 mod startup;
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -5,7 +5,6 @@
 use crate::commands::{CommandKey, News};
 use crate::deadlines::Due;
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
-use crate::kept::{Fitness, Kept};
 use crate::log;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -24,6 +23,8 @@
     pub struct ConnKey;
 }
 
+/// What a node sends behind its answer, or the end, comes within this time.
+const REST: Tenths = 10;
 /// An answer that has begun and stops for this long is not going to be whole.
 const STOPPED_SHORT: Tenths = 1_000;
 
@@ -50,6 +51,8 @@
     /// What stands in place of the statement's wait; set when writing begins.
     wait: Option<String>,
     since: Tenths,
+    /// How long its connection had idled; None for a new one.
+    idled: Option<Tenths>,
     limit_at: Tenths,
     /// Until when its last byte may be written.
     until: Tenths,
@@ -88,9 +91,8 @@
     stage: Stage,
     job: Option<Job>,
     input: Vec<u8>,
-    /// Since when it has carried nothing, and for how long it had done so before its job; None for a new one.
+    /// Since when it has carried nothing.
     idle_since: Tenths,
-    idled: Option<Tenths>,
 }
 
 #[derive(Default)]
@@ -107,7 +109,9 @@
     /// Connections to nodes that may be held.
     most: usize,
     dial_limit: Tenths,
-    kept: Kept,
+    /// How long a kept connection may idle by the settings, and by what the module has learned.
+    keep: Tenths,
+    idle_most: Tenths,
     probe: Rc<Statement>,
     report_fields: Vec<String>,
 }
@@ -118,8 +122,11 @@
         let probe = Rc::new(Statement { wait_at: text.len()..text.len(), text });
         let report_fields = report_fields.split(',').map(str::to_owned).collect();
         let (members, conns) = (BTreeMap::new(), SlotMap::with_key());
-        let kept = Kept::new(keep);
-        Nodes { members, conns, most, dial_limit, kept, probe, report_fields }
+        Nodes { members, conns, most, dial_limit, keep, idle_most: keep, probe, report_fields }
+    }
+
+    pub fn limit_idle(&mut self, learned: Option<Tenths>) {
+        self.idle_most = learned.map_or(self.keep, |most| most.min(self.keep));
     }
 
     pub fn count(&self) -> usize {
@@ -290,22 +297,21 @@
         until: Tenths,
     ) {
         let (since, wait, answer) = (self.now, None, Answer::default());
-        let job = Job { work, statement, wait, since, limit_at, until, written: 0, answer };
+        let job = Job { work, statement, wait, since, idled: None, limit_at, until, written: 0, answer };
         while let Some(key) = self.rested(node) {
             self.deadlines.clear(Due::Idle(key));
             let Some(conn) = self.nodes.conns.get_mut(key) else { continue };
             let idled = self.now - conn.idle_since;
-            if self.nodes.kept.fitness(self.now, idled) == Fitness::TooOld {
+            if idled > self.nodes.idle_most {
                 self.drop_conn(key);
                 continue;
             }
-            conn.idled = Some(idled);
             // One that has ended meanwhile, or holds bytes nobody asked for, can't be used again.
             let mut byte = [0];
             match conn.stream.peek(&mut byte) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.counters.reused += 1;
-                    conn.job = Some(job);
+                    conn.job = Some(Job { idled: Some(idled), ..job });
                     self.deadlines.set(Due::Work(key), limit_at.min(until));
                     return self.write_work(key);
                 }
@@ -332,13 +338,9 @@
 
     /// Takes the connection that idles for the shortest time, but for its rest.
     fn rested(&mut self, node: &Id) -> Option<ConnKey> {
-        let Nodes { members, conns, kept, .. } = &mut self.nodes;
+        let Nodes { members, conns, .. } = &mut self.nodes;
         let idle = &mut members.get_mut(node)?.idle;
-        let resting = |key: &ConnKey| {
-            conns
-                .get(*key)
-                .is_some_and(|c| kept.fitness(self.now, self.now - c.idle_since) == Fitness::Resting)
-        };
+        let resting = |key: &ConnKey| conns.get(*key).is_some_and(|c| self.now - c.idle_since < REST);
         let at = idle.iter().rposition(|key| !resting(key))?;
         Some(idle.remove(at))
     }
@@ -356,9 +358,8 @@
         let stream = Rc::new(dial(address.ok_or_else(|| io::Error::other("no address"))?)?);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let (node, input, stage) = (node.clone(), Vec::new(), Stage::Dialling);
-        let (token, job, idle_since, idled) = (None, None, self.now, None);
-        let conn = Conn { node, stream, token, stage, job, input, idle_since, idled };
-        let key = self.nodes.conns.insert(conn);
+        let (token, job, idle_since) = (None, None, self.now);
+        let key = self.nodes.conns.insert(Conn { node, stream, token, stage, job, input, idle_since });
         let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
             let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
             program.guarded("a node's connection", |p| p.conn_ready(key), broken);
@@ -508,16 +509,13 @@
             self.ended(node.clone(), job, Ok(()));
         }
         let conn = &mut self.nodes.conns[key];
-        if let Some(idled) = conn.idled.take() {
-            self.nodes.kept.used(self.now, idled, None);
-        }
         conn.idle_since = self.now;
         let usable = conn.input.is_empty();
         conn.input.shrink_to(4096);
         match self.nodes.members.get_mut(&node).filter(|m| usable && m.address.is_some()) {
             Some(member) => {
                 member.idle.push(key);
-                self.deadlines.set(Due::Idle(key), self.now + self.nodes.kept.limit(self.now));
+                self.deadlines.set(Due::Idle(key), self.now + self.nodes.idle_most);
             }
             None => self.drop_conn(key),
         }
@@ -526,15 +524,10 @@
     /// Ends a connection; what it carried ends by how far that had come.
     pub fn break_conn(&mut self, key: ConnKey, cause: Cause) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-        let (node, stage, job, idled) = (conn.node.clone(), conn.stage, conn.job.take(), conn.idled);
+        let (node, stage, job) = (conn.node.clone(), conn.stage, conn.job.take());
         self.drop_conn(key);
         let Some(job) = job else { return };
         let reached = job.reached(stage);
-        if let Some(idled) = idled.filter(|_| cause == Cause::Broken) {
-            let nothing_came = !job.answer.described && job.answer.code.is_none();
-            let after = Some(self.now - job.since).filter(|_| nothing_came);
-            self.nodes.kept.used(self.now, idled, after);
-        }
         // A whole answer counts, whatever became of the connection behind it; so does an error.
         let result = match (job.answer.verdict(), cause) {
             (Ok(()), Cause::Broken | Cause::Limit) if reached == Reached::Written => Ok(()),
@@ -577,9 +570,16 @@
         };
         let took = self.now - job.since;
         let news = match job.work {
-            Work::Dispatch(key, dispatch) => {
-                News::Dispatch { key, dispatch, ending: outcome, took, note, report, answer: raw }
-            }
+            Work::Dispatch(key, dispatch) => News::Dispatch {
+                key,
+                dispatch,
+                ending: outcome,
+                took,
+                idled: job.idled,
+                note,
+                report,
+                answer: raw,
+            },
             Work::Probe => {
                 // A machine that vanished leaves kept connections open and silent, and resets them once it is back.
                 if matches!(outcome, Ending::ConnectFailed | Ending::TimedOut | Ending::Reset) {
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -259,7 +259,11 @@
                 let position = if note >= 4 { *zero + (note / 4) * 10 } else { 0 };
                 let primary = [None, Some(true), Some(false), None][(note % 4).unsigned_abs() as usize];
                 let note = Note { primary, position };
-                router.dispatch_ended(now, id, DispatchEnd { dispatch, ending, took, over, note, report });
+                router.dispatch_ended(
+                    now,
+                    id,
+                    DispatchEnd { dispatch, ending, took, idled: None, over, note, report },
+                );
             }
             "probe_done" => {
                 let node = f.text("the node")?;
--- a/src/decay.rs
+++ b/src/decay.rs
@@ -1,6 +1,7 @@
 //! A sum whose parts fade with age, brought up to date when it is read or added to.
 
 use crate::interface::Tenths;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Decay {
@@ -43,3 +44,24 @@
         self.weight.add(now, half_life, 1.0);
     }
 }
+
+/// How often something happens by age: each doubling of the age has fading sums of its own.
+#[derive(Debug, Default)]
+pub(crate) struct ByAge(BTreeMap<u32, (Decay, Decay)>);
+
+impl ByAge {
+    pub(crate) fn add(&mut self, now: Tenths, half_life: Tenths, age: Tenths, happened: bool) {
+        let (times, cases) = self.0.entry(age.max(1).ilog2()).or_default();
+        times.add(now, half_life, happened as u8 as f64);
+        cases.add(now, half_life, 1.0);
+    }
+
+    /// The age from which on it happens in this part of all cases, and so many times at least.
+    pub(crate) fn first(&self, now: Tenths, half_life: Tenths, part: f64, least: f64) -> Option<Tenths> {
+        let often = |(times, cases): &(Decay, Decay)| {
+            let times = times.read(now, half_life);
+            times >= least && times >= part * cases.read(now, half_life)
+        };
+        self.0.iter().find(|(_, sums)| often(sums)).map(|(age, _)| 1 << *age)
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,7 +3,7 @@
 //! What a [`Router`] is told (`command_arrived`, `dispatch_ended` and so on) only updates what is known. Pull
 //! `next_decision(now)` until there is none; come back at `wake_at()` or with news. Why: `docs/design.md`.
 
-use crate::decay::{Decay, Mean};
+use crate::decay::{ByAge, Decay, Mean};
 use crate::interface::*;
 use crate::state::*;
 use crate::told::{command_groups, is, pick, shares, tenths};
@@ -17,6 +17,10 @@
 /// Half-lives: of usual latencies, work and refusals; of the long reads' part; of how slow the fleet is.
 const USUAL_HALF: Tenths = 10 * SECOND;
 const SHARE_HALF: Tenths = 60 * SECOND;
+/// Kept connections are stale from the age on at which this part of them, and so many, break at once.
+const STALE_PART: f64 = 0.15;
+const STALE_LEAST: f64 = 4.0;
+const AT_ONCE: Tenths = 50;
 const SLOW_HALF: Tenths = 2 * SECOND;
 /// How long a session's last write is remembered, once this many are.
 const SESSION_KEPT: Tenths = 60 * SECOND;
@@ -67,8 +71,8 @@
     ready: VecDeque<Decision>,
     used: BTreeSet<Node>,
     scarce: Decay,
-    session_writes: BTreeMap<String, Tenths>,
-    sessions_kept: usize,
+    sessions: Sessions,
+    stale: ByAge,
     list_fails: u32,
     node_checks: bool,
     done_work: Decay,
@@ -135,10 +139,7 @@
         let ends = if group.late_share > 0.0 { timeout } else { timeout.min(target) } - 2 * self.tick;
         let remembered = is(&self.told, "family_info.token_mode", "remembered");
         let needs = match (group.access, command.token_age) {
-            (Access::Session, _) if remembered => {
-                let old = if self.sessions_kept > 0 { now - SESSION_KEPT } else { 0 };
-                command.session.as_ref().and_then(|s| self.session_writes.get(s)).copied().unwrap_or(old)
-            }
+            (Access::Session, _) if remembered => self.sessions.written(&command.session, now - SESSION_KEPT),
             (Access::Session, Some(0)) => 0,
             (Access::Session, age) => now + 1 - age.unwrap_or(0),
             _ => now + 1,
@@ -170,7 +171,7 @@
     }
 
     pub fn dispatch_ended(&mut self, now: Tenths, id: &str, end: DispatchEnd) {
-        let DispatchEnd { dispatch, ending, took, over, note, report } = end;
+        let DispatchEnd { dispatch, ending, took, idled, over, note, report } = end;
         let Some(&key) = self.by_id.get(id) else { return };
         let Some(cmd) = self.open.get_mut(&key) else { return };
         let Some((node, sent)) = cmd.out.remove(&dispatch) else { return };
@@ -178,15 +179,12 @@
         let answered = ending == Ending::Answered;
         let unproven = matches!(ending, Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff);
         cmd.maybe_ran = cmd.maybe_ran.or(unproven.then_some((node, sent)));
+        let broke = ending == Ending::Reset && took <= AT_ONCE;
+        idled.into_iter().for_each(|age| self.stale.add(now, SHARE_HALF, age, broke));
         cmd.broken_round |= matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
         if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
             // Danger: sessions come and go for ever. One not remembered counts as written that long ago.
-            if self.session_writes.len() >= self.sessions_kept.max(SESSIONS_LEAST) {
-                self.session_writes.retain(|_, at| *at > now - SESSION_KEPT);
-                self.sessions_kept = 2 * self.session_writes.len() + 1;
-            }
-            let commit = self.session_writes.entry(session).or_insert(0);
-            *commit = (note.position + 1).max(*commit);
+            self.sessions.write(session, note.position + 1, now - SESSION_KEPT, SESSIONS_LEAST);
         }
         // Danger: commands that err at any member take others' turns. Whether a dispatch after an error is
         // answered tells them from members that err; only beside the latter is one more worth it.
@@ -345,6 +343,12 @@
         }
     }
 
+    /// Danger: a way between closes idle connections without a sign, and what is sent there may have run. For
+    /// how long one may idle, if that is known.
+    pub fn idle_most(&self, now: Tenths) -> Option<Tenths> {
+        self.stale.first(now, SHARE_HALF, STALE_PART, STALE_LEAST)
+    }
+
     pub fn knows(&self, node: &str) -> bool {
         self.nodes.contains_key(node)
     }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -50,7 +50,8 @@
 
 fn ended(ending: Ending, primary: Option<bool>) -> DispatchEnd {
     let note = Note { primary, position: 0 };
-    DispatchEnd { dispatch: 0, ending, took: 100, over: false, note, report: Report::default() }
+    let (report, idled) = (Report::default(), None);
+    DispatchEnd { dispatch: 0, ending, took: 100, idled, over: false, note, report }
 }
 
 #[rstest]
@@ -149,7 +150,7 @@
 #[case::remembered("remembered", None, 77)]
 fn token_becomes_a_position(#[case] mode: &str, #[case] age: Option<Tenths>, #[case] needs: Tenths) {
     let mut r = router(&[("family_info.token_mode", mode)]);
-    r.session_writes.insert("s".into(), 77);
+    r.sessions.write("s".into(), 77, 0, SESSIONS_LEAST);
     let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
     let (customer, time_left, token_age) = (None, 9_000, age);
     let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat: false };
@@ -165,7 +166,7 @@
     (cmd.session, cmd.out) = (Some("s".into()), BTreeMap::from([(0, (0, NOW))]));
     let note = Note { primary: Some(true), position: 500 };
     r.dispatch_ended(NOW, "cmd", DispatchEnd { note, ..ended(Ending::Answered, None) });
-    assert_eq!(r.session_writes["s"], 501);
+    assert_eq!(r.sessions.written(&Some("s".into()), 0), 501);
 }
 
 #[rstest]
@@ -361,6 +362,28 @@
     assert_eq!((r.sets[&1].nodes.len(), r.vacant.len()), (2, 1));
 }
 
+#[rstest]
+#[case::most_break(4, 2, 1, NOW, Some(2_048))]
+#[case::three_broke(3, 0, 1, NOW, None)]
+#[case::few_break(6, 94, 1, NOW, None)]
+#[case::they_break_later(4, 0, AT_ONCE + 1, NOW, None)]
+#[case::long_ago(4, 2, 1, NOW + 4 * SHARE_HALF, None)]
+fn connections_of_an_age_that_breaks_at_once_are_not_kept(
+    #[case] broken: usize,
+    #[case] whole: usize,
+    #[case] took: Tenths,
+    #[case] now: Tenths,
+    #[case] most: Option<Tenths>,
+) {
+    let mut r = router(&[]);
+    for ending in [vec![Ending::Reset; broken], vec![Ending::Answered; whole]].concat() {
+        open(&mut r, "any");
+        r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+        r.dispatch_ended(NOW, "cmd", DispatchEnd { took, idled: Some(3_000), ..ended(ending, None) });
+    }
+    assert_eq!(r.idle_most(now), most);
+}
+
 #[rstest]
 fn members_under_ever_new_ids_take_the_places_of_those_gone() {
     let mut r = router(&[]);
@@ -376,13 +399,13 @@
 #[case::forgotten(NOW - SESSION_KEPT - 5, NOW - SESSION_KEPT)]
 fn a_forgotten_session_counts_as_written_when_it_was_forgotten(#[case] wrote: Tenths, #[case] needs: Tenths) {
     let mut r = router(&[("family_info.token_mode", "remembered")]);
-    r.session_writes = (0..SESSIONS_LEAST).map(|i| (format!("{i}"), 1)).collect();
-    r.session_writes.insert("s".into(), wrote);
+    (1..SESSIONS_LEAST).for_each(|i| r.sessions.write(format!("{i}"), 1, 0, SESSIONS_LEAST));
+    r.sessions.write("s".into(), wrote, 0, SESSIONS_LEAST);
     open(&mut r, "write");
     let cmd = r.open.get_mut(&0).unwrap();
     (cmd.session, cmd.out) = (Some("t".into()), BTreeMap::from([(0, (0, NOW))]));
     r.dispatch_ended(NOW, "cmd", ended(Ending::Answered, None));
-    assert!(r.session_writes.len() <= 2, "{}", r.session_writes.len());
+    assert!(r.sessions.count() <= 2, "{}", r.sessions.count());
     let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
     let (customer, time_left, token_age, repeat) = (None, 9_000, None, false);
     let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,6 +63,8 @@
     pub dispatch: u32,
     pub ending: Ending,
     pub took: Tenths,
+    /// How long its connection had idled before; None for a new one.
+    pub idled: Option<Tenths>,
     /// The command is over: nothing is owed for it any more.
     pub over: bool,
     pub note: Note,
--- a/src/state.rs
+++ b/src/state.rs
@@ -89,6 +89,37 @@
     pub retry_at: Tenths,
 }
 
+/// The sessions' last writes, as positions. Those long past are forgotten once there are many.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    writes: BTreeMap<String, Tenths>,
+    /// How many are held before some are forgotten again; 0 as long as none was.
+    most: usize,
+}
+
+impl Sessions {
+    /// The last write of a session. One that may have been forgotten at `old` or before counts as written
+    /// then.
+    pub(crate) fn written(&self, session: &Option<String>, old: Tenths) -> Tenths {
+        let forgotten = if self.most > 0 { old } else { 0 };
+        session.as_ref().and_then(|s| self.writes.get(s)).copied().unwrap_or(forgotten)
+    }
+
+    pub(crate) fn write(&mut self, session: String, at: Tenths, old: Tenths, least: usize) {
+        if self.writes.len() >= self.most.max(least) {
+            self.writes.retain(|_, at| *at > old);
+            self.most = 2 * self.writes.len() + 1;
+        }
+        let last = self.writes.entry(session).or_insert(0);
+        *last = at.max(*last);
+    }
+
+    #[cfg(test)]
+    pub(crate) fn count(&self) -> usize {
+        self.writes.len()
+    }
+}
+
 /// A waiting command: what goes behind has the higher rank, and the newest goes first.
 pub(crate) type Place = (u8, Reverse<u64>);
 
