What the limits told come to stands in one file; clients and nodes no longer keep their own

Read again: shares of descriptors and memory stood in main.rs and clients.rs, one of them, three quarters, without a name, and were handed on to two tables that kept copies. limits.rs has all six, with a test for the smallest and largest router.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -30,8 +30,6 @@
 /// Reads and messages that one client may have taken in one turn, and clients accepted in one.
 const TURN_MOST: u32 = 32;
 const ACCEPTED_MOST: usize = 64;
-/// The part of all descriptors that is not lent to clients.
-const SPARE_PART: usize = 8;
 const ACCEPT_AGAIN: Tenths = 1_000;
 /// Unsent bytes from which on nothing more is taken from a client, and unread ones held behind a command.
 const UNSENT_MOST: usize = 64 * 1024;
@@ -73,11 +71,9 @@
     spent: u32,
 }
 
+#[derive(Default)]
 pub struct Clients {
     table: SlotMap<ClientKey, Client>,
-    most: usize,
-    /// From how many that have asked on the quiet ones are ended.
-    asked_most: usize,
     pub listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     /// Clients wait to be accepted until one of those held has gone.
     crowded: bool,
@@ -86,18 +82,11 @@
     /// Those that have used up this turn: they are heard again in the next.
     later: Vec<ClientKey>,
     turn: u64,
-    /// Unread messages held for all clients together, and the most that may be.
+    /// Bytes sent and not yet taken, of all clients together.
     held: usize,
-    held_most: usize,
 }
 
 impl Clients {
-    pub fn new(most: usize, asked_most: usize, held_most: usize) -> Clients {
-        let (table, unsent, later) = (SlotMap::with_key(), Vec::new(), Vec::new());
-        let (listener, crowded, turn, held) = (None, false, 0, 0);
-        Clients { table, most, asked_most, listener, crowded, unsent, later, turn, held, held_most }
-    }
-
     pub fn has_later(&self) -> bool {
         !self.later.is_empty()
     }
@@ -168,8 +157,8 @@
 
     /// Clients hold their part and more is not free: what nodes don't use of theirs is lent, but for a spare part.
     fn at_limit(&self) -> bool {
-        let clients = self.clients.table.len();
-        clients > self.clients.most && clients + self.nodes.count() + self.room / SPARE_PART > self.room
+        let (clients, limits) = (self.clients.count(), self.limits);
+        clients > limits.clients && clients + self.nodes.count() + limits.spare > limits.room
     }
 
     /// No room: tried again when a client has gone, and now and then for those that have become idle.
@@ -304,7 +293,7 @@
 
     /// More is held for clients together than may be: whoever has sent most and is owed nothing gives way.
     fn hold_less(&mut self) {
-        if self.clients.held > self.clients.held_most {
+        if self.clients.held > self.limits.held {
             let owed_nothing = |c: &Client| c.command.is_none() && !c.input.is_empty();
             let holding = self.clients.table.iter().filter(|(_, c)| owed_nothing(c));
             let most = holding.max_by_key(|(_, c)| c.input.len()).map(|(key, _)| key);
@@ -581,14 +570,13 @@
     /// been between queries for longest is ended, first who never sent a command.
     fn thin_out(&mut self) {
         let asked = |c: &Client| c.asked && matches!(c.stage, Stage::Ready | Stage::Skipping);
-        let clients = &self.clients;
-        if clients.table.len() <= clients.asked_most
-            || clients.table.values().filter(|c| asked(c)).count() <= clients.asked_most
+        let table = &self.clients.table;
+        if table.len() <= self.limits.asked
+            || table.values().filter(|c| asked(c)).count() <= self.limits.asked
         {
             return;
         }
-        let quiet = clients
-            .table
+        let quiet = table
             .iter()
             .filter(|(_, c)| asked(c) && c.is_between() && c.quiet_since + SILENT_LEAST <= self.now);
         if let Some(key) = quiet.min_by_key(|(_, c)| (c.served, c.quiet_since)).map(|(key, _)| key) {
--- /dev/null
+++ b/router/src/limits.rs
@@ -0,0 +1,63 @@
+//! What the limits told come to: how many connections clients and nodes may hold, and how much clients may have sent.
+//! Stated here alone.
+
+/// Descriptors for the listener, two watches, signals, the loop itself and what may come.
+const RESERVE: usize = 32;
+/// The part of connections that is the clients' own. Each command in hand can have its connection to a node, and
+/// probes and kept ones theirs beside it.
+const CLIENTS_PART: f64 = 0.45;
+/// The part of connections that is not lent to clients.
+const SPARE_PART: f64 = 0.125;
+/// Clients hold a third of the descriptors at most, as the deployment has it. From this part of it on whoever is
+/// quiet makes way, so that some are left.
+const ASKED_PART: f64 = 0.75 / 3.0;
+/// The part of the memory that what clients have sent and is not yet taken may fill.
+const HELD_PART: f64 = 0.125;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections of clients and to nodes together.
+    pub room: usize,
+    /// Of these the clients' own and the nodes' own.
+    pub clients: usize,
+    pub nodes: usize,
+    pub spare: usize,
+    /// From how many clients that have asked on the quiet ones are ended.
+    pub asked: usize,
+    /// Bytes.
+    pub held: usize,
+}
+
+fn part(of: usize, share: f64) -> usize {
+    (of as f64 * share) as usize
+}
+
+impl Limits {
+    pub fn new(sockets: usize, memory: usize) -> Limits {
+        let room = sockets.saturating_sub(RESERVE).max(4);
+        let clients = part(room, CLIENTS_PART);
+        let (nodes, spare) = (room - clients, part(room, SPARE_PART));
+        Limits {
+            room,
+            clients,
+            nodes,
+            spare,
+            asked: part(sockets, ASKED_PART),
+            held: part(memory, HELD_PART),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::least(256, 32, [224, 100, 124, 28, 64, 4 << 20])]
+    #[case::most(1024, 192, [992, 446, 546, 124, 256, 24 << 20])]
+    fn limits_follow_from_those_told(#[case] sockets: usize, #[case] mb: usize, #[case] want: [usize; 6]) {
+        let Limits { room, clients, nodes, spare, asked, held } = Limits::new(sockets, mb << 20);
+        assert_eq!([room, clients, nodes, spare, asked, held], want);
+    }
+}
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod deadlines;
 mod ending;
+mod limits;
 mod log;
 mod nodes;
 mod startup;
@@ -20,6 +21,7 @@
 use counters::Counters;
 use deadlines::{Deadlines, Due};
 use ending::Cause;
+use limits::Limits;
 use nodes::Nodes;
 use socket2::{Domain, Protocol, Socket, Type};
 use startup::Start;
@@ -32,8 +34,6 @@
 use vetchkeel::{Tenths, Told};
 use watch::Watch;
 
-/// Descriptors for the listener, the watch, signals, the loop itself and what may come.
-const RESERVE: usize = 32;
 /// After SIGTERM the process is let live for the longest wait, as far as that counts, and for as long as new
 /// clients may still come.
 const STILL_COMING: Tenths = 7_000;
@@ -42,10 +42,6 @@
 const LAST_TAKEN: Tenths = 12_000;
 const LAST_ANSWER: Tenths = 1_500;
 const BACKLOG: i32 = 1024;
-/// Clients hold this part of the descriptors at most, as the deployment has it; some are to be left to them.
-const LENT_PART: usize = 3;
-/// The part of the memory told that what clients have sent and is not yet taken may fill.
-const HELD_PART: usize = 8;
 
 /// Unix time in tenths of a millisecond, that never goes back.
 struct Clock {
@@ -74,8 +70,7 @@
     watch: Watch,
     deadlines: Deadlines,
     counters: Counters,
-    /// Connections that may be held, of clients and to nodes.
-    room: usize,
+    limits: Limits,
     /// What has ended since the module last heard.
     news: VecDeque<News>,
     scratch: Box<[u8]>,
@@ -109,30 +104,23 @@
     fn new(start: Start, handle: LoopHandle<'static, Program>) -> Result<Program, String> {
         let clock = Clock::new();
         let now = clock.now();
-        // Each command in hand can have its connection to a node, and probes and kept ones theirs beside it.
-        let room = start.sockets.saturating_sub(RESERVE).max(4);
-        let room_for_clients = room * 9 / 20;
         let told = &start.told;
         let dial_limit = tenths(told, "permissions.dial_timeout_ms", 250.0);
         let keep = tenths(told, "permissions.conn_idle_ms", 10_000.0) / 2;
         let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
         let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
-        let nodes = Nodes::new(room - room_for_clients, dial_limit, keep, probe, text("report.fields"));
+        let nodes = Nodes::new(dial_limit, keep, probe, text("report.fields"));
         let mut program = Program {
             clock,
             now,
             handle,
             commands: Commands::start(told, start.seed, now)?,
-            clients: Clients::new(
-                room_for_clients,
-                start.sockets / LENT_PART * 3 / 4,
-                start.memory / HELD_PART,
-            ),
+            clients: Clients::default(),
             nodes,
             watch: Watch::new(start.discovery, start.known.as_ref().map_or(0, |list| list.version)),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
-            room,
+            limits: Limits::new(start.sockets, start.memory),
             news: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
             stopping: None,
--- a/router/src/nodes.rs
+++ b/router/src/nodes.rs
@@ -106,8 +106,6 @@
 pub struct Nodes {
     members: BTreeMap<Id, Member>,
     conns: SlotMap<ConnKey, Conn>,
-    /// Connections to nodes that may be held.
-    most: usize,
     dial_limit: Tenths,
     /// How long a kept connection may idle by the settings, and by what the module has learned.
     keep: Tenths,
@@ -117,12 +115,12 @@
 }
 
 impl Nodes {
-    pub fn new(most: usize, dial_limit: Tenths, keep: Tenths, probe: &str, report_fields: &str) -> Nodes {
+    pub fn new(dial_limit: Tenths, keep: Tenths, probe: &str, report_fields: &str) -> Nodes {
         let text = probe.as_bytes().to_vec();
         let probe = Rc::new(Statement { wait_at: text.len()..text.len(), text });
         let report_fields = report_fields.split(',').map(str::to_owned).collect();
         let (members, conns) = (BTreeMap::new(), SlotMap::with_key());
-        Nodes { members, conns, most, dial_limit, keep, idle_most: keep, probe, report_fields }
+        Nodes { members, conns, dial_limit, keep, idle_most: keep, probe, report_fields }
     }
 
     pub fn limit_idle(&mut self, learned: Option<Tenths>) {
@@ -347,8 +345,8 @@
 
     fn open_conn(&mut self, node: &Id) -> io::Result<ConnKey> {
         // What was lent to clients is wanted back.
-        let lent = self.nodes.count() + self.clients.count() >= self.room;
-        if self.nodes.count() >= self.nodes.most || (lent && !self.make_room()) {
+        let lent = self.nodes.count() + self.clients.count() >= self.limits.room;
+        if self.nodes.count() >= self.limits.nodes || (lent && !self.make_room()) {
             // Room comes from the connection that idles longest.
             let idle = self.nodes.members.values().filter_map(|m| m.idle.first().copied());
             let oldest = idle.min_by_key(|key| self.deadlines.time(Due::Idle(*key)));
