--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -1,10 +1,13 @@
-//! Client connections: opening, queries one after another, answers in their order, and closing.
+//! Client connections: opening, queries one after another, answers in their order, and closing. Who comes in and who
+//! gives way is in `crowd`.
 
+mod crowd;
+
+use crate::Program;
 use crate::arrival::waited;
 use crate::commands::CommandKey;
 use crate::deadlines::Due;
 use crate::log;
-use crate::{BACKLOG, Program};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use slotmap::{SlotMap, new_key_type};
@@ -25,12 +28,8 @@
 const BEGUN_MOST: Tenths = 25_000;
 const PATIENCE: Tenths = 100_000;
 const CLOSING: Tenths = 10_000;
-/// A client that has been silent for this long since it connected gives way where others want in.
-const SILENT_LEAST: Tenths = 1_000;
-/// Reads and messages that one client may have taken in one turn, and clients accepted in one.
+/// Reads and messages that one client may have taken in one turn.
 const TURN_MOST: u32 = 32;
-const ACCEPTED_MOST: usize = 64;
-const ACCEPT_AGAIN: Tenths = 1_000;
 /// Unsent bytes from which on nothing more is taken from a client, and unread ones held behind a command.
 const UNSENT_MOST: usize = 64 * 1024;
 const BEHIND_MOST: usize = 16 * 1024;
@@ -98,19 +97,6 @@
     pub fn has_unsent(&self) -> bool {
         !self.unsent.is_empty()
     }
-
-    /// Who gives way where others want in, first of all whoever sent no command yet; of each kind the one that
-    /// is quiet for longest. One that was accepted a moment ago may be about to ask.
-    fn gives_way(&self, now: Tenths) -> Option<ClientKey> {
-        let idle = self.table.iter().filter(|(_, c)| match c.stage {
-            Stage::Ending => false,
-            Stage::Told => true,
-            _ if c.served => c.is_between(),
-            _ => c.command.is_none() && c.quiet_since + SILENT_LEAST <= now,
-        });
-        let first = idle.min_by_key(|(_, c)| (c.served && c.stage != Stage::Told, c.quiet_since));
-        first.map(|(key, _)| key)
-    }
 }
 
 impl Client {
@@ -126,62 +112,6 @@
 }
 
 impl Program {
-    /// Takes in all that want to connect, as far as there is room.
-    pub fn accept(&mut self) {
-        let Some((listener, _)) = &self.clients.listener else { return };
-        let listener = listener.clone();
-        self.clients.crowded = false;
-        self.deadlines.clear(Due::Accept);
-        for _ in 0..ACCEPTED_MOST {
-            // Nobody is sent away for a client that does not come: one above the limit shows that more want in.
-            if self.at_limit() {
-                // What it has sent meanwhile is taken in before anybody is closed for another.
-                self.clients.gives_way(self.now).into_iter().for_each(|key| self.read_client(key));
-                if !self.make_room() {
-                    return self.accept_later();
-                }
-            }
-            match listener.accept() {
-                Ok((stream, _)) => self.welcome(stream),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    log!("cannot accept: {e}");
-                    return self.accept_later();
-                }
-            }
-        }
-        // Those who wait for an answer come before more of those who want in.
-        self.deadlines.set(Due::Accept, self.now + 1);
-    }
-
-    /// Clients hold their part and more is not free: what nodes don't use of theirs is lent, but for a spare part.
-    fn at_limit(&self) -> bool {
-        let (clients, limits) = (self.clients.count(), self.limits);
-        clients > limits.clients && clients + self.nodes.count() + limits.spare > limits.room
-    }
-
-    /// No room: tried again when a client has gone, and now and then for those that have become idle.
-    fn accept_later(&mut self) {
-        self.clients.crowded = true;
-        self.deadlines.set(Due::Accept, self.now + ACCEPT_AGAIN);
-    }
-
-    /// Closes the client that gives way. One that has sent something meanwhile is left to be heard first: the
-    /// module may be in the middle of deciding.
-    pub fn make_room(&mut self) -> bool {
-        let Some(key) = self.clients.gives_way(self.now) else { return false };
-        let client = &self.clients.table[key];
-        if matches!(client.stream.peek(&mut [0]), Ok(unread) if unread > 0) && client.stage != Stage::Told {
-            return false;
-        }
-        let kind = if client.served { "an idle one" } else { "one that asked for nothing" };
-        log!("at the limit with {} clients: {kind} is closed", self.clients.table.len());
-        self.counters.gave_way += 1;
-        self.drop_client(key);
-        true
-    }
-
     fn welcome(&mut self, stream: TcpStream) {
         if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
             return;
@@ -291,18 +221,6 @@
         }
     }
 
-    /// More is held for clients together than may be: whoever has sent most and is owed nothing gives way.
-    fn hold_less(&mut self) {
-        if self.clients.held > self.limits.held {
-            let owed_nothing = |c: &Client| c.command.is_none() && !c.input.is_empty();
-            let holding = self.clients.table.iter().filter(|(_, c)| owed_nothing(c));
-            let most = holding.max_by_key(|(_, c)| c.input.len()).map(|(key, _)| key);
-            if let Some(key) = most {
-                self.end_client(key, "53200", "more is held for clients than may be");
-            }
-        }
-    }
-
     /// Takes messages until one becomes a command or more bytes must come.
     fn advance(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.get_mut(key) else { return };
@@ -566,25 +484,6 @@
         }
     }
 
-    /// Clients may hold so many connections and no more. Some ask once and stay; before those have all, whoever has
-    /// been between queries for longest is ended, first who never sent a command.
-    fn thin_out(&mut self) {
-        let asked = |c: &Client| c.asked && matches!(c.stage, Stage::Ready | Stage::Skipping);
-        let table = &self.clients.table;
-        if table.len() <= self.limits.asked
-            || table.values().filter(|c| asked(c)).count() <= self.limits.asked
-        {
-            return;
-        }
-        let quiet = table
-            .iter()
-            .filter(|(_, c)| asked(c) && c.is_between() && c.quiet_since + SILENT_LEAST <= self.now);
-        if let Some(key) = quiet.min_by_key(|(_, c)| (c.served, c.quiet_since)).map(|(key, _)| key) {
-            self.counters.quiet += 1;
-            self.end_if_idle(key);
-        }
-    }
-
     // ---- stopping ----
 
     /// Ends the connection if it is between commands; whatever it has sent before is served first.
@@ -599,10 +498,7 @@
 
     /// Nothing new is taken any more; who waits for an answer still gets it.
     pub fn stop_accepting(&mut self) {
-        // Whoever the system has let in is not left behind, however many.
-        for _ in 0..BACKLOG as usize / ACCEPTED_MOST {
-            self.accept();
-        }
+        self.accept_all();
         if let Some((_, token)) = self.clients.listener.take() {
             self.handle.remove(token);
         }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -87,8 +87,8 @@
 }
 
 fn longest_wait(told: &Told) -> Tenths {
-    let waits = (0..).map_while(|i| told.get(&format!("request_classes.{i}.hard_limit_ms")));
-    waits.filter_map(|w| w.parse().ok()).fold(0.0, f64::max) as Tenths * 10
+    let names = (0..).map(|i| format!("request_classes.{i}.hard_limit_ms"));
+    names.take_while(|n| told.contains_key(n)).map(|n| tenths(told, &n, 0.0)).max().unwrap_or(0)
 }
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
--- /dev/null
+++ b/router/src/nodes/answer.rs
@@ -0,0 +1,167 @@
+//! What a node answers: message by message into one answer, and what of it is believed.
+
+use crate::ending::{Cause, Failure};
+use std::ops::Range;
+use vetchkeel::{Note, Report, Tenths};
+use vetchkeel_pgwire as pgwire;
+
+/// How far this machine's clock and a node's may be apart.
+const CLOCKS_APART: Tenths = 50;
+
+/// What the node has answered so far.
+#[derive(Default)]
+pub(super) struct Answer {
+    /// Row description, row and completion as the node gave them.
+    pub(super) raw: Vec<u8>,
+    pub(super) described: bool,
+    pub(super) rows: usize,
+    /// The one column of the first row, within `raw`.
+    pub(super) value: Range<usize>,
+    pub(super) complete: bool,
+    pub(super) code: Option<[u8; 5]>,
+    pub(super) garbled: bool,
+    pub(super) note: Note,
+    pub(super) report: Report,
+}
+
+impl Answer {
+    /// Takes one message; true when the answer is over.
+    pub(super) fn take(&mut self, kind: u8, body: &[u8], whole: &[u8], fields: &[String]) -> bool {
+        match kind {
+            b'T' if !self.described && self.code.is_none() => {
+                self.described = true;
+                self.garbled |= !pgwire::describes_one(body);
+                self.raw.extend_from_slice(whole);
+            }
+            b'D' if self.described && self.rows == 0 => {
+                self.rows = 1;
+                match pgwire::one_column(body) {
+                    Some(value) => {
+                        let end = self.raw.len() + whole.len();
+                        self.value = end - value.len()..end;
+                    }
+                    None => self.garbled = true,
+                }
+                self.raw.extend_from_slice(whole);
+            }
+            b'C' if self.rows == 1 && !self.complete => {
+                self.complete = true;
+                self.garbled |= pgwire::text(body).is_none_or(|(_, rest)| !rest.is_empty());
+                self.raw.extend_from_slice(whole);
+            }
+            b'E' => {
+                let code = pgwire::sqlstate(body).and_then(|c| c.try_into().ok());
+                self.code = self.code.or(code);
+                self.garbled |= code.is_none();
+            }
+            b'S' => match pgwire::parameter(body) {
+                Some(("role", role)) => {
+                    self.note.primary = Some(role == "primary").filter(|p| *p || role == "replica");
+                }
+                Some(("applied_ms", at)) => {
+                    self.note.position = at.parse().map_or(0, |ms: f64| (ms * 10.0).floor() as Tenths);
+                }
+                Some(("load", load)) => self.report = report(load, fields),
+                _ => {}
+            },
+            b'N' | b'A' => {}
+            b'Z' => return true,
+            _ => self.garbled = true,
+        }
+        // Nothing that follows could make an answer of it.
+        self.garbled
+    }
+
+    pub(super) fn verdict(&self) -> Result<(), Cause> {
+        match self.code {
+            // An error behind a row is neither the one nor the other.
+            Some(code) if !self.described && !self.garbled => Err(Cause::Code(code)),
+            None if self.complete && !self.garbled => Ok(()),
+            _ => Err(Cause::Garbled),
+        }
+    }
+}
+
+/// Reads a load report such as `x0=1767225600.123,x1=1`.
+pub(super) fn report(text: &str, fields: &[String]) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite()) else { continue };
+        match name.trim() {
+            name if !fields.iter().any(|f| f == name) => {}
+            // Seconds to tenths of a millisecond, less one millisecond in case the text was rounded up.
+            "x0" => report.position = Some((value * 10_000.0).floor() as Tenths - 10),
+            "x1" => report.primary = Some(value == 1.0).filter(|p| *p || value == 0.0),
+            _ => {}
+        }
+    }
+    report
+}
+
+/// Nothing in a spoilt answer is believed, and nobody has applied what is yet to come: such a position is none.
+pub(super) fn believed(
+    result: &Result<(), Failure>,
+    note: Note,
+    report: Report,
+    now: Tenths,
+) -> (Note, Report) {
+    if matches!(result, Err(Failure { cause: Cause::Garbled, .. })) {
+        return (Note::default(), Report::default());
+    }
+    let past = |position: &Tenths| *position <= now + CLOCKS_APART;
+    let position = Some(note.position).filter(past).unwrap_or(0);
+    (Note { position, ..note }, Report { position: report.position.filter(past), ..report })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ending::Reached;
+    use rstest::rstest;
+
+    const NOW: Tenths = 1_000_000;
+
+    #[rstest]
+    #[case::good(Ok(()), NOW, Some(NOW), Some(true))]
+    #[case::turned_away(Err(Cause::Code(*b"25006")), NOW, Some(NOW), Some(true))]
+    #[case::spoilt(Err(Cause::Garbled), 0, None, None)]
+    fn nothing_in_a_spoilt_answer_is_believed(
+        #[case] result: Result<(), Cause>,
+        #[case] applied: Tenths,
+        #[case] reported: Option<Tenths>,
+        #[case] primary: Option<bool>,
+    ) {
+        let result = result.map_err(|cause| Failure { reached: Reached::Written, cause });
+        let note = Note { primary: Some(true), position: NOW };
+        let report = Report { primary: Some(true), position: Some(NOW) };
+        let (note, report) = believed(&result, note, report, NOW);
+        assert_eq!((note.position, note.primary), (applied, primary));
+        assert_eq!((report.position, report.primary), (reported, primary));
+    }
+
+    #[rstest]
+    #[case::past(NOW - 1, NOW - 1)]
+    #[case::yet_to_come(NOW + 10_000, 0)]
+    #[case::endless(Tenths::MAX, 0)]
+    fn a_position_yet_to_come_is_none(#[case] told: Tenths, #[case] want: Tenths) {
+        let (note, report) = (Note { primary: None, position: told }, Report::default());
+        let report = Report { position: Some(told), ..report };
+        let (note, report) = believed(&Ok(()), note, report, NOW);
+        assert_eq!((note.position, report.position.unwrap_or(0)), (want, want));
+    }
+
+    #[rstest]
+    #[case::whole("x0=100.0,x1=1", Some(999_990), Some(true))]
+    #[case::no_numbers("x0=soon,x1=yes", None, None)]
+    #[case::neither_role("x0=nan,x1=7", None, None)]
+    #[case::other_fields("x3=1,x1=0,,=,x0", None, Some(false))]
+    fn a_report_is_read_as_far_as_it_is_one(
+        #[case] text: &str,
+        #[case] position: Option<Tenths>,
+        #[case] primary: Option<bool>,
+    ) {
+        let fields = ["x0".to_owned(), "x1".to_owned()];
+        let found = report(text, &fields);
+        assert_eq!((found.position, found.primary), (position, primary));
+    }
+}
