--- a/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -5,12 +5,12 @@
 
 use crate::Program;
 use crate::arrival::waited;
-use crate::commands::CommandKey;
 use crate::deadlines::Due;
+use crate::keys::{ClientKey, CommandKey};
 use crate::log;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -18,11 +18,6 @@
 use vetchkeel::Tenths;
 use vetchkeel_pgwire::{self as pgwire, LONGEST, Opening, Unreadable};
 
-new_key_type! {
-    /// A slot of the table of client connections, with its generation.
-    pub struct ClientKey;
-}
-
 /// How long a client may take from connecting to its first whole query, and over any message that it has begun; to
 /// read its answers; to close at the end.
 const BEGUN_MOST: Tenths = 25_000;
--- a/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -2,21 +2,15 @@
 //! decides is carried out.
 
 use crate::Program;
-use crate::clients::ClientKey;
 use crate::deadlines::Due;
+use crate::keys::{ClientKey, CommandKey, Statement, Work};
 use crate::log;
-use crate::nodes::{Statement, Work};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use vetchkeel::{Command, Decision, DispatchEnd, Ending, Entry, Id, Note, Report, Router, Tenths, Told};
 use vetchkeel_pgwire as pgwire;
 
-new_key_type! {
-    /// A slot of the table of commands, with its generation.
-    pub struct CommandKey;
-}
-
 /// The longest wait that is believed of a client.
 const WAIT_MOST: f64 = 3_600_000.0;
 
--- a/router/src/deadlines.rs
+++ b/crates/router/src/deadlines.rs
@@ -1,7 +1,6 @@
 //! All deadlines, in one ordered structure: each matter has one time at most.
 
-use crate::clients::ClientKey;
-use crate::nodes::ConnKey;
+use crate::keys::{ClientKey, ConnKey};
 use std::collections::{BTreeMap, BTreeSet};
 use vetchkeel::Tenths;
 
--- a/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod deadlines;
 mod ending;
+mod keys;
 mod limits;
 mod log;
 mod nodes;
--- a/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -4,46 +4,28 @@
 mod answer;
 
 use crate::Program;
-use crate::commands::{CommandKey, News};
+use crate::commands::News;
 use crate::deadlines::Due;
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
+use crate::keys::{CommandKey, ConnKey, Statement, Work};
 use crate::log;
 use answer::{Answer, believed};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::ops::Range;
 use std::rc::Rc;
 use vetchkeel::{Ending, Id, Tenths};
 use vetchkeel_pgwire as pgwire;
 
-new_key_type! {
-    /// A slot of the table of node connections, with its generation.
-    pub struct ConnKey;
-}
-
 /// What a node sends behind its answer, or the end, comes within this time.
 const REST: Tenths = 10;
 /// An answer that has begun and stops for this long is not going to be whole.
 const STOPPED_SHORT: Tenths = 1_000;
 
-/// A statement as its client worded it, and where in it the wait stands.
-#[derive(Debug)]
-pub struct Statement {
-    pub text: Vec<u8>,
-    pub wait_at: Range<usize>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Work {
-    Dispatch(CommandKey, u32),
-    Probe,
-}
-
 /// Something that one connection carries to its end.
 struct Job {
     work: Work,
