Fleet model, auditor of the five rules, operator files and the simulated driver

Need: the project could not see its own behaviour at scale or under troubles it chooses. fleet: sets, cores, queues, connections, log, elections, cold starts, zones, late list, troubles, traffic; no I/O. audit: the five rules from what passed at members and clients. operator: HCL with positions. lab: experiments, wishes of clients, routers in process, baselines, simulated driver.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,26 @@
+//! Experiments: a fleet, a load and troubles against the real router, simulated or on loopback, audited and measured.
+
+pub mod clients;
+pub mod decider;
+pub mod experiment;
+pub mod result;
+mod ring;
+pub mod setup;
+pub mod sim;
+pub mod tally;
+pub mod told;
+
+use setup::Setup;
+
+/// The figures of the rules, as the auditor needs them.
+pub fn figures(setup: &Setup) -> vetchkeel_audit::Figures {
+    let plan = &setup.plan;
+    vetchkeel_audit::Figures {
+        answer_slack: setup.permits.answer_slack,
+        drain_grace: plan.list.drain_grace,
+        cold_from: plan.warming.from,
+        cold_over: plan.warming.over,
+        multiple: plan.warming.multiple,
+        span: plan.warming.span,
+    }
+}
