--- a/crates/audit/src/tests.rs
+++ b/crates/audit/src/tests.rs
@@ -8,6 +8,7 @@
 fn auditor() -> Auditor {
     Auditor::new(Figures {
         answer_slack: 20 * MS,
+        order_slack: 0,
         drain_grace: 500 * MS,
         cold_from: 0.25,
         cold_over: 10_000 * MS,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::agenda::Agenda;
 use crate::copy::{Copy, Log};
-use crate::draw::{Dice, dice, happens};
+use crate::draw::{Dice, Draw, dice, happens};
 use crate::list::{List, Phase, Row, Sheet};
 use crate::node::{Behind, Node, WARM_STEP, needed};
 use crate::plan::{Checks, Plan};
@@ -180,7 +180,12 @@
     pub(crate) said: VecDeque<Said>,
     pub(crate) troubles: Vec<Trouble>,
     pub(crate) struck: Vec<Vec<usize>>,
+    /// Chance of what happens seldom (elections, the list), of each end, and of each message: the first stays the same
+    /// however many messages there are.
     pub(crate) dice: Dice,
+    ends: Dice,
+    messages: Dice,
+    clocks: Vec<Micros>,
     ticket: u64,
     pub(crate) happened: Happened,
 }
@@ -222,7 +227,10 @@
             agenda.set(trouble.from, Task::Begin(i));
             agenda.set(trouble.until, Task::End(i));
         }
+        let apart = Draw::Between(-(plan.clocks_apart as f64), plan.clocks_apart as f64);
+        let mut off = crate::draw::dice(seed, "clocks");
         let mut fleet = Fleet {
+            clocks: plan.routers.iter().map(|_| apart.sample(&mut off) as Micros).collect(),
             ways: Ways::new(plan.ways.clone(), plan.zones.len()),
             places: (0..nodes.len()).collect(),
             struck: vec![Vec::new(); troubles.len()],
@@ -234,6 +242,8 @@
             said: VecDeque::new(),
             troubles,
             dice,
+            ends: crate::draw::dice(seed, "ends"),
+            messages: crate::draw::dice(seed, "messages"),
             ticket: 0,
             happened: Happened::default(),
         };
@@ -297,9 +307,14 @@
         self.nodes[node].machine.cores as f64 * self.nodes[node].machine.speed
     }
 
+    /// By how much a router's clock is ahead of the members'.
+    pub fn clock_ahead(&self, router: usize) -> Micros {
+        self.clocks[router]
+    }
+
     /// How long a message from one zone to another takes; None if it is lost.
     pub fn delay(&mut self, from: usize, to: usize) -> Option<Micros> {
-        self.ways.delay(from, to, &mut self.dice)
+        self.ways.delay(from, to, &mut self.messages)
     }
 
     // ---- the list ----
@@ -502,15 +517,15 @@
         let primary = self.sets[set].primary == Some(node);
         let verdict = if write && !primary {
             Verdict::Error
-        } else if happens(&mut self.dice, self.nodes[node].resets) {
+        } else if happens(&mut self.ends, self.nodes[node].resets) {
             Verdict::Reset
-        } else if happens(&mut self.dice, self.nodes[node].lost) {
+        } else if happens(&mut self.ends, self.nodes[node].lost) {
             Verdict::Lost
         } else {
             Verdict::Answered
         };
         if write && primary {
-            let work = self.plan.copying.apply.sample(&mut self.dice);
+            let work = self.plan.copying.apply.sample(&mut self.ends);
             self.sets[set].log.commit(now, work);
             self.happened.commits += 1;
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -19,6 +19,8 @@
     pub warming: Warming,
     pub list: ListPlan,
     pub connections: Connections,
+    /// Each router's clock is off by up to this, either way.
+    pub clocks_apart: Micros,
     /// A cancel drops waiting work; whether it stops running work too.
     pub cancel_stops_running: bool,
 }
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -53,6 +53,7 @@
             drain_grace: 500 * MS,
         },
         connections: Connections { work: 0.0, handshake: 1.0, idle: 15 * SECOND, dial_timeout: 250 * MS },
+        clocks_apart: 0,
         cancel_stops_running: true,
     }
 }
--- a/crates/lab/src/experiment/parts.rs
+++ b/crates/lab/src/experiment/parts.rs
@@ -194,6 +194,7 @@
         warming,
         list,
         connections,
+        clocks_apart: s.time("clocks_apart", 0, 0..=LONG)?,
         cancel_stops_running: s.flag("cancel_stops_running", true)?,
     })
 }
--- a/crates/pgwire/src/read.rs
+++ b/crates/pgwire/src/read.rs
@@ -110,10 +110,15 @@
 }
 
 /// The SQLSTATE of an ErrorResponse.
-pub fn sqlstate(mut body: &[u8]) -> Option<&[u8]> {
+pub fn sqlstate(body: &[u8]) -> Option<&[u8]> {
+    error_field(body, b'C')
+}
+
+/// A field of an ErrorResponse.
+pub fn error_field(mut body: &[u8], wanted: u8) -> Option<&[u8]> {
     while let Some((&field, rest)) = body.split_first().filter(|(f, _)| **f != 0) {
         let (value, after) = text(rest)?;
-        if field == b'C' {
+        if field == wanted {
             return Some(value);
         }
         body = after;
--- a/crates/pgwire/src/write.rs
+++ b/crates/pgwire/src/write.rs
@@ -45,7 +45,7 @@
         ("integer_datetimes", "on"),
         ("standard_conforming_strings", "on"),
     ] {
-        framed(out, b'S', |out| [name, value].iter().for_each(|t| zero_ended(out, t)));
+        parameter_status(out, name, value);
     }
     framed(out, b'K', |out| {
         out.extend(process.to_be_bytes());
@@ -54,6 +54,34 @@
     ready(out);
 }
 
+/// A ParameterStatus.
+pub fn parameter_status(out: &mut Vec<u8>, name: &str, value: &str) {
+    framed(out, b'S', |out| [name, value].iter().for_each(|t| zero_ended(out, t)));
+}
+
+/// An answer of one row with one binary column named `v`, up to its CommandComplete.
+pub fn one_row(out: &mut Vec<u8>, value: &[u8]) {
+    framed(out, b'T', |out| {
+        out.extend([0, 1]);
+        zero_ended(out, "v");
+        // No table, type bytea of any length, binary.
+        out.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1]);
+    });
+    framed(out, b'D', |out| {
+        out.extend([0, 1]);
+        out.extend((value.len() as u32).to_be_bytes());
+        out.extend(value);
+    });
+    framed(out, b'C', |out| zero_ended(out, "SELECT 1"));
+}
+
+/// A simple query.
+pub fn query(out: &mut Vec<u8>, statement: &str) {
+    out.extend(query_head(statement.len()));
+    out.extend(statement.bytes());
+    out.push(0);
+}
+
 pub fn ready(out: &mut Vec<u8>) {
     framed(out, b'Z', |out| out.push(b'I'));
 }
