The pace holds only for sets that are slow themselves

Cause: the pace follows the mean over all answers of a router. Change: each set keeps a mean of its own (half-life 20 s, the router's mean as two more parts); at 0.4 or under the set is not paced, and its work is left out of what the pace shares out.

--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -5,7 +5,8 @@
 //! 1. A command that a running router has taken gets exactly one final answer, in time, and nothing is sent after it.
 //! 2. A mutating command is sent again, or throttled, only if every earlier dispatch is known not to have run.
 //! 3. Nothing new goes to a member later than the grace after its router was told that it drains or is gone.
-//! 4. A cold member is not sent more than a multiple of what it can do, by all routers together.
+//! 4. A cold member is not sent more than a multiple of what it can do, by all routers together; it counts where two
+//!    thirds of that came from routers that were told of its start.
 //! 5. No read is answered from data older than its command group allows.
 //!
 //! What is held is bounded by the commands of the last [`KEPT`] microseconds beyond their client timeouts.
@@ -302,8 +303,11 @@
 
     // ---- what routers were told ----
 
-    /// The list told a router of a member: `shut` if it drains or is gone.
-    pub fn listed(&mut self, at: Micros, router: usize, node: usize, shut: bool) {
+    /// The list told a router of a member: `shut` if it drains or is gone, and when its process started (0: long ago).
+    pub fn listed(&mut self, at: Micros, router: usize, node: usize, shut: bool, started: Micros) {
+        if let Some(cold) = self.cold.get_mut(&node).filter(|c| c.started <= started) {
+            cold.told(router);
+        }
         if shut {
             self.shut.entry((router, node)).or_insert(at);
         } else {
--- a/crates/records/src/tests.rs
+++ b/crates/records/src/tests.rs
@@ -163,7 +163,7 @@
             "over-time-2",
             "members-2",
             "sweep-1-1",
-            "sweep-1-6"
+            "sweep-1-7"
         ]
     );
     assert!(charts.iter().all(|c| c.svg.starts_with("<svg") && c.svg.trim_end().ends_with("</svg>")));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,7 @@
 /// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
 const PAUSE: Tenths = 1_000;
 const BACKOFF_MAX: Tenths = 5 * SECOND;
-/// Half-lives: of usual latencies, work and refusals; of the long reads' part; of how slow the fleet is.
+/// Half-lives: of usual latencies, work and refusals; of the long reads' part; of how slow fleet and set are.
 const USUAL_HALF: Tenths = 10 * SECOND;
 const SHARE_HALF: Tenths = 60 * SECOND;
 /// Kept connections are stale from the age on at which this part of them, and so many, break at once.
@@ -22,6 +22,7 @@
 const STALE_LEAST: f64 = 4.0;
 const AT_ONCE: Tenths = 50;
 const SLOW_HALF: Tenths = 2 * SECOND;
+const SET_HALF: Tenths = 20 * SECOND;
 /// How long a session's last write is remembered, once this many are.
 const SESSION_KEPT: Tenths = 60 * SECOND;
 const SESSIONS_LEAST: usize = 4096;
@@ -41,6 +42,8 @@
 const TURN_MOST: f64 = 12.0;
 /// Mean latency over response target above which a router slows its pace; the least and the most of it.
 const PACE_MARK: f64 = 0.45;
+/// The same of one set, over a longer while, from which on the pace holds for it.
+const SET_MARK: f64 = 0.4;
 const PACE_LEAST: f64 = 0.3;
 const PACE_MOST: f64 = 1.5;
 /// A command that erred gets one more dispatch while this part of such dispatches is answered.
@@ -145,7 +148,8 @@
             _ => now + 1,
         };
         let work = group.target as f64;
-        self.asked_work.add(now, SLOW_HALF, work);
+        let paced = self.paced(now, command.set);
+        paced.then(|| self.asked_work.add(now, SLOW_HALF, work));
         if !matches!(group.access, Access::Write | Access::Fresh) {
             self.read_work.add(now, SHARE_HALF, work);
             self.long_work.add(now, SHARE_HALF, if self.outlasts(kind) { work } else { 0.0 });
@@ -194,7 +198,8 @@
         cmd.patience = if written { cmd.ends } else { cmd.patience };
         cmd.hopeless |= erred && (again || self.cured.read(now, USUAL_HALF, 0.5) < CURED);
         cmd.erred |= erred;
-        self.dirty.insert(cmd.set);
+        let number = cmd.set;
+        self.dirty.insert(number);
         self.used.insert(node);
         let group = &mut self.groups[cmd.kind];
         let (kind, target, ratio) = (cmd.kind, group.target as f64, took as f64 / group.target as f64);
@@ -205,7 +210,11 @@
             _ => _ = self.agenda.insert((now, Task::Settle(key))),
         }
         let tells = answered || matches!(ending, Ending::TimedOut | Ending::Full);
-        tells.then(|| self.slow.add(now, SLOW_HALF, if answered { ratio.min(1.0) } else { 1.0 }));
+        if let (true, Some(set)) = (tells, self.sets.get_mut(&number)) {
+            let slow = if answered { ratio.min(1.0) } else { 1.0 };
+            self.slow.add(now, SLOW_HALF, slow);
+            set.slow.add(now, SET_HALF, slow);
+        }
         let usual = self.usual(now, kind);
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
@@ -513,7 +522,8 @@
             let kind = self.order[i];
             let head = |r: &Router| r.sets.get(&number)?.waiting.get(kind)?.first().copied();
             while let Some(place) = head(self) {
-                if !self.in_pace(now, i) || !self.offer(now, number, place.1.0) {
+                let held = !self.in_pace(now, i) && self.paced(now, number);
+                if held || !self.offer(now, number, place.1.0) {
                     left = true;
                     break;
                 }
@@ -526,6 +536,13 @@
         }
     }
 
+    /// Danger: members that fail or crawl in some sets slow commands to all the others. A set whose own answers
+    /// are in time is not paced; for what few answers don't tell, it counts as slow as the whole.
+    fn paced(&self, now: Tenths, number: i64) -> bool {
+        let all = self.slow.read(now, SLOW_HALF, USUAL_GUESS);
+        self.sets.get(&number).is_none_or(|set| set.slow.read(now, SET_HALF, all) > SET_MARK)
+    }
+
     /// Danger: with many routers each meets a member too seldom to see that it is crowded, and all go on.
     /// So each also paces itself by all its answers: what is beyond the pace waits, cheapest groups first.
     fn in_pace(&mut self, now: Tenths, rank: usize) -> bool {
@@ -767,7 +784,7 @@
         self.agenda.insert((now + patience.max(2 * self.tick), Task::Overdue(key, dispatch)));
         let credit = self.cold_credit(now, &self.members[node]);
         let work = self.groups[kind].target as f64;
-        self.allowance -= work;
+        self.allowance -= if self.paced(now, self.members[node].set) { work } else { 0.0 };
         let m = &mut self.members[node];
         m.out.insert((key, dispatch), now);
         (m.credit, m.credit_at) = (credit - work, now);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -670,6 +670,25 @@
     assert_eq!(r.in_pace(NOW, rank), sent);
 }
 
+#[rstest]
+#[case::answers_in_time(1.0, 0.1, false)]
+#[case::answers_late(1.0, 1.0, true)]
+#[case::unknown_while_the_whole_is_slow(1.0, f64::NAN, true)]
+#[case::unknown_while_the_whole_is_well(0.1, f64::NAN, false)]
+fn the_pace_holds_for_sets_that_are_slow_themselves(#[case] all: f64, #[case] own: f64, #[case] paced: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    let number = r.open[&0].set;
+    (0..50).for_each(|_| r.slow.add(NOW, SLOW_HALF, all));
+    let set = r.sets.get_mut(&number).unwrap();
+    (0..6).filter(|_| !own.is_nan()).for_each(|_| set.slow.add(NOW, SET_HALF, own));
+    // Far behind its pace, with commands of a set whose answers may tell otherwise.
+    (r.pace, r.paced_at, r.allowance) = (PACE_LEAST, NOW, -1e9);
+    r.settle(NOW, 0);
+    r.serve(NOW, number);
+    assert_eq!(r.open[&0].out.is_empty(), paced);
+}
+
 #[rstest]
 #[case::first_error(false, 1.0, false)]
 #[case::second_error(true, 1.0, true)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -133,6 +133,8 @@
     pub look_at: Tenths,
     pub broken_rounds: u32,
     pub round_at: Tenths,
+    /// Latencies over response targets of its answers.
+    pub slow: Mean,
 }
 
 #[derive(Clone, Debug, Default)]
