--- /dev/null
+++ b/crates/cli/tests/lab.rs
@@ -0,0 +1,123 @@
+//! The program as it is called: exit codes, what goes where, and a run that is killed.
+
+use rstest::rstest;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+const FILE: &str = "experiment = \"t\"\nlength = \"2s\"\nseeds = [1, 2, 3]\nfleet {\n  machine \"m\" {}\n}\n\
+    traffic {\n  rate = 50\n}\ncommand_group \"look\" {\n  share = 1\n  access = \"any\"\n  work = \"10ms\"\n  target = \"100ms\"\n  timeout = \"1s\"\n}\n";
+
+/// A folder of its own with an experiment in it.
+struct Place(PathBuf);
+
+impl Place {
+    fn new(text: &str) -> Place {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("vetchkeel-cli-{}-{}", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("a folder");
+        std::fs::write(path.join("e.hcl"), text).expect("a file");
+        Place(path)
+    }
+
+    fn command(&self, line: &str) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_vetchkeel"));
+        command.args(line.split(' ')).current_dir(&self.0);
+        command
+    }
+
+    fn call(&self, line: &str) -> (i32, String, String) {
+        let Output { status, stdout, stderr } = self.command(line).output().expect("runs");
+        let text = |bytes| String::from_utf8(bytes).expect("text");
+        (status.code().expect("ended by itself"), text(stdout), text(stderr))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[rstest]
+fn an_experiment_is_run_listed_shown_compared_drawn_and_exported() {
+    let place = Place::new(FILE);
+    let (code, out, log) = place.call("lab run e.hcl");
+    assert!(
+        code == 0 && out.contains("answered in target") && out.contains("no rule broken"),
+        "{code} {out}"
+    );
+    assert!(log.contains("experiment begins") && !log.contains("runs, "), "no progress bar in a pipe: {log}");
+    let again = place.call("lab run e.hcl --json --log json");
+    let document: serde_json::Value = serde_json::from_str(&again.1).expect("one JSON document");
+    assert_eq!(document["runs"].as_array().map(Vec::len), Some(3));
+    assert!(again.2.lines().all(|l| serde_json::from_str::<serde_json::Value>(l).is_ok()), "{}", again.2);
+    let (_, list, _) = place.call("lab list");
+    assert!(list.lines().count() == 2 && list.contains("3 runs"), "{list}");
+    let (_, shown, _) = place.call("lab show 1");
+    assert_eq!(shown.lines().skip(1).collect::<Vec<_>>(), out.lines().skip(1).collect::<Vec<_>>());
+    let (_, compared, _) = place.call("lab compare 1 2");
+    assert!(compared.contains("no difference shown") && !compared.contains("B - A ="), "{compared}");
+    let (_, drawn, _) = place.call("lab chart 1 --out c");
+    assert!(drawn.lines().count() == 3 && drawn.lines().all(|f| place.0.join(f).exists()), "{drawn}");
+    let (_, csv, _) = place.call("lab export 1");
+    assert_eq!(csv.lines().count(), 1 + 3 * 2);
+}
+
+#[rstest]
+#[case::right("check e.hcl", FILE, 0, "right, experiment t", "")]
+#[case::wrong("check e.hcl", "experiment = 1\n", 2, "", "e.hcl:1:14: expected a text")]
+#[case::wrong_run("lab run e.hcl", "experiment = \"t\"\n", 2, "", "expected a block command_group")]
+#[case::no_file("check f.hcl", FILE, 2, "", "f.hcl:1:1: expected a readable file")]
+#[case::no_number("lab show 9", FILE, 2, "", "no experiment has the number 9")]
+#[case::nothing_yet("lab show", FILE, 2, "", "expected an experiment")]
+#[case::no_router(
+    "lab run e.hcl --driver loopback --router nowhere",
+    FILE,
+    2,
+    "",
+    "expected the router program"
+)]
+#[case::no_level("--log-level =x= check e.hcl", FILE, 2, "", "--log-level")]
+fn exit_codes(
+    #[case] line: &str,
+    #[case] text: &str,
+    #[case] code: i32,
+    #[case] out: &str,
+    #[case] log: &str,
+) {
+    let got = Place::new(text).call(line);
+    assert!(got.0 == code && got.1.contains(out) && got.2.contains(log), "{got:?}");
+}
+
+#[rstest]
+fn a_broken_rule_is_a_failure() {
+    let text = FILE.replace("access = \"any\"", "access = \"bounded\"\n  bound = \"10ms\"");
+    let text = text.replace("fleet {", "decides = \"random\"\nfleet {\n  checks = \"none\"");
+    let (code, out, why) = Place::new(&text).call("lab run e.hcl");
+    assert!(
+        code == 1 && out.contains("BROKEN rule 5") && why.contains("rules were broken"),
+        "{code} {out} {why}"
+    );
+}
+
+#[rstest]
+fn a_run_that_is_killed_leaves_what_was_kept() {
+    let seeds: Vec<String> = (1..2_000).map(|s| s.to_string()).collect();
+    let place = Place::new(&FILE.replace("1, 2, 3", &seeds.join(", ")));
+    let mut child = place.command("lab run e.hcl --jobs 1").stderr(Stdio::piped()).spawn().expect("runs");
+    let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+    assert!(lines.any(|l| l.is_ok_and(|l| l.contains("experiment begins"))));
+    // The store is held by the one that writes: what is kept shows in the file's growth.
+    let size = || std::fs::metadata(place.0.join("vetchkeel-lab.redb")).map_or(0, |m| m.len());
+    let begun = size();
+    while size() <= begun && child.try_wait().is_ok_and(|ended| ended.is_none()) {
+        std::thread::yield_now();
+    }
+    child.kill().expect("killed");
+    child.wait().expect("ended");
+    let (code, list, _) = place.call("lab list");
+    assert!(code == 0 && list.contains("cut short") && list.contains("of 1999 runs"), "{list}");
+}
