--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -31,6 +31,9 @@
         /// The router program for runs on loopback; the one beside this program if not said.
         #[arg(long)]
         router: Option<PathBuf>,
+        /// Captures the load of a single run into this file.
+        #[arg(long)]
+        capture: Option<PathBuf>,
         /// Writes the charts into this folder as well.
         #[arg(long)]
         charts: Option<PathBuf>,
@@ -116,7 +119,7 @@
 
 pub fn run(lab: Lab, json: bool) -> Result<(), Failed> {
     match lab {
-        Lab::Run { file, store, driver, seeds, jobs, router, charts } => {
+        Lab::Run { file, store, driver, seeds, jobs, router, capture, charts } => {
             let mut experiment = Experiment::read(&file).map_err(|w| Failed::Input(w.to_string()))?;
             if let Some(driver) = driver {
                 experiment.drives = match driver {
@@ -128,7 +131,7 @@
                 experiment.seeds = seeds;
             }
             let cores = std::thread::available_parallelism().map_or(1, usize::from);
-            let means = Means { jobs: jobs.unwrap_or(cores), router: router.unwrap_or_else(beside) };
+            let means = Means { jobs: jobs.unwrap_or(cores), router: router.unwrap_or_else(beside), capture };
             play(&experiment, &means, &store, charts.as_deref(), json)
         }
         Lab::List { store } => list(&store, json),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod lab;
 mod logs;
+mod plan;
 
 use clap::{Parser, Subcommand};
 use std::io::Write;
@@ -33,6 +34,9 @@
     /// Runs experiments, keeps their results and shows them.
     #[command(subcommand)]
     Lab(lab::Lab),
+    /// Capacity: what breaks first, how many members a target needs, what a lost zone does.
+    #[command(subcommand)]
+    Plan(plan::Plan),
     /// Checks an operator file without running anything.
     Check {
         /// The file.
@@ -77,6 +81,7 @@
     }
     let done = match line.what {
         What::Lab(lab) => lab::run(lab, line.json),
+        What::Plan(plan) => plan::run(plan, line.json),
         What::Check { file } => check::run(&file, line.json),
     };
     match done {
--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/program.rs
@@ -121,3 +121,47 @@
     let (code, list, _) = place.call("lab list");
     assert!(code == 0 && list.contains("cut short") && list.contains("of 1999 runs"), "{list}");
 }
+
+// ---- plans ----
+
+const FLEET: &str = "fleet {\n  zones = [\"a\", \"b\"]\n  sets = 2\n  routers = 2\n  machine \"m\" {}\n}\ntraffic {\n  rate = 200\n}\n\
+    command_group \"look\" {\n  share = 3\n  access = \"any\"\n  work = lognormal(\"20ms\", 0.6)\n  target = \"250ms\"\n  timeout = \"1s\"\n}\n\
+    command_group \"order\" {\n  share = 1\n  access = \"write\"\n  work = lognormal(\"15ms\", 0.6)\n  target = \"500ms\"\n  timeout = \"3s\"\n}\n";
+
+#[rstest]
+#[case::limit("plan limit --fleet e.hcl", 0, &["The first limit is met at", "Played in the lab", "what runs out next"])]
+#[case::size("plan size --fleet e.hcl --scale 8", 0, &["members hold 0.99 at 1600", "holds when played"])]
+#[case::size_of_one_set("plan size --fleet e.hcl --scale 40 --keep-sets", 1, &[])]
+#[case::lose("plan lose-zone --fleet e.hcl", 0, &["Losing zone a", "Losing the primary", "until the election", "replacements get warm"])]
+#[case::restart("plan restart --fleet e.hcl", 0, &["1. members", "rules broken 0 times, 0 members pushed over"])]
+#[case::bad_goal("plan limit --fleet e.hcl --goal 2", 2, &[])]
+#[case::no_capture("plan limit --fleet e.hcl --load e.hcl", 2, &[])]
+fn plans_answer_in_words(#[case] line: &str, #[case] code: i32, #[case] words: &[&str]) {
+    let got = Place::new(FLEET).call(line);
+    assert!(got.0 == code && words.iter().all(|w| got.1.contains(w)), "{got:?}");
+    if !line.contains("--goal") && !line.contains("--load") {
+        let json = Place::new(FLEET).call(&format!("{line} --json"));
+        assert!(serde_json::from_str::<serde_json::Value>(&json.1).is_ok(), "{json:?}");
+    }
+}
+
+/// A capture of 60 simulated seconds; the fleet file that is fitted to it begins with all work at 50 ms.
+#[rstest]
+fn work_is_fitted_to_a_capture_within_ten_in_a_hundred() {
+    let text = format!("experiment = \"t\"\nlength = \"60s\"\n{FLEET}");
+    let place = Place::new(&text);
+    assert_eq!(place.call("lab run e.hcl --capture c.vkl").0, 0);
+    let guess =
+        FLEET.replace("lognormal(\"20ms\", 0.6)", "\"50ms\"").replace("lognormal(\"15ms\", 0.6)", "\"50ms\"");
+    std::fs::write(place.0.join("f.hcl"), guess).expect("a file");
+    let (code, out, log) = place.call("plan fit c.vkl --fleet f.hcl --out g.hcl --json");
+    assert_eq!(code, 0, "{log}");
+    let document: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    let work = |i: usize| document["groups"][i]["work_ms"].as_f64().unwrap_or(0.0);
+    assert!((work(0) / 20.0 - 1.0).abs() < 0.1 && (work(1) / 15.0 - 1.0).abs() < 0.1, "{out}");
+    let limit = place.call("plan limit --fleet g.hcl --load c.vkl");
+    assert!(
+        limit.0 == 0 && limit.1.contains("The capture can't tell the cost of applying a write"),
+        "{limit:?}"
+    );
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -6,7 +6,7 @@
 use crate::setup::{ClientsPlan, Decides, Permits, Setup};
 use parts::{command_group, customers, fleet_plan, traffic_plan, trouble};
 use std::path::Path;
-use vetchkeel_fleet::{Micros, SECOND};
+use vetchkeel_fleet::{Micros, Rhythm, SECOND, TrafficPlan};
 use vetchkeel_operator::{OperatorFile, Section, Value, Wrong};
 
 /// No experiment has more points than this.
@@ -67,7 +67,7 @@
             .into_iter()
             .map(|values| {
                 let swept = file.with(&values);
-                let setup = setup(&swept.root())?;
+                let setup = setup(&swept.root(), false)?;
                 if let Some(path) = swept.unused().first() {
                     let block = root.blocks("sweep")?.into_iter().find(|b| b.label.as_ref() == Some(path));
                     let section = block.map_or(file.root(), |b| b.section);
@@ -104,7 +104,12 @@
     Ok(points)
 }
 
-fn setup(root: &Section<'_>) -> Result<Setup, Wrong> {
+/// A fleet alone, its traffic as far as the file has it. Blocks of the caller's own must have been asked for.
+pub fn fleet_of(root: &Section<'_>) -> Result<Setup, Wrong> {
+    setup(root, true)
+}
+
+fn setup(root: &Section<'_>, of_fleet: bool) -> Result<Setup, Wrong> {
     // Read where the file is read as a whole.
     for name in ["experiment", "about", "driver", "seeds"] {
         root.value(name);
@@ -123,9 +128,26 @@
     let section = root.need_block("fleet")?;
     let plan = fleet_plan(&section, groups)?;
     section.done()?;
-    let section = root.need_block("traffic")?;
-    let traffic = traffic_plan(&section, &plan, &customers, length)?;
-    section.done()?;
+    let traffic = match root.block("traffic")? {
+        None if of_fleet => {
+            let even = |count: usize| vec![1.0; count];
+            TrafficPlan {
+                rate: 1.0,
+                rhythm: Rhythm::Poisson,
+                sets: even(plan.sets.len()),
+                customers: even(customers.len().max(1)),
+                routers: even(plan.routers.len()),
+                sessions: 2_000,
+                until: length,
+            }
+        }
+        None => return Err(root.wrong("a block traffic", "none")),
+        Some(section) => {
+            let traffic = traffic_plan(&section, &plan, &customers, length)?;
+            section.done()?;
+            traffic
+        }
+    };
     let clients = match root.block("clients")? {
         None => ClientsPlan {
             retries: 1,
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -27,6 +27,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use vetchkeel_audit::{Auditor, Breach};
+use vetchkeel_capture::Recorder;
 use vetchkeel_fleet::{Dice, Ended, Fleet, ListMode, Micros, Report, SECOND, Traffic, dice};
 
 /// From the start of the processes to the first command.
@@ -78,6 +79,7 @@
 struct Stage<'a> {
     setup: &'a Setup,
     program: &'a Path,
+    recorder: Option<&'a mut Recorder>,
     folder: Folder,
     handle: LoopHandle<'static, Vec<SourceKey>>,
     since: Instant,
@@ -125,7 +127,12 @@
 }
 
 /// Plays one run with real router processes.
-pub fn play(setup: &Setup, seed: u64, program: &Path) -> Result<RunResult, String> {
+pub fn play(
+    setup: &Setup,
+    seed: u64,
+    program: &Path,
+    recorder: Option<&mut Recorder>,
+) -> Result<RunResult, String> {
     if setup.decides != Decides::Module {
         return Err(format!("the baseline {} runs simulated only", setup.decides.name()));
     }
@@ -133,7 +140,7 @@
         return Err("expected a list that is pushed or watched: the router on sockets only watches".into());
     }
     let mut event_loop = EventLoop::<Vec<SourceKey>>::try_new().map_err(|e| e.to_string())?;
-    let mut stage = Stage::new(setup, seed, program, event_loop.handle())?;
+    let mut stage = Stage::new(setup, seed, program, recorder, event_loop.handle())?;
     stage.play(&mut event_loop, seed)
 }
 
@@ -151,6 +158,7 @@
         setup: &'a Setup,
         seed: u64,
         program: &'a Path,
+        recorder: Option<&'a mut Recorder>,
         handle: LoopHandle<'static, Vec<SourceKey>>,
     ) -> Result<Stage<'a>, String> {
         let plan = &setup.plan;
@@ -165,6 +173,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let mut stage = Stage {
             program,
+            recorder,
             folder: Folder::new()?,
             handle,
             since: Instant::now(),
--- a/crates/lab/src/loopback/load.rs
+++ b/crates/lab/src/loopback/load.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use vetchkeel_audit::{Breach, Final, Taken};
+use vetchkeel_capture as capture;
 use vetchkeel_fleet::Micros;
 use vetchkeel_pgwire as pgwire;
 
@@ -37,6 +38,10 @@
     router: usize,
     client: u64,
     ended: bool,
+    deadline: Micros,
+    /// Member of the last dispatch that reached one, when, and how many did.
+    pub(super) last: Option<(usize, Micros)>,
+    pub(super) dispatches: u32,
 }
 
 impl Stage<'_> {
@@ -103,7 +108,16 @@
         };
         let deadline = self.now + left;
         let (taken, client) = (self.now, key);
-        let number = self.tries.push(Try { wish, taken, router, client, ended: false });
+        let number = self.tries.push(Try {
+            wish,
+            taken,
+            router,
+            client,
+            ended: false,
+            deadline,
+            last: None,
+            dispatches: 0,
+        });
         let statement = self.statement_of(number, &wish, left);
         let mut out = Vec::new();
         pgwire::query(&mut out, &statement);
@@ -206,6 +220,7 @@
         let Some(tried) = self.tries.get_mut(number).filter(|t| !t.ended) else { return };
         tried.ended = true;
         let wish = tried.wish;
+        let length = row.as_ref().map_or(0, Vec::len) as u64;
         let (how, outcome, hold_off) = match (row, error) {
             (Some(value), None) => {
                 if value != format!("{number:x}").as_bytes() {
@@ -221,10 +236,36 @@
             }
             _ => (Final::Failed, Outcome::Failed, 0),
         };
+        let (ending, bytes) = match how {
+            Final::Answered => (capture::Ending::Answered, length),
+            Final::Throttled => (capture::Ending::Throttled, 0),
+            Final::Failed => (capture::Ending::Failed, 0),
+        };
+        self.captured(number, ending, bytes);
         self.auditor.final_answer(self.now, number, how);
         self.tried(wish, outcome, hold_off);
     }
 
+    /// A try has ended: its record, if the load is captured.
+    fn captured(&mut self, number: u64, ending: capture::Ending, bytes: u64) {
+        let (Some(recorder), Some(tried)) = (&mut self.recorder, self.tries.get(number)) else { return };
+        let wish = &tried.wish;
+        recorder.record(capture::Record {
+            arrived: self.unix_us as i64 + tried.taken,
+            command_group: self.setup.plan.groups[wish.group].name.as_str().into(),
+            customer: self.setup.customers.get(wish.customer).map(|c| c.0.as_str().into()),
+            member: tried.last.map(|(node, _)| format!("m{node}").into()),
+            set: wish.set as i64,
+            session: wish.session as u64 + 1,
+            time_left: (tried.deadline - tried.taken) as u64,
+            waited: tried.last.map_or(0, |(_, at)| at - tried.taken) as u64,
+            latency: (self.now - tried.taken) as u64,
+            ending,
+            dispatches: tried.dispatches,
+            bytes,
+        });
+    }
+
     /// A router has closed a client's connection, or died.
     fn client_closed(&mut self, key: u64) {
         let Some(client) = self.drop_client(key) else { return };
@@ -266,6 +307,7 @@
         let Some(tried) = self.tries.get_mut(number) else { return };
         if !std::mem::replace(&mut tried.ended, true) {
             let (wish, client) = (tried.wish, tried.client);
+            self.captured(number, capture::Ending::Left, 0);
             self.drop_client(client);
             self.tried(wish, Outcome::Unanswered, 0);
         }
--- a/crates/lab/src/loopback/members.rs
+++ b/crates/lab/src/loopback/members.rs
@@ -150,6 +150,10 @@
         let needed = self.setup.needed(group, self.now, tried.taken, session);
         let work = tried.wish.work + extra;
         let by = conn.by.map_or(place, |b| b.0);
+        let now = self.now;
+        if let Some(tried) = self.tries.get_mut(command) {
+            (tried.last, tried.dispatches) = (Some((by, now)), tried.dispatches + 1);
+        }
         let n = self.flights.push(Flight { conn: key, command, work, needed, group });
         if let Some(conn) = self.conns.get_mut(key) {
             conn.stand = Stand::Flight(n);
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -1,11 +1,14 @@
 //! Runs an experiment: all its points with all its seeds, side by side as far as that is allowed.
 
 use crate::experiment::{Drives, Experiment};
+use crate::loopback::play;
 use crate::result::RunResult;
-use crate::sim::simulate;
+use crate::sim::{simulate, simulate_captured};
+use std::fs::File;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
+use vetchkeel_capture::{Recorder, RecorderLimits};
 
 /// How an experiment is carried out.
 pub struct Means {
@@ -13,6 +16,8 @@
     pub jobs: usize,
     /// The program that is a router, for runs on loopback.
     pub router: PathBuf,
+    /// Where the load of a single run is captured.
+    pub capture: Option<PathBuf>,
 }
 
 /// Runs what is planned and hands over each result with its number, in the order in which they end. What
@@ -27,10 +32,22 @@
     let one = |number: usize| -> Result<RunResult, String> {
         let (point, seed) = jobs[number];
         let point = &experiment.points[point];
-        let mut result = match experiment.drives {
-            Drives::Simulated => simulate(&point.setup, seed)?,
-            Drives::Loopback => crate::loopback::play(&point.setup, seed, &means.router)?,
+        let mut recorder = match &means.capture {
+            None => None,
+            Some(_) if jobs.len() > 1 => return Err("expected a single run to capture, found several".into()),
+            Some(path) => {
+                let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+                Some(Recorder::new(file, RecorderLimits::default()))
+            }
+        };
+        let mut result = match (experiment.drives, &mut recorder) {
+            (Drives::Simulated, None) => simulate(&point.setup, seed)?,
+            (Drives::Simulated, Some(recorder)) => simulate_captured(&point.setup, seed, recorder)?,
+            (Drives::Loopback, recorder) => play(&point.setup, seed, &means.router, recorder.as_mut())?,
         };
+        if let Some(recorder) = recorder {
+            recorder.finish().map_err(|e| format!("the capture: {e}"))?;
+        }
         result.point = point.values.clone();
         Ok(result)
     };
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -14,6 +14,7 @@
 use table::{Conn, Flight, Host, Pools, Probe, Stage, Try};
 use vetchkeel::{Command, Decision, Ending, Entry, Id, Phase, Tenths};
 use vetchkeel_audit::{Auditor, Fate, Final, Taken};
+use vetchkeel_capture::{self as capture, Recorder};
 use vetchkeel_fleet::{
     self as fleet, Agenda, Arrival, Dialled, Dice, Ended, Fleet, Micros, Needs, Query, SECOND, Said, Sheet,
     Traffic, Verdict, dice,
@@ -23,6 +24,8 @@
 
 /// The routers' clock at the start of a run, in tenths of a millisecond: positions of 0 mean that none is told.
 const CLOCK: Tenths = 1_000_000_000;
+/// Unix time of the start of a run, in captures.
+const UNIX: Micros = 1_767_225_600_000_000;
 /// What an agent on the router's own machine takes to answer.
 const AGENT: Micros = 200;
 
@@ -89,17 +92,23 @@
     written: BTreeMap<(usize, u32), Micros>,
     sessions: bool,
     dice: Dice,
+    recorder: Option<&'a mut Recorder>,
     seed: u64,
     now: Micros,
 }
 
 /// Plays one run to its end.
 pub fn simulate(setup: &Setup, seed: u64) -> Result<RunResult, String> {
-    Sim::new(setup, seed)?.run()
+    Sim::new(setup, seed, None)?.run()
+}
+
+/// Plays one run and captures its load.
+pub fn simulate_captured(setup: &Setup, seed: u64, recorder: &mut Recorder) -> Result<RunResult, String> {
+    Sim::new(setup, seed, Some(recorder))?.run()
 }
 
 impl<'a> Sim<'a> {
-    fn new(setup: &'a Setup, seed: u64) -> Result<Sim<'a>, String> {
+    fn new(setup: &'a Setup, seed: u64, recorder: Option<&'a mut Recorder>) -> Result<Sim<'a>, String> {
         let plan = &setup.plan;
         let routers = plan.routers.len();
         let fleet = Fleet::new(plan.clone(), setup.troubles.clone(), seed);
@@ -118,6 +127,7 @@
             written: BTreeMap::new(),
             sessions: plan.groups.iter().any(|g| g.access == fleet::Access::Session),
             dice: dice(seed, "routers"),
+            recorder,
             seed,
             now: 0,
             fleet,
@@ -229,6 +239,7 @@
             taken: self.now,
             deadline,
             ended: false,
+            last: None,
             flights: Vec::new(),
             out: 0,
         });
@@ -268,11 +279,41 @@
         }
     }
 
+    fn capture(&mut self, number: u64, how: Final) {
+        let ending = match how {
+            Final::Answered => capture::Ending::Answered,
+            Final::Throttled => capture::Ending::Throttled,
+            Final::Failed => capture::Ending::Failed,
+        };
+        self.captured(number, ending);
+    }
+
+    /// A try has ended: its record, if the load is captured.
+    fn captured(&mut self, number: u64, ending: capture::Ending) {
+        let (Some(recorder), Some(tried)) = (&mut self.recorder, self.tries.get(number)) else { return };
+        let wish = &tried.wish;
+        recorder.record(capture::Record {
+            arrived: UNIX + tried.taken,
+            command_group: self.setup.plan.groups[wish.group].name.as_str().into(),
+            customer: self.setup.customers.get(wish.customer).map(|c| c.0.as_str().into()),
+            member: tried.last.map(|(node, _)| self.names[node].clone()),
+            set: wish.set as i64,
+            session: wish.session as u64 + 1,
+            time_left: (tried.deadline - tried.taken) as u64,
+            waited: tried.last.map_or(0, |(_, decided)| decided - tried.taken) as u64,
+            latency: (self.now - tried.taken) as u64,
+            ending,
+            dispatches: tried.flights.len() as u32,
+            bytes: 0,
+        });
+    }
+
     /// A final answer of a router.
     fn answer(&mut self, number: u64, how: Final, hold_off: Micros) {
         let Some(tried) = self.tries.get_mut(number).filter(|t| !t.ended) else { return };
         tried.ended = true;
         let wish = tried.wish;
+        self.capture(number, how);
         self.auditor.final_answer(self.now, number, how);
         let outcome = match how {
             Final::Answered => Outcome::Answered,
@@ -287,6 +328,7 @@
         let (router, ended) = (tried.router, std::mem::replace(&mut tried.ended, true));
         let wish = tried.wish;
         if !ended {
+            self.captured(number, capture::Ending::Left);
             self.tell(router, |decider, _| decider.command_left(&format!("{number:x}")));
             self.tried(wish, Outcome::Unanswered, 0);
             self.pull(router);
--- a/crates/lab/src/sim/links.rs
+++ b/crates/lab/src/sim/links.rs
@@ -34,8 +34,10 @@
             }
             self.close(node, idle);
         }
+        let now = self.now;
         let Some(tried) = self.tries.get_mut(command) else { return };
         tried.out += 1;
+        tried.last = Some((node, now));
         let flight = Flight {
             router,
             command,
--- a/crates/lab/src/sim/table.rs
+++ b/crates/lab/src/sim/table.rs
@@ -12,6 +12,8 @@
     pub(super) taken: Micros,
     pub(super) deadline: Micros,
     pub(super) ended: bool,
+    /// The member of the last dispatch, and when that was decided.
+    pub(super) last: Option<(usize, Micros)>,
     /// The flight of each dispatch.
     pub(super) flights: Vec<u64>,
     /// Flights of which either side has not seen the end.
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -219,7 +219,7 @@
 #[rstest]
 fn experiments_end_at_the_first_error() {
     let e: Experiment = read(BASE).expect("right");
-    let means = crate::runner::Means { jobs: 2, router: "nowhere".into() };
+    let means = crate::runner::Means { jobs: 2, router: "nowhere".into(), capture: None };
     let ended = crate::runner::run(&e, &means, |_, _| Err("full".to_owned()));
     assert_eq!(ended, Err("full".to_owned()));
 }
--- a/crates/lab/src/tests/loopback.rs
+++ b/crates/lab/src/tests/loopback.rs
@@ -21,7 +21,7 @@
 fn play(more: &str) -> RunResult {
     let text = BASE.replace("length = \"8s\"", "length = \"6s\"");
     let e = read(&format!("{text}{more}")).expect("right");
-    crate::loopback::play(&e.points[0].setup, 3, &router()).expect("plays")
+    crate::loopback::play(&e.points[0].setup, 3, &router(), None).expect("plays")
 }
 
 fn books(r: &RunResult) {
@@ -54,5 +54,5 @@
 #[rstest]
 fn a_baseline_is_refused_on_loopback() {
     let e = read(&format!("{BASE}\ndecides = \"random\"\n")).expect("right");
-    assert!(crate::loopback::play(&e.points[0].setup, 1, &router()).is_err());
+    assert!(crate::loopback::play(&e.points[0].setup, 1, &router(), None).is_err());
 }
--- a/crates/operator/src/value.rs
+++ b/crates/operator/src/value.rs
@@ -56,7 +56,8 @@
         self.expression
     }
 
-    fn place(&self) -> Range<usize> {
+    /// Where it stands in the file's text.
+    pub fn place(&self) -> Range<usize> {
         self.expression.span().unwrap_or(self.near.clone())
     }
 
