--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -162,7 +162,7 @@
 }
 
 /// The router program that was built with this one.
-fn beside() -> PathBuf {
+pub fn beside() -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     own.with_file_name("vetchkeel-router")
 }
--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -4,6 +4,7 @@
 mod limit;
 mod lose;
 mod played;
+mod prove;
 mod size;
 
 use crate::Failed;
@@ -51,6 +52,23 @@
         #[arg(long, default_value_t = 15)]
         replaced_after: u64,
     },
+    /// Draws fleets by chance and shows on loopback whether their predicted limits hold.
+    Prove {
+        #[command(flatten)]
+        asked: Asked,
+        /// One fleet a seed.
+        #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+        seeds: Vec<u64>,
+        /// Fleets played at once; each takes about a core.
+        #[arg(long, default_value_t = 2)]
+        jobs: usize,
+        /// Seconds that each rate is played.
+        #[arg(long, default_value_t = 10)]
+        seconds: i64,
+        /// The router program; the one beside this program if not said.
+        #[arg(long)]
+        router: Option<PathBuf>,
+    },
     /// The order in which to start all members again.
     Restart {
         #[command(flatten)]
@@ -242,6 +260,17 @@
         Plan::Limit { asked } => limit::run(&asked.question()?, json),
         Plan::Size { asked, keep_sets, most } => size::run(&asked.question()?, !keep_sets, most, json),
         Plan::LoseZone { asked, replaced_after } => lose::run(&asked.question()?, replaced_after, json),
+        Plan::Prove { asked, seeds, jobs, seconds, router } => {
+            let router = router.unwrap_or_else(crate::lab::beside);
+            if !router.exists() {
+                let why = format!(
+                    "expected the router program at {}: `cargo build --release` builds it",
+                    router.display()
+                );
+                return Err(Failed::Input(why));
+            }
+            prove::run(&asked.question()?, &router, &seeds, jobs, seconds.clamp(3, 600), json)
+        }
         Plan::Restart { asked } => lose::restart(&asked.question()?, json),
     }
 }
