--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,10 +42,10 @@
 const TURN_MOST: f64 = 12.0;
 /// Mean latency over response target above which a router slows its pace; the least and the most of it.
 const PACE_MARK: f64 = 0.45;
-/// The same of one set, over a longer while, from which on the pace holds for it.
-const SET_MARK: f64 = 0.4;
 const PACE_LEAST: f64 = 0.3;
 const PACE_MOST: f64 = 1.5;
+/// The mean of one set, over a longer while, above which the pace holds for it.
+const SET_MARK: f64 = 0.4;
 /// A command that erred gets one more dispatch while this part of such dispatches is answered.
 const CURED: f64 = 0.3;
 /// A command is worth sending while it has this many usual latencies left.
@@ -536,7 +536,7 @@
         }
     }
 
-    /// Danger: members that fail or crawl in some sets slow commands to all the others. A set whose own answers
+    /// Danger: members that fail or crawl in some sets slow commands to all others. A set whose own answers
     /// are in time is not paced; for what few answers don't tell, it counts as slow as the whole.
     fn paced(&self, now: Tenths, number: i64) -> bool {
         let all = self.slow.read(now, SLOW_HALF, USUAL_GUESS);
