--- a/src/decide.rs
+++ b/src/decide.rs
@@ -320,8 +320,9 @@
                     m.state = State::Unknown;
                 }
                 self.restarted(now, e.started, node);
-                // A fresh router, or one that meets a new member, probes it once for position and role.
-                self.agenda.insert((now, Task::Ask(node)));
+                // Danger: every router that starts, or meets a new member, asks it at once; with hundreds of
+                // routers started together that is a herd of dials and probes. Only a restart is asked about.
+                (!fresh).then(|| self.agenda.insert((now, Task::Ask(node))));
             }
         }
         self.forget_gone();
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -751,3 +751,17 @@
     let why = Router::start(told, 1, NOW).err().expect("no start");
     assert!(why.contains("request_classes.count") && why.contains("many"));
 }
+
+#[rstest]
+#[case::first_listed("d", 0, 0)]
+#[case::started_again("a", NOW - 10, 1)]
+fn members_are_asked_about_when_they_start_again_not_when_first_listed(
+    #[case] id: &str,
+    #[case] started: Tenths,
+    #[case] asks: usize,
+) {
+    let mut r = router(&[]);
+    r.agenda.clear();
+    r.members_changed(NOW, false, &[entry(id, Phase::Up, started)]);
+    assert_eq!(r.agenda.iter().filter(|(_, task)| matches!(task, Task::Ask(_))).count(), asks);
+}
