Late answers narrow a window to the fleet's least, not to 0.3 a router

Change: the least is 0.3 x 10 / routers where that is less (the start of a window already counts over the routers named by the settings); a window still starts at 0.3. Test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -78,6 +78,8 @@
     stale: ByAge,
     list_fails: u32,
     node_checks: bool,
+    /// The least window of one router: its part of the least over the fleet, once routers are many.
+    least: f64,
     done_work: Decay,
     asked_work: Decay,
     pace: f64,
@@ -109,6 +111,7 @@
             cheap: groups.iter().map(|g| g.target).min().unwrap_or(0) * 3,
             most: pick(&told, "permissions.max_attempts", 1)?,
             busy: (WINDOW_BUSY / pick(&told, "balancers", 1.0)?).round(),
+            least: (WINDOW_LEAST * WINDOW_START / pick(&told, "balancers", 1.0)?).min(WINDOW_LEAST),
             shares: shares(&told)?,
             node_checks: ["refuse", "wait"].iter().any(|c| is(&told, "family_info.server_checks", c)),
             told,
@@ -242,7 +245,7 @@
             }
             Ending::Miss if !write => m.lagging = true,
             // Danger: a full member turned to again at once, by every waiting command in turn.
-            Ending::Full => m.window = (m.window / 2.0).max(WINDOW_LEAST),
+            Ending::Full => m.window = (m.window / 2.0).max(self.least),
             Ending::ConnectFailed if refused => self.refused(now, node),
             Ending::Reset if doubted => _ = self.agenda.insert((now, Task::Ask(node))),
             Ending::ConnectFailed | Ending::Reset => self.break_member(now, node),
@@ -255,7 +258,7 @@
         let judged = answered || matches!(ending, Ending::TimedOut | Ending::CalledOff);
         if judged && ratio > CROWDED {
             let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
-            m.window = f64::max(m.window - loss * m.window.min(1.0), WINDOW_LEAST);
+            m.window = f64::max(m.window - loss * m.window.min(1.0), self.least);
         } else if answered && m.out.len() as f64 + 1.0 >= m.window * 0.6 {
             m.window += (CROWDED - ratio) / m.window.max(1.0).sqrt() * m.window.min(1.0).sqrt();
         }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -765,3 +765,15 @@
     r.members_changed(NOW, false, &[entry(id, Phase::Up, started)]);
     assert_eq!(r.agenda.iter().filter(|(_, task)| matches!(task, Task::Ask(_))).count(), asks);
 }
+
+#[rstest]
+#[case::few_routers("3", 0.3)]
+#[case::many_routers("300", 0.01)]
+fn time_outs_narrow_a_window_down_to_the_fleets_least(#[case] balancers: &str, #[case] least: f64) {
+    let mut r = router(&[("balancers", balancers)]);
+    open(&mut r, "any");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    r.members[1].window = least;
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { took: 20_000, ..ended(Ending::TimedOut, None) });
+    assert!((r.members[1].window - least).abs() < 1e-9, "window {}", r.members[1].window);
+}
