--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -753,14 +753,16 @@
 }
 
 #[rstest]
-#[case::first_listed("d", 0, 0)]
-#[case::started_again("a", NOW - 10, 1)]
-fn members_are_asked_about_when_they_start_again_not_when_first_listed(
+#[case::first_listed_by_many("300", "d", 0, 0)]
+#[case::first_listed_by_few("3", "d", 0, 1)]
+#[case::started_again("300", "a", NOW - 10, 1)]
+fn many_routers_ask_about_members_that_start_again_not_when_first_listed(
+    #[case] balancers: &str,
     #[case] id: &str,
     #[case] started: Tenths,
     #[case] asks: usize,
 ) {
-    let mut r = router(&[]);
+    let mut r = router(&[("balancers", balancers)]);
     r.agenda.clear();
     r.members_changed(NOW, false, &[entry(id, Phase::Up, started)]);
     assert_eq!(r.agenda.iter().filter(|(_, task)| matches!(task, Task::Ask(_))).count(), asks);
