--- a/src/decide.rs
+++ b/src/decide.rs
@@ -323,9 +323,9 @@
                     m.state = State::Unknown;
                 }
                 self.restarted(now, e.started, node);
-                // Danger: every router that starts, or meets a new member, asks it at once; with hundreds of
-                // routers started together that is a herd of dials and probes. Where routers are more than ten
-                // (the fleet's least window is below a router's), only a restart is asked about.
+                // Danger: every router that starts, or meets a new member, asks it at once; hundreds started
+                // together are a herd of dials and probes. Where routers are more than ten (the fleet's least
+                // window is below a router's), only a restart is asked about.
                 let herd = fresh && self.least < WINDOW_LEAST;
                 (!herd).then(|| self.agenda.insert((now, Task::Ask(node))));
             }
