--- a/src/decide.rs
+++ b/src/decide.rs
@@ -705,9 +705,10 @@
         self.primary(number).filter(|p| self.has_room(now, *p, PRIMARY_SPARE, 0.0))
     }
 
-    /// A read that may outlast the tightest bound.
+    /// A read that may outlast the tightest bound, at twice its unhurried time.
     fn outlasts(&self, kind: usize) -> bool {
-        self.groups[kind].access == Access::Any && self.groups[kind].target > self.tightest
+        let time = self.groups[kind].target as f64 * USUAL_GUESS * 2.0;
+        self.groups[kind].access == Access::Any && time > self.tightest as f64
     }
 
     /// For how long a member stays fresh enough: known position against bound or token. Where nodes check for
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -462,6 +462,14 @@
     assert_eq!(r.pick_reader(NOW, 1, 0), node);
 }
 
+#[rstest]
+#[case::in_hand_well_inside_the_bound("700", false)]
+#[case::beside_the_bound("800", true)]
+fn a_read_is_long_that_may_outlast_the_tightest_bound(#[case] target: &str, #[case] long: bool) {
+    let r = router(&[("request_classes.0.aim_ms", target)]);
+    assert_eq!(r.outlasts(0), long);
+}
+
 #[rstest]
 #[case::primary_when_none_qualifies(NOW - 9_000, Some(0))]
 #[case::replica_when_one_does(NOW - 9, Some(1))]
