Reads: a replica being checked is waited for before the primary

Cause: on the fleet of hundreds a router meets a replica every few seconds, so its position has run out when a bounded read comes. Change: a bounded or session read waits while a replica that works is being checked, half a usual latency at most. It may harm where probes are slow: each such read loses half a usual latency, then goes to the primary as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -474,7 +474,7 @@
                     Task::GiveUp(key) => self.give_up(now, key),
                     Task::Overdue(key, dispatch) => self.overdue(now, key, dispatch),
                     Task::Look(set) => _ = self.dirty.insert(set),
-                    Task::Ask(node) => self.probe(node),
+                    Task::Ask(node) => self.probe(now, node),
                     Task::Watch => self.ready.push_back(Decision::WatchList),
                 }
             } else if let Some(set) = self.dirty.pop_first() {
@@ -627,15 +627,15 @@
             !m.shut && !m.probing && (m.state != State::TransportError || m.retry_at <= now)
         });
         if let Some(node) = open.min_by_key(|n| (self.members[*n].checked_at, self.members[*n].tie)) {
-            self.probe(node);
+            self.probe(now, node);
         }
     }
 
-    fn probe(&mut self, node: Node) {
+    fn probe(&mut self, now: Tenths, node: Node) {
         let allowed = self.allows("permissions.may_probe");
         let m = &mut self.members[node];
         if allowed && !m.probing && !m.shut {
-            m.probing = true;
+            (m.probing, m.asked_at) = (true, now);
             self.ready.push_back(Decision::Probe { node: m.id.clone() });
         } else if !allowed && m.state == State::TransportError {
             m.state = State::Unknown;
@@ -691,7 +691,8 @@
                 break;
             }
         }
-        ask.filter(|a| best.is_none_or(|b| a.0 <= b.0)).into_iter().for_each(|(_, node)| self.probe(node));
+        let ask = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0));
+        ask.into_iter().for_each(|(_, node)| self.probe(now, node));
         if let Some((_, node)) = best {
             // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
@@ -701,6 +702,17 @@
             m.turn = m.turn.max(top - TURN_MOST) + cost;
             return Some(node);
         }
+        // Danger: where routers are many, hardly any replica's position is known when a read comes, and all
+        // reads crowd the primaries. One being checked is waited for, for half a usual latency at most.
+        let wait = (self.usual(now, self.open[&key].kind) / 2.0) as Tenths;
+        let checked = |n: &Node| {
+            let m = &self.members[*n];
+            let works = m.probing && !matches!(m.state, State::Healthy | State::TransportError);
+            works && now < m.asked_at + wait && self.fresh_for(now, &self.open[&key], m) <= 0
+        };
+        if self.sets[&number].nodes.iter().any(checked) {
+            return None;
+        }
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
         self.primary(number).filter(|p| self.has_room(now, *p, PRIMARY_SPARE, 0.0))
     }
@@ -817,7 +829,7 @@
                 self.dirty.insert(number);
             }
             // Danger: heavy commands that each earn a probe. One that was answered since the send is enough.
-            ask.then(|| self.probe(node));
+            ask.then(|| self.probe(now, node));
         }
         // Danger: lost answers fill windows that nothing empties. Past its target at a member that answers
         // others, or probes, a dispatch counts as lost; so may a heavy one.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -463,13 +463,31 @@
 }
 
 #[rstest]
-#[case::primary_when_none_qualifies(NOW - 9_000, Some(0))]
-#[case::replica_when_one_does(NOW - 9, Some(1))]
-fn reads_fall_to_the_primary_last(#[case] position: Tenths, #[case] node: Option<Node>) {
+#[case::primary_when_none_qualifies(NOW - 9_000, NOW, Some(0))]
+#[case::replica_when_one_does(NOW - 9, NOW, Some(1))]
+#[case::one_being_checked_is_waited_for(NOW - 9_000, NOW - SECOND, None)]
+fn reads_fall_to_the_primary_last(
+    #[case] position: Tenths,
+    #[case] checked: Tenths,
+    #[case] node: Option<Node>,
+) {
     let mut r = router(&[]);
     open(&mut r, "bounded");
-    r.members[0].state = State::Healthy;
-    r.members[1].position = position;
+    (r.members[0].state, r.members[2].shut) = (State::Healthy, true);
+    (r.members[1].position, r.members[1].checked_at) = (position, checked);
+    assert_eq!(r.pick_reader(NOW, 1, 0), node);
+}
+
+#[rstest]
+#[case::in_time(100, State::Unknown, None)]
+#[case::too_long(1_000, State::Unknown, Some(0))]
+#[case::broken(100, State::TransportError, Some(0))]
+fn checks_are_waited_for_a_while(#[case] since: Tenths, #[case] state: State, #[case] node: Option<Node>) {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    (r.members[0].state, r.members[2].shut) = (State::Healthy, true);
+    let m = &mut r.members[1];
+    (m.probing, m.asked_at, m.state) = (true, NOW - since, state);
     assert_eq!(r.pick_reader(NOW, 1, 0), node);
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,6 +81,8 @@
     pub credit_at: Tenths,
     pub turn: f64,
     pub probing: bool,
+    /// When the last probe went out.
+    pub asked_at: Tenths,
     pub fails: u32,
     /// Connections refused since the last answer.
     pub refused: u32,
