Names that never answered are asked by turn, beside the members known

A search for a new primary also began with the names, for none of them is ever checked. Change: a name that came after the first list and never answered (not met) is only asked, when its turn comes, in addition to the known member whose turn it is; nothing waits for it or is sent there while a known one works. If it fails it rests for the longest backoff at once. The search counts probes without an answer as asked. Guards also against members whose machine is listed before it runs. It may harm where a deploy replaces members: a new one joins at a router only with its first answered probe.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -225,6 +225,7 @@
         m.position = m.position.max(if write && answered { 0 } else { note.position });
         let spoke = matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full);
         (m.heard, m.unheard) = if spoke { (now, 0) } else { (m.heard, m.unheard) };
+        m.met |= spoke && ending != Ending::Error;
         if let Some(primary) = note.primary {
             (m.noted, m.noted_at) = (Some(primary), now);
             self.learn_role(node, primary);
@@ -270,6 +271,7 @@
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.probing = false;
+        m.met |= ending == Ending::Answered;
         if ending != Ending::Answered && m.fails == 0 && m.state != State::TransportError {
             // One lost probe proves nothing: it is asked once more.
             m.fails = 1;
@@ -291,7 +293,7 @@
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
-        let removal_binds = !self.allows("rules.soft_removal");
+        let (removal_binds, met) = (!self.allows("rules.soft_removal"), self.members.is_empty());
         for m in self.members.iter_mut().filter(|m| whole && !entries.iter().any(|e| e.node == m.id)) {
             (m.gone, m.shut) = (true, m.shut || removal_binds);
         }
@@ -305,7 +307,7 @@
             if fresh {
                 let (id, zone, set, heard) = (e.node.clone(), e.zone.clone(), e.set, now);
                 self.members.resize_with(count.max(node + 1), Member::default);
-                self.members[node] = Member { id, zone, set, heard, ..Member::default() };
+                self.members[node] = Member { id, zone, set, heard, met, ..Member::default() };
                 self.nodes.insert(e.node.clone(), node);
                 self.sets.entry(e.set).or_default().nodes.push(node);
             }
@@ -413,7 +415,9 @@
     /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
     fn break_member(&mut self, now: Tenths, node: Node) {
         let m = &mut self.members[node];
-        let backoff = (PAUSE << m.fails.saturating_sub(1).min(6)).min(BACKOFF_MAX);
+        // Danger: the list names members that do not exist. One that was never met is not asked again soon.
+        let doublings = if m.met { m.fails.saturating_sub(1).min(6) } else { 6 };
+        let backoff = (PAUSE << doublings).min(BACKOFF_MAX);
         let at = now + self.rng.jittered(backoff);
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
     }
@@ -602,7 +606,8 @@
             let m = &self.members[*n];
             !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < self.most.div_ceil(2)
         });
-        let ranked = walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, m.tie, n));
+        let ranked =
+            walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
         if let Some((.., node)) = ranked.min() {
             cmd.tried.push(node);
             set.scout = Some(key);
@@ -626,7 +631,9 @@
             let m = &self.members[*n];
             !m.shut && !m.probing && (m.state != State::TransportError || m.retry_at <= now)
         });
-        if let Some(node) = open.min_by_key(|n| (self.members[*n].checked_at, self.members[*n].tie)) {
+        // Danger: one that never answers is asked for ever. A probe without an answer counts too.
+        let last = |m: &Member| m.asked_at.max(m.checked_at);
+        if let Some(node) = open.min_by_key(|n| (last(&self.members[*n]), self.members[*n].tie)) {
             self.probe(now, node);
         }
     }
@@ -668,7 +675,12 @@
         // Danger: long reads stop a replica applying. They keep to the first by id; the others stay fresh.
         let long = self.outlasts(cmd.kind);
         let set = self.sets.get(&number)?;
-        let (mut best, mut ask) = (None::<(f64, Node)>, None::<(f64, Node)>);
+        // Danger: a list with names that are no members. One listed later that never answered is only asked,
+        // when its turn comes, while others work, and nothing waits for it.
+        let works =
+            |m: &Member| m.met && !m.shut && !matches!(m.state, State::Healthy | State::TransportError);
+        let known = set.nodes.iter().any(|n| works(&self.members[*n]));
+        let (mut best, mut ask, mut meet) = (None::<(f64, Node)>, None, None);
         let (mut top, mut first, mut count) = (0.0f64, None, 0.0);
         for &node in &set.nodes {
             let m = &self.members[node];
@@ -676,9 +688,11 @@
             if m.shut || m.state == State::Healthy {
                 continue;
             }
-            if m.state == State::TransportError || self.fresh_for(now, cmd, m) <= 0 {
-                if !m.probing && self.ask_due(now, m) && ask.is_none_or(|a| m.turn < a.0) {
-                    ask = Some((m.turn, node));
+            let strange = known && !m.met;
+            if m.state == State::TransportError || strange || self.fresh_for(now, cmd, m) <= 0 {
+                let first = if strange { &mut meet } else { &mut ask };
+                if !m.probing && self.ask_due(now, m) && first.is_none_or(|a: (f64, Node)| m.turn < a.0) {
+                    *first = Some((m.turn, node));
                 }
                 continue;
             }
@@ -693,6 +707,10 @@
         }
         let ask = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0));
         ask.into_iter().for_each(|(_, node)| self.probe(now, node));
+        if let Some((_, node)) = meet.filter(|m| best.or(ask).is_none_or(|b| m.0 <= b.0)) {
+            self.members[node].turn = top + TURN_MOST;
+            self.probe(now, node);
+        }
         if let Some((_, node)) = best {
             // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
@@ -708,7 +726,10 @@
         let checked = |n: &Node| {
             let m = &self.members[*n];
             let works = m.probing && !matches!(m.state, State::Healthy | State::TransportError);
-            works && now < m.asked_at + wait && self.fresh_for(now, &self.open[&key], m) <= 0
+            works
+                && (m.met || !known)
+                && now < m.asked_at + wait
+                && self.fresh_for(now, &self.open[&key], m) <= 0
         };
         if self.sets[&number].nodes.iter().any(checked) {
             return None;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -491,6 +491,38 @@
     assert_eq!(r.pick_reader(NOW, 1, 0), node);
 }
 
+#[rstest]
+#[case::its_turn(0.0, 1)]
+#[case::not_its_turn(9.0, 0)]
+fn a_name_that_never_answered_is_asked_beside_the_known(#[case] turn: f64, #[case] probes: usize) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.members[0].state = State::Healthy;
+    (r.members[2].met, r.members[1].turn, r.members[2].turn) = (false, 1.0, turn);
+    assert_eq!((r.pick_reader(NOW, 1, 0), r.ready.len()), (Some(1), probes));
+}
+
+#[rstest]
+#[case::never_answered(false, BACKOFF_MAX)]
+#[case::answered_before(true, PAUSE)]
+fn a_name_that_never_answered_rests_long(#[case] met: bool, #[case] least: Tenths) {
+    let mut r = router(&[]);
+    (r.members[1].met, r.members[1].fails) = (met, 1);
+    r.probe_ended(NOW, "b", Ending::TimedOut, Report::default());
+    assert!((NOW + least..NOW + 2 * least).contains(&r.members[1].retry_at));
+}
+
+#[rstest]
+fn a_seeking_round_asks_each_in_turn() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    (r.members[0].asked_at, r.members[0].checked_at) = (NOW, 0);
+    r.members[1].checked_at = NOW - PAUSE;
+    r.members[2].asked_at = NOW;
+    r.seek(NOW, 1);
+    assert_eq!(r.ready.pop_front(), Some(Decision::Probe { node: "b".into() }));
+}
+
 #[rstest]
 #[case::none_proven(NOW - 9_000, 1)]
 #[case::one_proven(NOW - 9, 0)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,8 @@
     pub checked_at: Tenths,
     pub lagging: bool,
     pub heard: Tenths,
+    /// It has answered a dispatch or a probe, or was on the first list: no name alone.
+    pub met: bool,
     /// Dispatches counted as lost since it was last heard.
     pub unheard: usize,
     /// Dispatches out: command and number, with the time of each.
