--- a/src/decide.rs
+++ b/src/decide.rs
@@ -355,6 +355,7 @@
             if !works && self.nodes.remove(&m.id).is_some() {
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
                 self.vacant.push(node);
+                self.used.remove(&node);
                 *m = Member { shut: true, ..Member::default() };
             }
         }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -829,3 +829,13 @@
     r.dispatch_ended(NOW, "cmd", DispatchEnd { took: 20_000, ..ended(Ending::TimedOut, None) });
     assert!((r.members[1].window - least).abs() < 1e-9, "window {}", r.members[1].window);
 }
+
+#[rstest]
+fn a_forgotten_member_has_no_connection_to_let_go() {
+    let mut r = router(&[]);
+    r.scarce.add(NOW, USUAL_HALF, 9.0);
+    r.used.insert(1);
+    r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
+    (r.agenda, r.dirty) = Default::default();
+    assert_eq!(r.next_decision(NOW), None);
+}
