Connections count as scarce once a refusal stands beside an answered probe

Cause: scarcity was only learned from an answer at a member that had refused this router before. Ruled out: dead members (every probe was answered until 30 s), the list (it was true until 13 s). Change: a probe that a refusing, working member answers counts as one sign of scarcity; all that idles is let go of, not only what was used last. It may harm where one member alone is full: connections elsewhere are closed for tens of seconds and cost handshakes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -283,6 +283,13 @@
             return self.break_member(now, node);
         }
         m.checked_at = now;
+        // Danger: until an answer shows that a member which refuses works, others' connections idle for seconds.
+        let squeezed = m.refused > 0 && m.state != State::TransportError;
+        if squeezed && self.scarce.read(now, USUAL_HALF) <= 1.0 {
+            self.scarce.add(now, USUAL_HALF, 1.0);
+            self.used.extend(self.nodes.values());
+        }
+        let m = &mut self.members[node];
         if m.state == State::TransportError {
             self.recover(now, node);
             report.primary.into_iter().for_each(|primary| self.learn_role(node, primary));
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -830,6 +830,19 @@
     assert!((r.members[1].window - least).abs() < 1e-9, "window {}", r.members[1].window);
 }
 
+#[rstest]
+#[case::refuses_beside_an_answered_probe(1, 3)]
+#[case::never_refused(0, 0)]
+fn idle_connections_are_let_go_where_working_members_refuse(#[case] refused: u32, #[case] let_go: usize) {
+    let mut r = router(&[]);
+    for _ in 0..2 {
+        r.members[1].refused = refused;
+        r.probe_ended(NOW, "b", Ending::Answered, Report::default());
+    }
+    let all = std::iter::from_fn(|| r.next_decision(NOW));
+    assert_eq!(all.filter(|d| matches!(d, Decision::LetGo { .. })).count(), let_go);
+}
+
 #[rstest]
 fn a_forgotten_member_has_no_connection_to_let_go() {
     let mut r = router(&[]);
