Equal turns go by rotated ids

Cause: turns start equal, and the first by id takes an equal turn at every router. The imbalance is gone after some turns. Change: of equal turns the one first by ids rotated by router number goes (the tie order that writes have).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -688,7 +688,7 @@
         let works =
             |m: &Member| m.met && !m.shut && !matches!(m.state, State::Healthy | State::TransportError);
         let known = set.nodes.iter().any(|n| works(&self.members[*n]));
-        let (mut best, mut ask, mut meet) = (None::<(f64, Node)>, None, None);
+        let (mut best, mut ask, mut meet) = (None::<(f64, usize, Node)>, None, None);
         let (mut top, mut first, mut count) = (0.0f64, None, 0.0);
         for &node in &set.nodes {
             let m = &self.members[node];
@@ -699,27 +699,30 @@
             let strange = known && !m.met;
             if m.state == State::TransportError || strange || self.fresh_for(now, cmd, m) <= 0 {
                 let first = if strange { &mut meet } else { &mut ask };
-                if !m.probing && self.ask_due(now, m) && first.is_none_or(|a: (f64, Node)| m.turn < a.0) {
-                    *first = Some((m.turn, node));
+                if !m.probing
+                    && self.ask_due(now, m)
+                    && first.is_none_or(|a: (f64, usize, Node)| (m.turn, m.tie) < (a.0, a.1))
+                {
+                    *first = Some((m.turn, m.tie, node));
                 }
                 continue;
             }
             (count, first) = (count + 1.0, first.or(Some(node)));
-            let sooner = best.is_none_or(|b| m.turn < b.0);
+            let sooner = best.is_none_or(|b| (m.turn, m.tie) < (b.0, b.1));
             if sooner && self.has_room(now, node, 1.0, 0.0) && self.lawful_for(now, key, node) > 0 {
-                best = Some((m.turn, node));
+                best = Some((m.turn, m.tie, node));
             }
             if long {
                 break;
             }
         }
         let ask = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0));
-        ask.into_iter().for_each(|(_, node)| self.probe(now, node));
-        if let Some((_, node)) = meet.filter(|m| best.or(ask).is_none_or(|b| m.0 <= b.0)) {
+        ask.into_iter().for_each(|(.., node)| self.probe(now, node));
+        if let Some((.., node)) = meet.filter(|m| best.or(ask).is_none_or(|b| m.0 <= b.0)) {
             self.members[node].turn = top + TURN_MOST;
             self.probe(now, node);
         }
-        if let Some((_, node)) = best {
+        if let Some((.., node)) = best {
             // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
             let even = long || first != Some(node);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -852,3 +852,12 @@
     (r.agenda, r.dirty) = Default::default();
     assert_eq!(r.next_decision(NOW), None);
 }
+
+#[rstest]
+fn equal_turns_go_by_rotated_ids() {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.members[0].state = State::Healthy;
+    (r.members[1].tie, r.members[2].tie) = (1, 0);
+    assert_eq!(r.pick_reader(NOW, 1, 0), Some(2));
+}
