A primary's part for reads holds for windows below one too

Cause: half of a primary's window is open to reads, but of a window below one at least one dispatch went, so where routers are many the part never held. Ruled out: ghosts (held back by then), coldness (not restarted). Change: such a window is a pause; for reads at the primary their part of it is the longer pause.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -256,6 +256,9 @@
         // Danger: many routers, each with one out, crowd a small member. A window below one is a pause.
         let pause = (usual * (1.0 / m.window.min(1.0) - 1.0)) as Tenths;
         m.shy_until = m.shy_until.max(now + pause);
+        // And for reads at a primary their part of such a window is a longer one.
+        let spare = (usual * (1.0 / (m.window * PRIMARY_SPARE).min(1.0) - 1.0)) as Tenths;
+        m.spare_at = m.spare_at.max(now + spare);
         let judged = answered || matches!(ending, Ending::TimedOut | Ending::CalledOff);
         if judged && ratio > CROWDED {
             let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
@@ -283,7 +286,7 @@
             return self.break_member(now, node);
         }
         m.checked_at = now;
-        // Danger: until an answer shows that a member which refuses works, others' connections idle for seconds.
+        // Danger: until an answer shows that one which refuses works, others' connections idle for seconds.
         let squeezed = m.refused > 0 && m.state != State::TransportError;
         if squeezed && self.scarce.read(now, USUAL_HALF) <= 1.0 {
             self.scarce.add(now, USUAL_HALF, 1.0);
@@ -746,7 +749,9 @@
             return None;
         }
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
-        self.primary(number).filter(|p| self.has_room(now, *p, PRIMARY_SPARE, 0.0))
+        let spared =
+            |p: &Node| self.members[*p].spare_at <= now && self.has_room(now, *p, PRIMARY_SPARE, 0.0);
+        self.primary(number).filter(spared)
     }
 
     /// A read that may outlast the tightest bound.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -861,3 +861,21 @@
     (r.members[1].tie, r.members[2].tie) = (1, 0);
     assert_eq!(r.pick_reader(NOW, 1, 0), Some(2));
 }
+
+#[rstest]
+#[case::writes_have_it(1_200, true, false)]
+#[case::reads_too(2_800, true, true)]
+fn small_windows_of_a_primary_spare_less_for_reads(
+    #[case] past: Tenths,
+    #[case] room: bool,
+    #[case] read: bool,
+) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    (1..3).for_each(|n| r.members[n].shut = true);
+    (r.members[0].state, r.members[0].window) = (State::Healthy, 0.25);
+    r.open.get_mut(&0).unwrap().out.insert(0, (0, NOW));
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Answered, Some(true)));
+    assert_eq!(r.has_room(NOW + past, 0, 1.0, 0.0), room);
+    assert_eq!(r.pick_reader(NOW + past, 1, 0).is_some(), read);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,8 @@
     pub out: BTreeMap<(u64, u32), Tenths>,
     pub window: f64,
     pub shy_until: Tenths,
+    /// Until then the primary's spare part is taken.
+    pub spare_at: Tenths,
     /// Seen to die; back, it is cold.
     pub died: bool,
     /// What this router may still send it while it is cold.
