--- a/src/decide.rs
+++ b/src/decide.rs
@@ -225,6 +225,7 @@
         m.position = m.position.max(if write && answered { 0 } else { note.position });
         let spoke = matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full);
         (m.heard, m.unheard) = if spoke { (now, 0) } else { (m.heard, m.unheard) };
+        m.met |= spoke && ending != Ending::Error;
         if let Some(primary) = note.primary {
             (m.noted, m.noted_at) = (Some(primary), now);
             self.learn_role(node, primary);
@@ -255,6 +256,9 @@
         // Danger: many routers, each with one out, crowd a small member. A window below one is a pause.
         let pause = (usual * (1.0 / m.window.min(1.0) - 1.0)) as Tenths;
         m.shy_until = m.shy_until.max(now + pause);
+        // And for reads at a primary their part of such a window is a longer one.
+        let spare = (usual * (1.0 / (m.window * PRIMARY_SPARE).min(1.0) - 1.0)) as Tenths;
+        m.spare_at = m.spare_at.max(now + spare);
         let judged = answered || matches!(ending, Ending::TimedOut | Ending::CalledOff);
         if judged && ratio > CROWDED {
             let loss = WINDOW_LOSS * (ratio.min(1.0) - CROWDED);
@@ -270,6 +274,7 @@
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.probing = false;
+        m.met |= ending == Ending::Answered;
         if ending != Ending::Answered && m.fails == 0 && m.state != State::TransportError {
             // One lost probe proves nothing: it is asked once more.
             m.fails = 1;
@@ -281,6 +286,13 @@
             return self.break_member(now, node);
         }
         m.checked_at = now;
+        // Danger: until an answer shows that one which refuses works, others' connections idle for seconds.
+        let squeezed = m.refused > 0 && m.state != State::TransportError;
+        if squeezed && self.scarce.read(now, USUAL_HALF) <= 1.0 {
+            self.scarce.add(now, USUAL_HALF, 1.0);
+            self.used.extend(self.nodes.values());
+        }
+        let m = &mut self.members[node];
         if m.state == State::TransportError {
             self.recover(now, node);
             report.primary.into_iter().for_each(|primary| self.learn_role(node, primary));
@@ -291,7 +303,7 @@
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
-        let removal_binds = !self.allows("rules.soft_removal");
+        let (removal_binds, met) = (!self.allows("rules.soft_removal"), self.members.is_empty());
         for m in self.members.iter_mut().filter(|m| whole && !entries.iter().any(|e| e.node == m.id)) {
             (m.gone, m.shut) = (true, m.shut || removal_binds);
         }
@@ -305,7 +317,7 @@
             if fresh {
                 let (id, zone, set, heard) = (e.node.clone(), e.zone.clone(), e.set, now);
                 self.members.resize_with(count.max(node + 1), Member::default);
-                self.members[node] = Member { id, zone, set, heard, ..Member::default() };
+                self.members[node] = Member { id, zone, set, heard, met, ..Member::default() };
                 self.nodes.insert(e.node.clone(), node);
                 self.sets.entry(e.set).or_default().nodes.push(node);
             }
@@ -353,6 +365,7 @@
             if !works && self.nodes.remove(&m.id).is_some() {
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
                 self.vacant.push(node);
+                self.used.remove(&node);
                 *m = Member { shut: true, ..Member::default() };
             }
         }
@@ -413,7 +426,9 @@
     /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
     fn break_member(&mut self, now: Tenths, node: Node) {
         let m = &mut self.members[node];
-        let backoff = (PAUSE << m.fails.saturating_sub(1).min(6)).min(BACKOFF_MAX);
+        // Danger: the list names members that do not exist. One that was never met is not asked again soon.
+        let doublings = if m.met { m.fails.saturating_sub(1).min(6) } else { 6 };
+        let backoff = (PAUSE << doublings).min(BACKOFF_MAX);
         let at = now + self.rng.jittered(backoff);
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
     }
@@ -474,7 +489,7 @@
                     Task::GiveUp(key) => self.give_up(now, key),
                     Task::Overdue(key, dispatch) => self.overdue(now, key, dispatch),
                     Task::Look(set) => _ = self.dirty.insert(set),
-                    Task::Ask(node) => self.probe(node),
+                    Task::Ask(node) => self.probe(now, node),
                     Task::Watch => self.ready.push_back(Decision::WatchList),
                 }
             } else if let Some(set) = self.dirty.pop_first() {
@@ -602,7 +617,8 @@
             let m = &self.members[*n];
             !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < self.most.div_ceil(2)
         });
-        let ranked = walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, m.tie, n));
+        let ranked =
+            walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
         if let Some((.., node)) = ranked.min() {
             cmd.tried.push(node);
             set.scout = Some(key);
@@ -626,16 +642,18 @@
             let m = &self.members[*n];
             !m.shut && !m.probing && (m.state != State::TransportError || m.retry_at <= now)
         });
-        if let Some(node) = open.min_by_key(|n| (self.members[*n].checked_at, self.members[*n].tie)) {
-            self.probe(node);
+        // Danger: one that never answers is asked for ever. A probe without an answer counts too.
+        let last = |m: &Member| m.asked_at.max(m.checked_at);
+        if let Some(node) = open.min_by_key(|n| (last(&self.members[*n]), self.members[*n].tie)) {
+            self.probe(now, node);
         }
     }
 
-    fn probe(&mut self, node: Node) {
+    fn probe(&mut self, now: Tenths, node: Node) {
         let allowed = self.allows("permissions.may_probe");
         let m = &mut self.members[node];
         if allowed && !m.probing && !m.shut {
-            m.probing = true;
+            (m.probing, m.asked_at) = (true, now);
             self.ready.push_back(Decision::Probe { node: m.id.clone() });
         } else if !allowed && m.state == State::TransportError {
             m.state = State::Unknown;
@@ -668,7 +686,12 @@
         // Danger: long reads stop a replica applying. They keep to the first by id; the others stay fresh.
         let long = self.outlasts(cmd.kind);
         let set = self.sets.get(&number)?;
-        let (mut best, mut ask) = (None::<(f64, Node)>, None::<(f64, Node)>);
+        // Danger: a list with names that are no members. One listed later that never answered is only asked,
+        // when its turn comes, while others work, and nothing waits for it.
+        let works =
+            |m: &Member| m.met && !m.shut && !matches!(m.state, State::Healthy | State::TransportError);
+        let known = set.nodes.iter().any(|n| works(&self.members[*n]));
+        let (mut best, mut ask, mut meet) = (None::<(f64, usize, Node)>, None, None);
         let (mut top, mut first, mut count) = (0.0f64, None, 0.0);
         for &node in &set.nodes {
             let m = &self.members[node];
@@ -676,23 +699,33 @@
             if m.shut || m.state == State::Healthy {
                 continue;
             }
-            if m.state == State::TransportError || self.fresh_for(now, cmd, m) <= 0 {
-                if !m.probing && self.ask_due(now, m) && ask.is_none_or(|a| m.turn < a.0) {
-                    ask = Some((m.turn, node));
+            let strange = known && !m.met;
+            if m.state == State::TransportError || strange || self.fresh_for(now, cmd, m) <= 0 {
+                let first = if strange { &mut meet } else { &mut ask };
+                if !m.probing
+                    && self.ask_due(now, m)
+                    && first.is_none_or(|a: (f64, usize, Node)| (m.turn, m.tie) < (a.0, a.1))
+                {
+                    *first = Some((m.turn, m.tie, node));
                 }
                 continue;
             }
             (count, first) = (count + 1.0, first.or(Some(node)));
-            let sooner = best.is_none_or(|b| m.turn < b.0);
+            let sooner = best.is_none_or(|b| (m.turn, m.tie) < (b.0, b.1));
             if sooner && self.has_room(now, node, 1.0, 0.0) && self.lawful_for(now, key, node) > 0 {
-                best = Some((m.turn, node));
+                best = Some((m.turn, m.tie, node));
             }
             if long {
                 break;
             }
         }
-        ask.filter(|a| best.is_none_or(|b| a.0 <= b.0)).into_iter().for_each(|(_, node)| self.probe(node));
-        if let Some((_, node)) = best {
+        let ask = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0));
+        ask.into_iter().for_each(|(.., node)| self.probe(now, node));
+        if let Some((.., node)) = meet.filter(|m| best.or(ask).is_none_or(|b| m.0 <= b.0)) {
+            self.members[node].turn = top + TURN_MOST;
+            self.probe(now, node);
+        }
+        if let Some((.., node)) = best {
             // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
             let even = long || first != Some(node);
@@ -701,8 +734,24 @@
             m.turn = m.turn.max(top - TURN_MOST) + cost;
             return Some(node);
         }
+        // Danger: where routers are many, hardly any replica's position is known when a read comes, and all
+        // reads crowd the primaries. One being checked is waited for, for half a usual latency at most.
+        let wait = (self.usual(now, self.open[&key].kind) / 2.0) as Tenths;
+        let checked = |n: &Node| {
+            let m = &self.members[*n];
+            let works = m.probing && !matches!(m.state, State::Healthy | State::TransportError);
+            works
+                && (m.met || !known)
+                && now < m.asked_at + wait
+                && self.fresh_for(now, &self.open[&key], m) <= 0
+        };
+        if self.sets[&number].nodes.iter().any(checked) {
+            return None;
+        }
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
-        self.primary(number).filter(|p| self.has_room(now, *p, PRIMARY_SPARE, 0.0))
+        let spared =
+            |p: &Node| self.members[*p].spare_at <= now && self.has_room(now, *p, PRIMARY_SPARE, 0.0);
+        self.primary(number).filter(spared)
     }
 
     /// A read that may outlast the tightest bound, at twice its unhurried time.
@@ -729,7 +778,8 @@
         let (cmd, m) = (&self.open[&key], &self.members[node]);
         let group = &self.groups[cmd.kind];
         let answer = !cmd.closed && now < cmd.ends && cmd.dispatches < self.most && m.set == cmd.set;
-        let primary = m.state == State::Healthy || (m.been_primary && m.noted != Some(false));
+        // Danger: named as primary by a report after a note as replica, it may be none again. No excuse then.
+        let primary = (m.state == State::Healthy || m.been_primary) && m.noted != Some(false);
         let unaged = primary || self.node_checks || group.access == Access::Write;
         let age = if unaged { Tenths::MAX } else { self.fresh_for(now, cmd, m) };
         if !answer || !cmd.out.is_empty() || m.shut || self.cold_credit(now, m) < group.target as f64 {
@@ -818,7 +868,7 @@
                 self.dirty.insert(number);
             }
             // Danger: heavy commands that each earn a probe. One that was answered since the send is enough.
-            ask.then(|| self.probe(node));
+            ask.then(|| self.probe(now, node));
         }
         // Danger: lost answers fill windows that nothing empties. Past its target at a member that answers
         // others, or probes, a dispatch counts as lost; so may a heavy one.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -471,16 +471,66 @@
 }
 
 #[rstest]
-#[case::primary_when_none_qualifies(NOW - 9_000, Some(0))]
-#[case::replica_when_one_does(NOW - 9, Some(1))]
-fn reads_fall_to_the_primary_last(#[case] position: Tenths, #[case] node: Option<Node>) {
+#[case::primary_when_none_qualifies(NOW - 9_000, NOW, Some(0))]
+#[case::replica_when_one_does(NOW - 9, NOW, Some(1))]
+#[case::one_being_checked_is_waited_for(NOW - 9_000, NOW - SECOND, None)]
+fn reads_fall_to_the_primary_last(
+    #[case] position: Tenths,
+    #[case] checked: Tenths,
+    #[case] node: Option<Node>,
+) {
     let mut r = router(&[]);
     open(&mut r, "bounded");
-    r.members[0].state = State::Healthy;
-    r.members[1].position = position;
+    (r.members[0].state, r.members[2].shut) = (State::Healthy, true);
+    (r.members[1].position, r.members[1].checked_at) = (position, checked);
     assert_eq!(r.pick_reader(NOW, 1, 0), node);
 }
 
+#[rstest]
+#[case::in_time(100, State::Unknown, None)]
+#[case::too_long(1_000, State::Unknown, Some(0))]
+#[case::broken(100, State::TransportError, Some(0))]
+fn checks_are_waited_for_a_while(#[case] since: Tenths, #[case] state: State, #[case] node: Option<Node>) {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    (r.members[0].state, r.members[2].shut) = (State::Healthy, true);
+    let m = &mut r.members[1];
+    (m.probing, m.asked_at, m.state) = (true, NOW - since, state);
+    assert_eq!(r.pick_reader(NOW, 1, 0), node);
+}
+
+#[rstest]
+#[case::its_turn(0.0, 1)]
+#[case::not_its_turn(9.0, 0)]
+fn a_name_that_never_answered_is_asked_beside_the_known(#[case] turn: f64, #[case] probes: usize) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.members[0].state = State::Healthy;
+    (r.members[2].met, r.members[1].turn, r.members[2].turn) = (false, 1.0, turn);
+    assert_eq!((r.pick_reader(NOW, 1, 0), r.ready.len()), (Some(1), probes));
+}
+
+#[rstest]
+#[case::never_answered(false, BACKOFF_MAX)]
+#[case::answered_before(true, PAUSE)]
+fn a_name_that_never_answered_rests_long(#[case] met: bool, #[case] least: Tenths) {
+    let mut r = router(&[]);
+    (r.members[1].met, r.members[1].fails) = (met, 1);
+    r.probe_ended(NOW, "b", Ending::TimedOut, Report::default());
+    assert!((NOW + least..NOW + 2 * least).contains(&r.members[1].retry_at));
+}
+
+#[rstest]
+fn a_seeking_round_asks_each_in_turn() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    (r.members[0].asked_at, r.members[0].checked_at) = (NOW, 0);
+    r.members[1].checked_at = NOW - PAUSE;
+    r.members[2].asked_at = NOW;
+    r.seek(NOW, 1);
+    assert_eq!(r.ready.pop_front(), Some(Decision::Probe { node: "b".into() }));
+}
+
 #[rstest]
 #[case::none_proven(NOW - 9_000, 1)]
 #[case::one_proven(NOW - 9, 0)]
@@ -787,3 +837,64 @@
     r.dispatch_ended(NOW, "cmd", DispatchEnd { took: 20_000, ..ended(Ending::TimedOut, None) });
     assert!((r.members[1].window - least).abs() < 1e-9, "window {}", r.members[1].window);
 }
+
+#[rstest]
+#[case::refuses_beside_an_answered_probe(1, 3)]
+#[case::never_refused(0, 0)]
+fn idle_connections_are_let_go_where_working_members_refuse(#[case] refused: u32, #[case] let_go: usize) {
+    let mut r = router(&[]);
+    for _ in 0..2 {
+        r.members[1].refused = refused;
+        r.probe_ended(NOW, "b", Ending::Answered, Report::default());
+    }
+    let all = std::iter::from_fn(|| r.next_decision(NOW));
+    assert_eq!(all.filter(|d| matches!(d, Decision::LetGo { .. })).count(), let_go);
+}
+
+#[rstest]
+fn a_forgotten_member_has_no_connection_to_let_go() {
+    let mut r = router(&[]);
+    r.scarce.add(NOW, USUAL_HALF, 9.0);
+    r.used.insert(1);
+    r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
+    (r.agenda, r.dirty) = Default::default();
+    assert_eq!(r.next_decision(NOW), None);
+}
+
+#[rstest]
+fn equal_turns_go_by_rotated_ids() {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.members[0].state = State::Healthy;
+    (r.members[1].tie, r.members[2].tie) = (1, 0);
+    assert_eq!(r.pick_reader(NOW, 1, 0), Some(2));
+}
+
+#[rstest]
+#[case::writes_have_it(1_200, true, false)]
+#[case::reads_too(2_800, true, true)]
+fn small_windows_of_a_primary_spare_less_for_reads(
+    #[case] past: Tenths,
+    #[case] room: bool,
+    #[case] read: bool,
+) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    (1..3).for_each(|n| r.members[n].shut = true);
+    (r.members[0].state, r.members[0].window) = (State::Healthy, 0.25);
+    r.open.get_mut(&0).unwrap().out.insert(0, (0, NOW));
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Answered, Some(true)));
+    assert_eq!(r.has_room(NOW + past, 0, 1.0, 0.0), room);
+    assert_eq!(r.pick_reader(NOW + past, 1, 0).is_some(), read);
+}
+
+#[rstest]
+#[case::never_noted(None, true)]
+#[case::noted_as_primary(Some(true), true)]
+#[case::noted_as_replica_before(Some(false), false)]
+fn a_report_excuses_no_old_read_after_a_note(#[case] noted: Option<bool>, #[case] lawful: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    (r.members[1].state, r.members[1].been_primary, r.members[1].noted) = (State::Healthy, true, noted);
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,12 +68,16 @@
     pub checked_at: Tenths,
     pub lagging: bool,
     pub heard: Tenths,
+    /// It has answered a dispatch or a probe, or was on the first list: no name alone.
+    pub met: bool,
     /// Dispatches counted as lost since it was last heard.
     pub unheard: usize,
     /// Dispatches out: command and number, with the time of each.
     pub out: BTreeMap<(u64, u32), Tenths>,
     pub window: f64,
     pub shy_until: Tenths,
+    /// Until then the primary's spare part is taken.
+    pub spare_at: Tenths,
     /// Seen to die; back, it is cold.
     pub died: bool,
     /// What this router may still send it while it is cold.
@@ -81,6 +85,8 @@
     pub credit_at: Tenths,
     pub turn: f64,
     pub probing: bool,
+    /// When the last probe went out.
+    pub asked_at: Tenths,
     pub fails: u32,
     /// Connections refused since the last answer.
     pub refused: u32,
