Long reads keep to one replica again: their part of the replicas gains nothing

The cause behind was misread: catalogue counted as a long read (its target of 750 ms is over the tightest bound of 500 ms), so it was kept to the first replica with the month reports.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -665,19 +665,11 @@
     /// Takes turns over the replicas that are fresh enough and have room; a slow one has less room.
     fn pick_reader(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
         let cmd = &self.open[&key];
+        // Danger: long reads stop a replica applying. They keep to the first by id; the others stay fresh.
         let long = self.outlasts(cmd.kind);
         let set = self.sets.get(&number)?;
         let (mut best, mut ask) = (None::<(f64, Node)>, None::<(f64, Node)>);
-        let mut top = 0.0f64;
-        // Danger: long reads stop a replica applying, and one replica may be too few for them: what it has no
-        // room for falls to the primary, and writes wait behind it. They keep to the first by id, as many as
-        // are their part of the work of reads; the others stay fresh.
-        let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
-        let works = |m: &Member| !m.shut && matches!(m.state, State::Unknown | State::TopologyReject);
-        let working: Vec<Node> = set.nodes.iter().copied().filter(|n| works(&self.members[*n])).collect();
-        let need = working.len() as f64 * part;
-        let keep = need.round().max(1.0);
-        let kept = &working[..working.len().min(keep as usize)];
+        let (mut top, mut first, mut count) = (0.0f64, None, 0.0);
         for &node in &set.nodes {
             let m = &self.members[node];
             top = top.max(m.turn);
@@ -690,16 +682,21 @@
                 }
                 continue;
             }
-            let sooner = best.is_none_or(|b| m.turn < b.0) && (!long || kept.contains(&node));
+            (count, first) = (count + 1.0, first.or(Some(node)));
+            let sooner = best.is_none_or(|b| m.turn < b.0);
             if sooner && self.has_room(now, node, 1.0, 0.0) && self.lawful_for(now, key, node) > 0 {
                 best = Some((m.turn, node));
             }
+            if long {
+                break;
+            }
         }
         ask.filter(|a| best.is_none_or(|b| a.0 <= b.0)).into_iter().for_each(|(_, node)| self.probe(node));
         if let Some((_, node)) = best {
-            // Danger: long reads on top of an even part of the rest crowd those kept. Their turns cost more.
-            let even = long || !kept.contains(&node);
-            let cost = if even { 1.0 } else { 1.0 / (1.0 - need / keep).max(1.0 / TURN_MOST) };
+            // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
+            let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
+            let even = long || first != Some(node);
+            let cost = if even { 1.0 } else { 1.0 / (1.0 - count * part).max(1.0 / TURN_MOST) };
             let m = &mut self.members[node];
             m.turn = m.turn.max(top - TURN_MOST) + cost;
             return Some(node);
