A member that is forgotten is not let go by name any more: close_idle without a node

Cause: dispatch_ended notes the member in `used`; a list in the same batch that says it is gone makes forget_gone empty its place; next_decision then read the id of the emptied place (lines 447 and 356 of src/decide.rs) and, while refusals are seen, sent LetGo for "".

Change: who is forgotten leaves `used`. It can't return: a place is emptied in forget_gone alone, and the other things that name it (agenda's Ask, sets) are checked against `shut` or cleaned there.

The test gives LetGo { node: "" } without the line.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -352,6 +352,8 @@
             let works = soft && m.state != State::TransportError;
             if !works && self.nodes.remove(&m.id).is_some() {
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
+                // Danger: connections of a place that nobody holds any more are let go, without a name.
+                self.used.remove(&node);
                 self.vacant.push(node);
                 *m = Member { shut: true, ..Member::default() };
             }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -599,6 +599,16 @@
     assert_eq!(r.next_decision(NOW) == Some(Decision::LetGo { node: "b".into() }), gone);
 }
 
+#[rstest]
+fn connections_of_a_forgotten_member_are_not_let_go_by_name() {
+    let mut r = router(&[]);
+    r.scarce.add(NOW, USUAL_HALF, 2.0);
+    r.used.insert(1);
+    r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
+    let decisions: Vec<Decision> = std::iter::from_fn(|| r.next_decision(NOW)).collect();
+    assert!(!decisions.iter().any(|d| matches!(d, Decision::LetGo { .. })), "{decisions:?}");
+}
+
 #[rstest]
 #[case::probes_answer(NOW - 10, true)]
 #[case::nothing_answers(NOW - 50_000, false)]
