The turn's cost stays with the replica of the long reads, also while it lags

Cause: pick_reader took for `first`, the replica that long reads keep to, the first one that is fresh for the read at hand. While that replica is blocked and lags, bounded reads so put the cost of its turn (up to twelve) on the next, which is free, and stayed off it; and the count of replicas left out those that lag.

Change: `first` and `count` go by state alone, as for the long reads themselves. Harm: none seen; a first replica that lags and gets long reads is rarely asked by others, which is meant.

The test gives a turn of 1.33 instead of 1 without it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -682,13 +682,15 @@
             if m.shut || m.state == State::Healthy {
                 continue;
             }
+            if m.state != State::TransportError {
+                (count, first) = (count + 1.0, first.or(Some(node)));
+            }
             if m.state == State::TransportError || self.fresh_for(now, cmd, m) <= 0 {
                 if !m.probing && self.ask_due(now, m) && ask.is_none_or(|a| m.turn < a.0) {
                     ask = Some((m.turn, node));
                 }
                 continue;
             }
-            (count, first) = (count + 1.0, first.or(Some(node)));
             let sooner = best.is_none_or(|b| m.turn < b.0);
             if sooner && self.has_room(now, node, 1.0, 0.0) && self.lawful_for(now, key, node) > 0 {
                 best = Some((m.turn, node));
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -492,6 +492,17 @@
     assert_eq!(r.outlasts(0), long);
 }
 
+#[rstest]
+fn the_turns_cost_stays_with_the_long_reads_where_their_replica_lags() {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[0].state = State::Healthy;
+    r.members[2].position = NOW;
+    r.read_work.add(NOW, SHARE_HALF, 100.0);
+    r.long_work.add(NOW, SHARE_HALF, 25.0);
+    assert_eq!((r.pick_reader(NOW, 1, 0), r.members[2].turn), (Some(2), 1.0));
+}
+
 #[rstest]
 #[case::primary_when_none_qualifies(NOW - 9_000, Some(0))]
 #[case::replica_when_one_does(NOW - 9, Some(1))]
