Turns in another zone are dearer by the price of crossing

Change: a replica in another zone costs 1 + 0.4 turns for each point that the settings' penalties.cross_zone takes (three turns here, one where crossing is free). It stays a matter of turns: a near one without room is passed over. Harm: a zone with many clients and few members is loaded more, up to its windows.

The test fails without it (a turn of one).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,6 +36,8 @@
 const WINDOW_BUSY: f64 = 4.0;
 const WINDOW_LEAST: f64 = 0.3;
 const WINDOW_LOSS: f64 = 0.5;
+/// How much dearer a turn is in another zone, for each point in a hundred that all crossings cost.
+const CROSSING: f64 = 0.4;
 /// A cold member's part of the ordinary load, times what it can do and the multiple that pushes it over; and
 /// the part of the stated span that may be sent at once. Over one span both make the multiple, no more.
 const COLD_PART: f64 = 0.8;
@@ -705,8 +707,11 @@
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
             let even = long || first != Some(node);
             let cost = if even { 1.0 } else { 1.0 / (1.0 - count * part).max(1.0 / TURN_MOST) };
+            let crosses = !is(&self.told, "zone", &self.members[node].zone);
+            let price =
+                if crosses { self.number("penalties.cross_zone", 0.0) * 100.0 * CROSSING } else { 0.0 };
             let m = &mut self.members[node];
-            m.turn = m.turn.max(top - TURN_MOST) + cost;
+            m.turn = m.turn.max(top - TURN_MOST) + cost * (1.0 + price);
             return Some(node);
         }
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -503,6 +503,16 @@
     assert_eq!((r.pick_reader(NOW, 1, 0), r.members[2].turn), (Some(2), 1.0));
 }
 
+#[rstest]
+#[case::crossing_is_free("0", 1.0)]
+#[case::crossing_has_a_price("0.05", 3.0)]
+fn turns_in_another_zone_cost_by_the_price_of_crossing(#[case] price: &str, #[case] turn: f64) {
+    let mut r = router(&[("zone", "y"), ("penalties.cross_zone", price)]);
+    open(&mut r, "any");
+    r.members[0].state = State::Healthy;
+    assert_eq!((r.pick_reader(NOW, 1, 0), r.members[1].turn), (Some(1), turn));
+}
+
 #[rstest]
 #[case::primary_when_none_qualifies(NOW - 9_000, Some(0))]
 #[case::replica_when_one_does(NOW - 9, Some(1))]
