--- a/src/decide.rs
+++ b/src/decide.rs
@@ -777,7 +777,7 @@
         }
         let from = self.number("rules.start_capacity", 0.1);
         let part = (from + (1.0 - from) * warmth) * self.number("rules.tip_multiple", 1.0) * COLD_PART;
-        // Danger: a router that has just started takes its ordinary load for nothing, and starves who is cold.
+        // Danger: a router that has just started takes its ordinary load for nothing and starves the cold.
         let since = self.began.min(now - SLOW_HALF);
         let pace = self.done_work.rate_since(now, USUAL_HALF, since) / self.nodes.len() as f64 * part;
         let span = 10.0 * self.number("rules.fall_ms", 1000.0);
