--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,8 +36,12 @@
 const WINDOW_BUSY: f64 = 4.0;
 const WINDOW_LEAST: f64 = 0.3;
 const WINDOW_LOSS: f64 = 0.5;
-/// A cold member's part of the ordinary load, times what it can do and the multiple that pushes it over.
-const COLD_PART: f64 = 0.35;
+/// How much dearer a turn is in another zone, for each point in a hundred that all crossings cost.
+const CROSSING: f64 = 0.4;
+/// A cold member's part of the ordinary load, times what it can do and the multiple that pushes it over; and
+/// the part of the stated span that may be sent at once. Over one span both make the multiple, no more.
+const COLD_PART: f64 = 0.8;
+const COLD_BURST: f64 = 0.25;
 /// The most turns that a member's turn may cost, and that it may be behind.
 const TURN_MOST: f64 = 12.0;
 /// Mean latency over response target above which a router slows its pace; the least and the most of it.
@@ -85,6 +89,7 @@
     pace: f64,
     allowance: f64,
     paced_at: Tenths,
+    began: Tenths,
     slow: Mean,
     cured: Mean,
     read_work: Decay,
@@ -123,6 +128,7 @@
             tightest,
             pace: PACE_MOST,
             paced_at: now,
+            began: now,
             ..Router::default()
         })
     }
@@ -364,8 +370,9 @@
             let works = soft && m.state != State::TransportError;
             if !works && self.nodes.remove(&m.id).is_some() {
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
-                self.vacant.push(node);
+                // Danger: connections of a place that nobody holds any more are let go, without a name.
                 self.used.remove(&node);
+                self.vacant.push(node);
                 *m = Member { shut: true, ..Member::default() };
             }
         }
@@ -700,6 +707,9 @@
                 continue;
             }
             let strange = known && !m.met;
+            if m.state != State::TransportError && !strange {
+                (count, first) = (count + 1.0, first.or(Some(node)));
+            }
             if m.state == State::TransportError || strange || self.fresh_for(now, cmd, m) <= 0 {
                 let first = if strange { &mut meet } else { &mut ask };
                 if !m.probing
@@ -710,7 +720,6 @@
                 }
                 continue;
             }
-            (count, first) = (count + 1.0, first.or(Some(node)));
             let sooner = best.is_none_or(|b| (m.turn, m.tie) < (b.0, b.1));
             if sooner && self.has_room(now, node, 1.0, 0.0) && self.lawful_for(now, key, node) > 0 {
                 best = Some((m.turn, m.tie, node));
@@ -730,8 +739,11 @@
             let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
             let even = long || first != Some(node);
             let cost = if even { 1.0 } else { 1.0 / (1.0 - count * part).max(1.0 / TURN_MOST) };
+            let crosses = !is(&self.told, "zone", &self.members[node].zone);
+            let price =
+                if crosses { self.number("penalties.cross_zone", 0.0) * 100.0 * CROSSING } else { 0.0 };
             let m = &mut self.members[node];
-            m.turn = m.turn.max(top - TURN_MOST) + cost;
+            m.turn = m.turn.max(top - TURN_MOST) + cost * (1.0 + price);
             return Some(node);
         }
         // Danger: where routers are many, hardly any replica's position is known when a read comes, and all
@@ -814,14 +826,18 @@
         }
         let from = self.number("rules.start_capacity", 0.1);
         let part = (from + (1.0 - from) * warmth) * self.number("rules.tip_multiple", 1.0) * COLD_PART;
-        let pace = self.done_work.rate(now, USUAL_HALF) / self.nodes.len() as f64 * part;
-        let most = (pace * 10.0 * self.number("rules.fall_ms", 1000.0)).max(self.cheap as f64);
+        // Danger: a router that has just started takes its ordinary load for nothing and starves the cold.
+        let since = self.began.min(now - SLOW_HALF);
+        let pace = self.done_work.rate_since(now, USUAL_HALF, since) / self.nodes.len() as f64 * part;
+        let span = 10.0 * self.number("rules.fall_ms", 1000.0);
+        let most = (pace * span * COLD_BURST).max(self.cheap as f64);
         (m.credit + (now - m.credit_at) as f64 * pace).min(most)
     }
 
-    /// A member that started at `at`, told or seen: its credit starts anew, by chance.
+    /// A member that started at `at`, told or seen: its credit starts anew, by chance. Danger: with more than
+    /// the cheapest command to start with, hundreds of routers each send at once and push it over.
     fn restarted(&mut self, now: Tenths, at: Tenths, node: Node) {
-        let credit = self.rng.below(self.cheap) as f64;
+        let credit = self.rng.below(self.cheap / 3) as f64;
         let window = (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST);
         let m = &mut self.members[node];
         (m.started, m.credit, m.credit_at, m.died, m.window) = (at, credit, now, false, window);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -54,6 +54,28 @@
     DispatchEnd { dispatch: 0, ending, took: 100, idled, over: false, note, report }
 }
 
+#[rstest]
+#[case::just_begun(1)]
+#[case::long_begun(100)]
+fn a_stream_that_began_lately_has_its_own_rate(#[case] seconds: Tenths) {
+    let mut sum = Decay::default();
+    (0..seconds * 100).for_each(|i| sum.add(NOW + i * 100, 10 * SECOND, 100.0));
+    let rate = sum.rate_since(NOW + seconds * SECOND, 10 * SECOND, NOW);
+    assert!((0.95..1.05).contains(&rate), "{rate}");
+}
+
+#[rstest]
+fn a_member_that_starts_gets_nothing_at_once() {
+    let mut r = router(&[("rules.warm_after_ms", "1000")]);
+    let credits: Vec<f64> = (0..50)
+        .map(|_| {
+            r.restarted(NOW, NOW, 1);
+            r.members[1].credit
+        })
+        .collect();
+    assert!(credits.iter().all(|c| *c < r.groups[0].target as f64), "{credits:?}");
+}
+
 #[rstest]
 #[case(0.0)]
 #[case(1.0)]
@@ -470,6 +492,27 @@
     assert_eq!(r.outlasts(0), long);
 }
 
+#[rstest]
+fn the_turns_cost_stays_with_the_long_reads_where_their_replica_lags() {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[0].state = State::Healthy;
+    r.members[2].position = NOW;
+    r.read_work.add(NOW, SHARE_HALF, 100.0);
+    r.long_work.add(NOW, SHARE_HALF, 25.0);
+    assert_eq!((r.pick_reader(NOW, 1, 0), r.members[2].turn), (Some(2), 1.0));
+}
+
+#[rstest]
+#[case::crossing_is_free("0", 1.0)]
+#[case::crossing_has_a_price("0.05", 3.0)]
+fn turns_in_another_zone_cost_by_the_price_of_crossing(#[case] price: &str, #[case] turn: f64) {
+    let mut r = router(&[("zone", "y"), ("penalties.cross_zone", price)]);
+    open(&mut r, "any");
+    r.members[0].state = State::Healthy;
+    assert_eq!((r.pick_reader(NOW, 1, 0), r.members[1].turn), (Some(1), turn));
+}
+
 #[rstest]
 #[case::primary_when_none_qualifies(NOW - 9_000, NOW, Some(0))]
 #[case::replica_when_one_does(NOW - 9, NOW, Some(1))]
@@ -649,6 +692,16 @@
     assert_eq!(r.next_decision(NOW) == Some(Decision::LetGo { node: "b".into() }), gone);
 }
 
+#[rstest]
+fn connections_of_a_forgotten_member_are_not_let_go_by_name() {
+    let mut r = router(&[]);
+    r.scarce.add(NOW, USUAL_HALF, 2.0);
+    r.used.insert(1);
+    r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
+    let decisions: Vec<Decision> = std::iter::from_fn(|| r.next_decision(NOW)).collect();
+    assert!(!decisions.iter().any(|d| matches!(d, Decision::LetGo { .. })), "{decisions:?}");
+}
+
 #[rstest]
 #[case::probes_answer(NOW - 10, true)]
 #[case::nothing_answers(NOW - 50_000, false)]
