Waiting: give a command up while nine in ten answers still come in time

Change: 1.2 becomes ln 10, the means in which nine in ten of exponentially spread answers come. Test seen to fail with 1.2.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,8 +48,9 @@
 const SET_MARK: f64 = 0.4;
 /// A command that erred gets one more dispatch while this part of such dispatches is answered.
 const CURED: f64 = 0.3;
-/// A command is worth sending while it has this many usual latencies left.
-const TIME_TO_RUN: f64 = 1.2;
+/// A command is worth sending while it has this many usual latencies left: where they spread as exponentials
+/// do, nine in ten answers come in so many means (ln 10).
+const TIME_TO_RUN: f64 = std::f64::consts::LN_10;
 /// Part of the primary's window open to reads.
 const PRIMARY_SPARE: f64 = 0.5;
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -271,6 +271,18 @@
     assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Fail { .. })).count(), answers);
 }
 
+#[rstest]
+#[case::one_in_ten_is_later(2.4, true)]
+#[case::one_in_seven_is_later(2.0, false)]
+fn what_waits_is_given_up_before_it_is_hopeless(#[case] left: f64, #[case] waits: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.open.get_mut(&0).unwrap().ends = NOW + (r.usual(NOW, 0) * left) as Tenths;
+    // Settled when it came, and again when it has waited.
+    (0..2).for_each(|_| r.settle(NOW, 0));
+    assert_eq!(r.open.contains_key(&0), waits);
+}
+
 #[rstest]
 #[case::untouched(None, true)]
 #[case::may_have_run(Some((0, NOW)), false)]
