Lag: by how much a member is behind, in place of a flag that any miss set

Cause: any read's miss marked its member as lagging for every command group until a report showed it within the tightest bound. Lines: the Miss arm of dispatch_ended, learn_report, fresh_for. Change: each note and report tells how far behind it was; it is taken to catch up as time passes, so that one which stands still is tried again after twice as long each time. A bounded read wants that under its bound, a session read under its token's age. Only where nodes check for themselves; elsewhere positions stay proven. The test's first and third cases fail without it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -223,7 +223,10 @@
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.out.remove(&(key, dispatch));
-        m.position = m.position.max(if write && answered { 0 } else { note.position });
+        // The note of a write that went through is its commit, not the member's position.
+        let told = if write && answered { 0 } else { note.position };
+        m.position = m.position.max(told);
+        (m.behind, m.behind_at) = if told > 0 { (now - told, now) } else { (m.behind, m.behind_at) };
         let spoke = matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full);
         (m.heard, m.unheard) = if spoke { (now, 0) } else { (m.heard, m.unheard) };
         if let Some(primary) = note.primary {
@@ -244,7 +247,8 @@
                 self.done_work.add(now, USUAL_HALF, target);
                 self.recover(now, node);
             }
-            Ending::Miss if !write => m.lagging = true,
+            // No position with it: far behind, until a report says by how much.
+            Ending::Miss if !write && note.position == 0 => (m.behind, m.behind_at) = (Tenths::MAX / 2, now),
             // Danger: a full member turned to again at once, by every waiting command in turn.
             Ending::Full => m.window = (m.window / 2.0).max(self.least),
             Ending::ConnectFailed if refused => self.refused(now, node),
@@ -381,7 +385,7 @@
         let Some(position) = report.position else { return };
         let m = &mut self.members[node];
         (m.position, m.checked_at) = (m.position.max(position), now);
-        m.lagging &= position + self.tightest <= now;
+        (m.behind, m.behind_at) = (m.behind(now).min(now - position), now);
         // A report older than the last answer's note proves nothing against it; its position dates it.
         if let (Some(primary), true) = (report.primary, position > m.noted_at) {
             self.learn_role(node, primary);
@@ -716,12 +720,15 @@
     }
 
     /// For how long a member stays fresh enough: known position against bound or token. Where nodes check for
-    /// themselves, a miss stands for it.
+    /// themselves, how far behind it was at the last word of it. Danger: a miss for one need (a session's write of
+    /// 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
     fn fresh_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
         let fresh = match self.groups[cmd.kind].access {
             Access::Bounded(bound) if !self.node_checks => return m.position + bound - now,
-            Access::Bounded(_) => !m.lagging,
-            Access::Session => m.position >= cmd.needs || (self.node_checks && !m.lagging),
+            Access::Bounded(bound) => m.behind(now) < bound,
+            Access::Session => {
+                m.position >= cmd.needs || (self.node_checks && m.behind(now) <= now - cmd.needs)
+            }
             access => access == Access::Any,
         };
         if fresh { Tenths::MAX } else { 0 }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -297,6 +297,24 @@
     assert_eq!(matches!(r.ready[0], Decision::Throttle { .. }), harmless);
 }
 
+#[rstest]
+#[case::within_the_bound(1_000, 0, true)]
+#[case::behind_it(4_000, 0, false)]
+#[case::tried_again(4_000, 1_100, true)]
+fn a_miss_shuts_only_reads_that_need_as_much(
+    #[case] behind: Tenths,
+    #[case] later: Tenths,
+    #[case] fresh: bool,
+) {
+    let mut r = router(&[("family_info.server_checks", "wait")]);
+    open(&mut r, "session");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    let note = Note { primary: Some(false), position: NOW - behind };
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { note, ..ended(Ending::Miss, None) });
+    r.open.get_mut(&0).unwrap().kind = 1;
+    assert_eq!(r.fresh_for(NOW + later, &r.open[&0], &r.members[1]) > 0, fresh);
+}
+
 #[rstest]
 #[case::late_benefit("true", "0.5", 2_500)]
 #[case::none_when_late("true", "0", 6_000)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,7 +66,9 @@
     /// Proven: all commits up to here are applied.
     pub position: Tenths,
     pub checked_at: Tenths,
-    pub lagging: bool,
+    /// How far behind it was at the last word of it, and when that came.
+    pub behind: Tenths,
+    pub behind_at: Tenths,
     pub heard: Tenths,
     /// Dispatches counted as lost since it was last heard.
     pub unheard: usize,
@@ -89,6 +91,14 @@
     pub retry_at: Tenths,
 }
 
+impl Member {
+    /// How far behind it is taken to be: it catches up as time passes, so one that does not is tried again after
+    /// twice as long each time. A guess; no rule rests on it.
+    pub(crate) fn behind(&self, now: Tenths) -> Tenths {
+        (self.behind - (now - self.behind_at)).max(0)
+    }
+}
+
 /// The sessions' last writes, as positions. Those long past are forgotten once there are many.
 #[derive(Debug, Default)]
 pub(crate) struct Sessions {
