--- a/src/decide.rs
+++ b/src/decide.rs
@@ -520,8 +520,8 @@
         let group = &self.groups[cmd.kind];
         let free = matches!(group.effect, Effect::Replayable | Effect::Keyed { everywhere: true, .. });
         let harmless = free || (cmd.maybe_ran.is_none() && cmd.out.is_empty());
-        // Danger: without late benefit a further try is served for nothing, and crowds out first tries. Such a
-        // client is kept away for as long as clients heed.
+        // Danger: without late benefit a further try is served for nothing and crowds out first tries. Such
+        // a client is kept away for as long as clients heed.
         let heeded = tenths(self.number("permissions.max_retry_after_ms", 0.0));
         let most = if group.late_share > 0.0 { group.target } else { heeded.max(group.target) };
         let hold_off = if self.allows("permissions.retry_after") { most } else { 0 };
@@ -720,8 +720,8 @@
     }
 
     /// For how long a member stays fresh enough: known position against bound or token. Where nodes check for
-    /// themselves, how far behind it was at the last word of it. Danger: a miss for one need (a session's write of
-    /// 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
+    /// themselves, how far behind it was at the last word of it. Danger: a miss for one need (a session's write
+    /// of 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
     fn fresh_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
         let fresh = match self.groups[cmd.kind].access {
             Access::Bounded(bound) if !self.node_checks => return m.position + bound - now,
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,8 +92,8 @@
 }
 
 impl Member {
-    /// How far behind it is taken to be: it catches up as time passes, so one that does not is tried again after
-    /// twice as long each time. A guess; no rule rests on it.
+    /// How far behind it is taken to be: it catches up as time passes, so one that does not is tried again
+    /// after twice as long each time. A guess; no rule rests on it.
     pub(crate) fn behind(&self, now: Tenths) -> Tenths {
         (self.behind - (now - self.behind_at)).max(0)
     }
