--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -293,6 +293,18 @@
     assert_eq!(r.ready.iter().filter(|d| matches!(d, Decision::Fail { .. })).count(), answers);
 }
 
+#[rstest]
+#[case::one_in_ten_is_later(2.4, true)]
+#[case::one_in_seven_is_later(2.0, false)]
+fn what_waits_is_given_up_before_it_is_hopeless(#[case] left: f64, #[case] waits: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "any");
+    r.open.get_mut(&0).unwrap().ends = NOW + (r.usual(NOW, 0) * left) as Tenths;
+    // Settled when it came, and again when it has waited.
+    (0..2).for_each(|_| r.settle(NOW, 0));
+    assert_eq!(r.open.contains_key(&0), waits);
+}
+
 #[rstest]
 #[case::untouched(None, true)]
 #[case::may_have_run(Some((0, NOW)), false)]
@@ -308,10 +320,35 @@
 }
 
 #[rstest]
-#[case::allowed("true", 2_500)]
-#[case::not_allowed("false", 0)]
-fn throttled_clients_are_told_when_to_come_back(#[case] allowed: &str, #[case] expected: Tenths) {
-    let mut r = router(&[("permissions.retry_after", allowed)]);
+#[case::within_the_bound(1_000, 0, true)]
+#[case::behind_it(4_000, 0, false)]
+#[case::tried_again(4_000, 1_100, true)]
+fn a_miss_shuts_only_reads_that_need_as_much(
+    #[case] behind: Tenths,
+    #[case] later: Tenths,
+    #[case] fresh: bool,
+) {
+    let mut r = router(&[("family_info.server_checks", "wait")]);
+    open(&mut r, "session");
+    r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW));
+    let note = Note { primary: Some(false), position: NOW - behind };
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { note, ..ended(Ending::Miss, None) });
+    r.open.get_mut(&0).unwrap().kind = 1;
+    assert_eq!(r.fresh_for(NOW + later, &r.open[&0], &r.members[1]) > 0, fresh);
+}
+
+#[rstest]
+#[case::late_benefit("true", "0.5", 2_500)]
+#[case::none_when_late("true", "0", 6_000)]
+#[case::not_allowed("false", "0", 0)]
+fn throttled_clients_are_told_when_to_come_back(
+    #[case] allowed: &str,
+    #[case] late: &str,
+    #[case] expected: Tenths,
+) {
+    let heeded = ("permissions.max_retry_after_ms", "600");
+    let mut r =
+        router(&[("permissions.retry_after", allowed), heeded, ("request_classes.0.late_value", late)]);
     open(&mut r, "any");
     r.give_up(NOW, 0);
     assert_eq!(r.ready[0], Decision::Throttle { command: "cmd".into(), hold_off: expected });
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,7 +66,9 @@
     /// Proven: all commits up to here are applied.
     pub position: Tenths,
     pub checked_at: Tenths,
-    pub lagging: bool,
+    /// How far behind it was at the last word of it, and when that came.
+    pub behind: Tenths,
+    pub behind_at: Tenths,
     pub heard: Tenths,
     /// It has answered a dispatch or a probe, or was on the first list: no name alone.
     pub met: bool,
@@ -95,6 +97,14 @@
     pub retry_at: Tenths,
 }
 
+impl Member {
+    /// How far behind it is taken to be: it catches up as time passes, so one that does not is tried again
+    /// after twice as long each time. A guess; no rule rests on it.
+    pub(crate) fn behind(&self, now: Tenths) -> Tenths {
+        (self.behind - (now - self.behind_at)).max(0)
+    }
+}
+
 /// The sessions' last writes, as positions. Those long past are forgotten once there are many.
 #[derive(Debug, Default)]
 pub(crate) struct Sessions {
