Router: one clock for a watch's silence; the agent's list comes before the first answer

Silence was given 5 s and the next watch 1 s: past the 6 s after which what was missed counts as told, and an agent that sent half a list kept the watch alive. Now a watch is broken 3 s after its last sign of life (empty lines come every 2 s), the whole list is asked for, and has 1 s to come whole, so that two further asks fit. Bytes of a head or a value that never becomes whole are no sign of life. An ask that was never answered stays open until the next takes its place.

A start accepts nobody and tells the module of no member until the agent has told its list, or 1 s is over; then by the list known. Without any list it says after 10 s that it is ready all the same. An older version is told twice, the second time when all is asked for, before it counts.

--- a/crates/discovery/src/values.rs
+++ b/crates/discovery/src/values.rs
@@ -28,6 +28,11 @@
 }
 
 impl Values {
+    /// All that have come.
+    pub(crate) fn bytes(&self) -> usize {
+        self.before + self.held.len()
+    }
+
     /// True while a value has begun and is not whole.
     pub(crate) fn has_begun(&self) -> bool {
         self.depth > 0
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -44,6 +44,11 @@
         self.part == Part::End
     }
 
+    /// The bytes that have come behind the head, white space too.
+    pub fn body_bytes(&self) -> usize {
+        self.values.bytes()
+    }
+
     /// True while a value has begun and is not whole.
     pub fn has_begun_value(&self) -> bool {
         self.values.has_begun()
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -360,7 +360,7 @@
         let arrived = client.came(left, now);
         let mut answer = Vec::new();
         if pgwire::is_empty(statement) {
-            if self.watch.holds_list() {
+            if self.watch.is_ready(self.now) {
                 pgwire::empty_query(&mut answer);
             } else {
                 pgwire::error(&mut answer, false, "57P03", "no member list is held yet", None);
@@ -493,6 +493,7 @@
 
     /// Nothing new is taken any more; who waits for an answer still gets it.
     pub fn stop_accepting(&mut self) {
+        self.end_start();
         self.accept_all();
         if let Some((_, token)) = self.clients.listener.take() {
             self.handle.remove(token);
--- a/crates/router/src/clients/crowd.rs
+++ b/crates/router/src/clients/crowd.rs
@@ -28,6 +28,10 @@
     /// Takes in all that want to connect, as far as there is room.
     pub fn accept(&mut self) {
         let Some((listener, _)) = &self.clients.listener else { return };
+        // The system holds them meanwhile, and knows when their bytes came.
+        if self.watch.is_starting() {
+            return;
+        }
         let listener = listener.clone();
         self.clients.crowded = false;
         self.deadlines.clear(Due::Accept);
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -103,6 +103,9 @@
             }
             None => 0,
         };
+        if !self.watch.holds_list() {
+            return Err(("57P03", "no member list is held yet".into()));
+        }
         if !self.watch.sets.contains(&set) {
             return Err(("3D000", format!("no member holds cluster {set}")));
         }
@@ -164,6 +167,25 @@
         self.forget(key);
     }
 
+    /// The process may be killed any moment. Danger: what was taken before it was told to stop, with a wait that is
+    /// longer than that, would be lost. Nothing that was never sent may have run.
+    pub fn answer_the_last(&mut self) {
+        let open = self.commands.taken.iter().filter(|(_, taken)| taken.client.is_some());
+        let open: Vec<(CommandKey, Id, bool)> =
+            open.map(|(key, taken)| (key, taken.id.clone(), taken.number == 0)).collect();
+        for (key, id, never_sent) in open {
+            let mut answer = Vec::new();
+            let (code, end) = if never_sent { ("53300", End::Throttled) } else { ("40003", End::Failed) };
+            pgwire::error(&mut answer, false, code, "the process ends", None);
+            self.commands.router.command_left(&id);
+            if self.final_answer(&id, answer, end) {
+                let counters = &mut self.counters;
+                *(if never_sent { &mut counters.throttled } else { &mut counters.failed }) += 1;
+            }
+            self.forget(key);
+        }
+    }
+
     fn forget(&mut self, key: CommandKey) {
         if self.commands.taken.get(key).is_some_and(|t| t.client.is_none() && t.out == 0)
             && let Some(taken) = self.commands.taken.remove(key)
--- a/crates/router/src/deadlines.rs
+++ b/crates/router/src/deadlines.rs
@@ -22,8 +22,11 @@
     Accept,
     /// The watch is silent or does not open.
     Watch,
-    /// Steps of stopping.
+    /// A start that waits for the member list.
+    Start,
+    /// Steps of stopping: the listener closes; what is still owed is answered.
     Stop,
+    Last,
 }
 
 #[derive(Debug, Default)]
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -41,9 +41,11 @@
 /// clients may still come.
 const STILL_COMING: Tenths = 7_000;
 const LONGEST_WAIT: Tenths = 30_000;
-/// What is left of that when nothing more is taken, and what no command may use.
+/// What is left of that when nothing more is taken, what no command taken from then on may use, and when whoever has
+/// waited since before is answered.
 const LAST_TAKEN: Tenths = 12_000;
 const LAST_ANSWER: Tenths = 1_500;
+const LAST_MARGIN: Tenths = 1_000;
 const BACKLOG: i32 = 1024;
 
 /// Unix time in tenths of a millisecond, that never goes back.
@@ -121,7 +123,7 @@
             commands: Commands::start(told, start.seed, now)?,
             clients: Clients::default(),
             nodes,
-            watch: Watch::new(start.discovery, start.known.as_ref().map_or(0, |list| list.version)),
+            watch: Watch::new(start.discovery, start.known, now),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
             capture: Capture::open(&start.name)?,
@@ -132,10 +134,7 @@
             longest_wait: longest_wait(told),
             fixed: start.fixed,
         };
-        if let Some(known) = start.known {
-            program.list_told(known);
-        }
-        program.open_watch();
+        program.start_watch();
         let listener = listen(start.listen)
             .map_err(|e| format!("expected to listen on {}: {e}", start.listen))
             .map(Rc::new)?;
@@ -175,8 +174,10 @@
                 Due::Client(key) => self.drop_client(key),
                 Due::Message(key) => self.end_client(key, "08P01", "no whole query came in time"),
                 Due::Accept => self.accept(),
-                Due::Watch => self.break_watch("silence"),
+                Due::Watch => self.watch_silent(),
+                Due::Start => self.end_start(),
                 Due::Stop => self.stop_accepting(),
+                Due::Last => self.answer_the_last(),
             }
         }
         self.tell_news();
@@ -199,6 +200,7 @@
                 let lives = STILL_COMING + self.longest_wait.min(LONGEST_WAIT);
                 self.stopping = Some(self.now + lives);
                 self.deadlines.set(Due::Stop, self.now + STILL_COMING.max(lives - LAST_TAKEN));
+                self.deadlines.set(Due::Last, self.now + lives - LAST_MARGIN);
             }
         }
     }
@@ -237,7 +239,7 @@
     }
 
     fn finished(&self) -> bool {
-        self.clients.listener.is_none() && !self.owes_clients()
+        self.clients.listener.is_none() && !self.owes_clients() && !self.clients.has_later()
     }
 }
 
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -13,20 +13,36 @@
 use vetchkeel::{Entry, Phase, Tenths};
 use vetchkeel_discovery::{Sheet, Watched, ask, sheet};
 
-/// An empty line comes every 2 s; after this long without a byte the connection is given up. The agent answers
-/// at once, on this machine.
-const SILENCE_MOST: Tenths = 50_000;
-const FIRST_BYTE_MOST: Tenths = 10_000;
+/// Danger: what a silent watch misses counts as told 6 s after it fell silent. While nothing changes an empty line
+/// comes every 2 s; 1 s later the watch is broken, so that two may be asked for, and fail to answer, by then.
+const SILENCE_MOST: Tenths = 30_000;
+/// The agent answers at once, on this machine: from asking to the first byte, and where the whole list is asked for
+/// to its last one.
+const FIRST_MOST: Tenths = 10_000;
+/// For how long a start waits for the agent before it serves by what was known; and after how long a process that
+/// knows no list at all says that it is ready all the same.
+const START_MOST: Tenths = 10_000;
+const UNTOLD_MOST: Tenths = 100_000;
 
 pub struct Watch {
     address: SocketAddr,
-    /// The version of the list held; 0 asks for the whole list.
+    /// The version of the list held; 0 where there is none.
     version: u64,
+    /// The next watch asks for the whole list.
+    ask_all: bool,
+    /// A list older than the one held was told. Told again when all is asked for, it is what the agent has.
+    doubted: bool,
     open: Option<Open>,
     /// The watch at the address before a reload. It goes on until the new one has told its list.
     old: Option<Open>,
     /// Counts the connections, so that late news of an earlier one is told apart.
     round: u64,
+    /// Until the agent has told its list, or is silent for too long, nobody is accepted and nothing is sent to a
+    /// member that only this list names.
+    known: Option<Sheet>,
+    starting: bool,
+    /// When the process says that it is ready even without a list.
+    untold: Tenths,
     /// Every set that a list has named.
     pub sets: BTreeSet<i64>,
 }
@@ -38,28 +54,74 @@
     watched: Watched,
     /// What is still to be written of the request.
     request: Vec<u8>,
-    /// It has told a list or a change.
+    /// The version it has told; before, the one that it was asked for changes since.
+    version: u64,
+    /// It was asked for the whole list.
+    all: bool,
+    /// A byte has come; a list or a change.
+    heard: bool,
     told: bool,
 }
 
 impl Watch {
-    /// The list held has this version; 0 where there is none.
-    pub fn new(address: SocketAddr, version: u64) -> Watch {
-        Watch { address, version, open: None, old: None, round: 0, sets: BTreeSet::new() }
+    pub fn new(address: SocketAddr, known: Option<Sheet>, now: Tenths) -> Watch {
+        Watch {
+            address,
+            version: known.as_ref().map_or(0, |list| list.version),
+            ask_all: true,
+            doubted: false,
+            open: None,
+            old: None,
+            round: 0,
+            known,
+            starting: true,
+            untold: now + UNTOLD_MOST,
+            sets: BTreeSet::new(),
+        }
     }
 
     /// True once a list is held.
     pub fn holds_list(&self) -> bool {
         !self.sets.is_empty()
     }
+
+    /// True once commands may be taken, as far as discovery goes.
+    pub fn is_ready(&self, now: Tenths) -> bool {
+        self.holds_list() || self.untold <= now
+    }
+
+    pub fn is_starting(&self) -> bool {
+        self.starting
+    }
 }
 
 impl Program {
-    /// Opens the watch unless it is open.
-    pub fn open_watch(&mut self) {
-        if self.watch.open.is_some() {
+    /// The first watch, and for how long the start waits for it.
+    pub fn start_watch(&mut self) {
+        self.deadlines.set(Due::Start, self.now + START_MOST);
+        self.open_watch();
+    }
+
+    /// The agent has told its list, or does not: from now on clients are heard.
+    pub fn end_start(&mut self) {
+        if !std::mem::take(&mut self.watch.starting) {
             return;
         }
+        self.deadlines.clear(Due::Start);
+        if let Some(known) = self.watch.known.take() {
+            log!("discovery is silent: served by the list known at the start");
+            self.list_told(known);
+        }
+        self.accept();
+    }
+
+    /// Opens the watch unless one is open that has answered.
+    pub fn open_watch(&mut self) {
+        match self.watch.open.take() {
+            Some(open) if open.heard => return self.watch.open = Some(open),
+            Some(open) => self.handle.remove(open.token),
+            None => {}
+        }
         self.watch.round += 1;
         let round = self.watch.round;
         let opened = dial(self.watch.address).and_then(|stream| {
@@ -71,17 +133,33 @@
             });
             Ok((stream, token.map_err(|e| io::Error::other(e.to_string()))?))
         });
-        self.deadlines.set(Due::Watch, self.now + FIRST_BYTE_MOST);
+        self.deadlines.set(Due::Watch, self.now + FIRST_MOST);
         match opened {
             Ok((stream, token)) => {
-                let request = ask(&self.watch.address.to_string(), self.watch.version);
-                let watched = Watched::default();
-                self.watch.open = Some(Open { round, stream, token, watched, request, told: false });
+                let all = std::mem::take(&mut self.watch.ask_all) || self.watch.version == 0;
+                let version = if all { 0 } else { self.watch.version };
+                let request = ask(&self.watch.address.to_string(), version);
+                let (watched, heard, told) = (Watched::default(), false, false);
+                let open = Open { round, stream, token, watched, request, version, all, heard, told };
+                self.watch.open = Some(open);
             }
             Err(e) => self.break_watch(&e.to_string()),
         }
     }
 
+    /// The watch is silent. What it has missed is asked for as a whole, which comes at once: an answer that stops
+    /// short is seen well inside the time that silence may last. One that was never answered stays open until the
+    /// next takes its place, as the agent may speak again before.
+    pub fn watch_silent(&mut self) {
+        self.watch.ask_all = true;
+        if self.watch.open.as_ref().is_some_and(|open| !open.heard) {
+            log!("watch not answered");
+            self.counters.watches_broken += 1;
+            return self.list_failed();
+        }
+        self.break_watch("silence");
+    }
+
     /// A reload names where discovery is. What was told stands, and the watch there goes on until the new one has
     /// told its list, which is asked for as a whole: its versions may be others.
     pub fn move_watch(&mut self, address: SocketAddr) {
@@ -90,7 +168,9 @@
         }
         log!("reload: discovery moves from {} to {address}", self.watch.address);
         self.watch.address = address;
-        self.watch.version = 0;
+        (self.watch.version, self.watch.ask_all, self.watch.doubted) = (0, true, false);
+        // What failed there says nothing of this one: its list is due 4 s from now, and no backoff goes on.
+        self.members_changed(false, &[]);
         let before = self.watch.open.take();
         if before.as_ref().is_some_and(|open| open.told) {
             self.end_old_watch();
@@ -153,20 +233,24 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) => return Err(e.to_string()),
             };
+            let first = !std::mem::replace(&mut open.heard, true);
+            let (body, begun) = (open.watched.body_bytes(), open.watched.has_begun_value());
             let mut values = Vec::new();
             let read_on = open.watched.feed(&self.scratch[..read], &mut values);
             let ended = open.watched.ended();
-            if !old {
+            // Danger: bytes of a head or a value that never becomes whole are no sign of life.
+            let more = open.watched.body_bytes() > body && !(begun && open.watched.has_begun_value());
+            let owes_list = open.all && !open.told;
+            if !old && (!values.is_empty() || !owes_list && (first || more)) {
                 self.deadlines.set(Due::Watch, self.now + SILENCE_MOST);
             }
+            if !old && body == 0 && more && !owes_list && values.is_empty() {
+                // Nothing has changed, and the watch lives: that ends the module's backoff.
+                self.members_changed(false, &[]);
+            }
             for value in values {
                 let sheet = sheet(&value).map_err(|why| self.ask_for_all(old, why))?;
-                if !old {
-                    self.watch.version = sheet.version;
-                    self.watch.open.iter_mut().for_each(|o| o.told = true);
-                    self.end_old_watch();
-                }
-                self.list_told(sheet);
+                self.watch_told(old, sheet)?;
             }
             read_on.map_err(|why| self.ask_for_all(old, why))?;
             if ended {
@@ -175,11 +259,34 @@
         }
     }
 
-    /// What the watch said can't be read and is lost: what is known stands, and the whole list is asked for.
-    fn ask_for_all(&mut self, old: bool, why: String) -> String {
+    /// A list or a change of it, from a watch. Danger: one of an older version would undo what was told since, a
+    /// drain for one. Where the agent's versions have begun anew, the whole list says so again.
+    fn watch_told(&mut self, old: bool, sheet: Sheet) -> Result<(), String> {
+        let watch = if old { &mut self.watch.old } else { &mut self.watch.open };
+        let Some(open) = watch else { return Ok(()) };
+        let held = if old { open.version } else { self.watch.version };
+        let confirmed = sheet.whole && open.all && !open.told && self.watch.doubted;
+        if sheet.version < held && !confirmed {
+            self.watch.doubted |= !old;
+            return Err(self.ask_for_all(old, format!("version {} after {held}", sheet.version)));
+        }
+        (open.version, open.told) = (sheet.version, true);
         if !old {
-            self.watch.version = 0;
+            (self.watch.version, self.watch.doubted) = (sheet.version, false);
+            self.end_old_watch();
+            match self.watch.known.take() {
+                Some(known) if !sheet.whole => self.list_told(known),
+                _ => {}
+            }
         }
+        self.list_told(sheet);
+        self.end_start();
+        Ok(())
+    }
+
+    /// What the watch said can't be read and is lost: what is known stands, and the whole list is asked for.
+    fn ask_for_all(&mut self, old: bool, why: String) -> String {
+        self.watch.ask_all |= !old;
         why
     }
 
