Router: what waits since before SIGTERM for longer than the kill is answered before it

A command taken before SIGTERM kept its whole wait: with 60 s left it was still open 10 s later, and lost at SIGKILL. 0.14 s before the process may be killed whoever still waits is answered: refused where nothing was sent, failed where it may have run.

--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -45,7 +45,7 @@
 /// waited since before is answered.
 const LAST_TAKEN: Tenths = 12_000;
 const LAST_ANSWER: Tenths = 1_500;
-const LAST_MARGIN: Tenths = 1_000;
+const LAST_MARGIN: Tenths = 1_400;
 const BACKLOG: i32 = 1024;
 
 /// Unix time in tenths of a millisecond, that never goes back.
