--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -242,9 +242,12 @@
 
 /// An entry of the list, as discovery spells it.
 pub fn entry(id: &str, node: &Node, state: &str, role: &str) -> String {
+    entry_at(id, node.address, state, role)
+}
+
+pub fn entry_at(id: &str, address: SocketAddr, state: &str, role: &str) -> String {
     format!(
-        r#"{{"id":"{id}","addr":"{}","zone":"a","kind":"std","cell":2,"state":"{state}","weight":1.0,"started_ms":0,"role":"{role}"}}"#,
-        node.address
+        r#"{{"id":"{id}","addr":"{address}","zone":"a","kind":"std","cell":2,"state":"{state}","weight":1.0,"started_ms":0,"role":"{role}"}}"#
     )
 }
 
