A cold member's first send is never covered at once

Cause: the credit began at random below three times the least target (1.2 s), so 58% of the routers could send one command of 0.5 s at the first moment, whatever their number. The member was the set's new primary: writes held at hundreds of routers landed there together. Probe, dispatches by quarter second from 10.0 s: 71, 17, 13, 9, 5, 6. Ruled out: routers not told of the start (listed at 9 s), a rate grown too fast (5 to 9 a quarter second after it). Why it can't return: the credit starts at nothing; chance covers a part of a command's work, drawn at each start, never all of it, so no router sends in the first moment and the fleet's sum is its rate from then on, whatever was held. Change: Member::stake is that remaining part. The test fails without it (a draw of 100 sends at once).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -781,7 +781,11 @@
         let primary = (m.state == State::Healthy || m.been_primary) && m.noted != Some(false);
         let unaged = primary || self.node_checks || group.access == Access::Write;
         let age = if unaged { Tenths::MAX } else { self.fresh_for(now, cmd, m) };
-        if !answer || !cmd.out.is_empty() || m.shut || self.cold_credit(now, m) < group.target as f64 {
+        if !answer
+            || !cmd.out.is_empty()
+            || m.shut
+            || self.cold_credit(now, m) < group.target as f64 * m.stake
+        {
             return 0;
         }
         self.repeatable_for(now, cmd, node).min(age)
@@ -801,8 +805,9 @@
 
     /// Danger: all routers together push over a member that has just started, each with its little. So each
     /// has a credit there that grows with what its own commands usually ask of a member, times what the cold
-    /// one can do by now, and starts by chance: however many and unequal the routers, together they send the
-    /// ordinary load times that part. Catches mass restarts and members that fail by turns.
+    /// one can do by now. A first send is covered in part by chance, never whole: however many and unequal the
+    /// routers, together they send the ordinary load times that part, from the first moment on. Catches mass
+    /// restarts, members that fail by turns and held writes that land together on a cold new primary.
     fn cold_credit(&self, now: Tenths, m: &Member) -> f64 {
         if m.started == 0 {
             return f64::INFINITY;
@@ -820,10 +825,11 @@
 
     /// A member that started at `at`, told or seen: its credit starts anew, by chance.
     fn restarted(&mut self, now: Tenths, at: Tenths, node: Node) {
-        let credit = self.rng.below(self.cheap) as f64;
+        let stake = 1.0 - self.rng.below(SECOND) as f64 / SECOND as f64;
         let window = (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST);
         let m = &mut self.members[node];
-        (m.started, m.credit, m.credit_at, m.died, m.window) = (at, credit, now, false, window);
+        (m.started, m.stake, m.credit, m.credit_at) = (at, stake, 0.0, now);
+        (m.died, m.window) = (false, window);
     }
 
     /// Every dispatch goes out here, and only through the gate.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -427,7 +427,7 @@
     let mut r = router(&[("rules.start_capacity", "0.2"), ("rules.warm_after_ms", "18000")]);
     open(&mut r, "any");
     let m = &mut r.members[1];
-    (m.started, m.credit, m.credit_at) = (started, credit, NOW - 100);
+    (m.started, m.stake, m.credit, m.credit_at) = (started, 1.0, credit, NOW - 100);
     r.done_work.add(NOW, USUAL_HALF, usual);
     assert_eq!(r.lawful_for(NOW, 0, 1) > 0, ok);
 }
@@ -890,3 +890,15 @@
     (r.members[1].state, r.members[1].been_primary, r.members[1].noted) = (State::Healthy, true, noted);
     assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
 }
+
+#[rstest]
+fn no_router_sends_at_once_to_a_member_that_has_just_started() {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[1].position = NOW;
+    let mut lawful = |_: &u32| {
+        r.restarted(NOW, NOW, 1);
+        r.lawful_for(NOW, 0, 1) > 0
+    };
+    assert_eq!((0..100).filter(|n| lawful(n)).count(), 0);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,8 @@
     pub died: bool,
     /// What this router may still send it while it is cold.
     pub credit: f64,
+    /// The part of a command's work that the credit must cover, drawn at each start.
+    pub stake: f64,
     pub credit_at: Tenths,
     pub turn: f64,
     pub probing: bool,
