--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -988,3 +988,23 @@
     (r.members[1].state, r.members[1].been_primary, r.members[1].noted) = (State::Healthy, true, noted);
     assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
 }
+
+#[rstest]
+fn no_router_sends_at_once_to_a_member_that_has_just_started() {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[1].position = NOW;
+    let mut lawful = |_: &u32| {
+        r.restarted(NOW, NOW, 1);
+        r.lawful_for(NOW, 0, 1) > 0
+    };
+    assert_eq!((0..100).filter(|n| lawful(n)).count(), 0);
+}
+
+#[rstest]
+fn the_pace_rises_faster_than_it_falls() {
+    let mut r = router(&[]);
+    (r.pace, r.paced_at) = (0.5, NOW - SECOND);
+    r.in_pace(NOW, 0);
+    assert!(r.pace >= 1.0, "{}", r.pace);
+}
