--- a/crates/link/src/contract.rs
+++ b/crates/link/src/contract.rs
@@ -62,7 +62,7 @@
 
 /// Plays every clause on a ground of its own. The first that is not kept is the error.
 pub fn check<G: Ground>(make: impl Fn() -> G) -> Result<(), Breach> {
-    let clauses: [(&'static str, fn(&mut Play<G>) -> Kept); 10] = [
+    let clauses: [(&'static str, Clause<G>); 10] = [
         ("what can't be sent is refused", refusals),
         ("a datagram arrives as sent or not at all", datagrams),
         ("what can't be read is told and not handed over", unread),
@@ -85,6 +85,7 @@
 }
 
 type Kept = Result<(), String>;
+type Clause<G> = fn(&mut Play<G>) -> Kept;
 
 /// Instances on a ground, and what each was told.
 struct Play<'a, G: Ground> {
@@ -388,6 +389,8 @@
         }
         must(taken as usize * length <= bound, || format!("{taken} messages taken, none handed over"))?;
         play.poll(&["a"]);
+        let early = play.acknowledged("a", "b", 3);
+        must(early == 0, || format!("{early} told as acknowledged that nobody was handed"))?;
     }
     must(taken as usize * length > bound / 2, || format!("only {taken} messages were taken"))?;
     let all = |p: &Play<G>| p.acknowledged("a", "b", 3) == taken;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,13 +6,17 @@
 mod dialling;
 mod envelope;
 pub mod fault;
+mod frames;
 mod listening;
 mod memory;
 mod message;
 mod outgoing;
 mod redial;
+mod sockets;
 mod talk;
+mod tcp;
 mod transport;
+mod udp;
 
 pub use envelope::{Header, Lane, OVERHEAD_MOST, VERSION, decode, encode, pack, unpack};
 pub use memory::{Memory, Network};
@@ -20,6 +24,7 @@
     Event, Incarnation, Kind, Kinds, Message, Name, Refused, Sender, StreamId, Tenths, Unread, Way, Why,
 };
 pub use redial::{Backoff, Redial};
+pub use sockets::{Parts, Sockets, Waker};
 pub use talk::Bounds;
 pub use transport::Transport;
 
--- /dev/null
+++ b/crates/link/src/sockets.rs
@@ -0,0 +1,261 @@
+//! Transport by sockets: datagrams by UDP, streams by TCP, both at one address. Nothing here chooses: what happens on
+//! sockets is told to [`Talk`], and what it says is carried out.
+
+use crate::message::{Event, Kind, Kinds, Name, Refused, Sender, Tenths, Way};
+use crate::talk::{Bounds, Call, Step, Talk, stream_of};
+use crate::tcp::{Connections, FIRST, More, call_of, token};
+use crate::transport::Transport;
+use crate::udp::Datagrams;
+use mio::net::{TcpListener, UdpSocket};
+use mio::{Events, Interest, Poll, Token};
+use std::collections::BTreeSet;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const WAKER: Token = Token(0);
+const UDP: Token = Token(1);
+const LISTENER: Token = Token(2);
+/// Told by the machine at once; further ones wait for the next turn.
+const EVENTS: usize = 256;
+/// Ports tried until one is free for both.
+const PORTS: usize = 20;
+
+/// Which sockets an instance has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Parts {
+    Udp,
+    Tcp,
+    Both,
+}
+
+/// Ends a [`Sockets::wait`] from another thread.
+#[derive(Clone)]
+pub struct Waker(Arc<mio::Waker>);
+
+impl Waker {
+    pub fn wake(&self) -> io::Result<()> {
+        self.0.wake()
+    }
+}
+
+pub struct Sockets {
+    talk: Talk,
+    poll: Poll,
+    events: Events,
+    waker: Waker,
+    udp: Option<Datagrams>,
+    tcp: Option<Connections>,
+    /// What may have something to read.
+    ready: BTreeSet<Token>,
+    /// The one whose turn it is.
+    turn: Token,
+    /// Connections that were given something to write.
+    given: BTreeSet<Call>,
+    address: SocketAddr,
+}
+
+impl Sockets {
+    /// Opens the sockets at this address; port 0: at one that is free. The seed is that of the pauses between dials.
+    pub fn bind(
+        me: Sender,
+        kinds: Kinds,
+        bounds: Bounds,
+        address: SocketAddr,
+        parts: Parts,
+        seed: u64,
+    ) -> io::Result<Sockets> {
+        let poll = Poll::new()?;
+        let waker = Waker(Arc::new(mio::Waker::new(poll.registry(), WAKER)?));
+        let (mut udp, mut tcp) = bind_parts(address, parts)?;
+        let mut at = address;
+        if let Some(socket) = &mut udp {
+            poll.registry().register(socket, UDP, Interest::READABLE)?;
+            at = socket.local_addr()?;
+        }
+        if let Some(listener) = &mut tcp {
+            poll.registry().register(listener, LISTENER, Interest::READABLE)?;
+            at = listener.local_addr()?;
+        }
+        let most = bounds.datagram;
+        Ok(Sockets {
+            talk: Talk::new(me, kinds, bounds, seed),
+            poll,
+            events: Events::with_capacity(EVENTS),
+            waker,
+            udp: udp.map(|socket| Datagrams::new(socket, most)),
+            tcp: tcp.map(Connections::new),
+            ready: BTreeSet::from([UDP, LISTENER]),
+            turn: WAKER,
+            given: BTreeSet::new(),
+            address: at,
+        })
+    }
+
+    /// Where peers reach this instance.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub fn waker(&self) -> Waker {
+        self.waker.clone()
+    }
+
+    /// Blocks until something comes in, somebody wakes it, or for so long. Poll first, until None.
+    pub fn wait(&mut self, longest: Duration) -> io::Result<()> {
+        let longest = if self.ready.is_empty() { longest } else { Duration::ZERO };
+        self.look(longest).map(|_| ())
+    }
+
+    /// Asks the machine which sockets are ready. True if any.
+    fn look(&mut self, longest: Duration) -> io::Result<bool> {
+        match self.poll.poll(&mut self.events, Some(longest)) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(false),
+            other => other?,
+        }
+        let mut any = false;
+        for event in &self.events {
+            any = true;
+            let token = event.token();
+            if token.0 >= FIRST && event.is_writable() {
+                self.given.insert(call_of(token));
+            }
+            if token != WAKER {
+                self.ready.insert(token);
+            }
+        }
+        Ok(any)
+    }
+
+    fn carry_out(&mut self, now: Tenths, step: Step) {
+        let Some(tcp) = &mut self.tcp else { return };
+        match step {
+            Step::Dial { call, address } => {
+                tcp.dial(now, call, address, self.poll.registry(), &mut self.talk)
+            }
+            Step::Write { call, frame } => {
+                tcp.write(now, call, &frame, &mut self.talk);
+                self.given.insert(call);
+            }
+            Step::Close { call } => {
+                tcp.close(call);
+                self.given.remove(&call);
+                self.ready.remove(&token(call));
+            }
+        }
+    }
+
+    /// Reads once from the socket whose turn it is. False if none is ready.
+    fn read(&mut self, now: Tenths) -> bool {
+        let next = self.ready.range(Token(self.turn.0 + 1)..).next().or_else(|| self.ready.first());
+        let Some(token) = next.copied() else { return false };
+        self.turn = token;
+        let more = match (token, &mut self.udp, &mut self.tcp) {
+            (UDP, Some(udp), _) => match udp.read() {
+                Some(bytes) => {
+                    self.talk.heard_datagram(bytes);
+                    More::Perhaps
+                }
+                None => More::No,
+            },
+            (LISTENER, _, Some(tcp)) => tcp.accept(now, self.poll.registry(), &mut self.talk),
+            (token, _, Some(tcp)) if token.0 >= FIRST => tcp.read(now, call_of(token), &mut self.talk),
+            _ => More::No,
+        };
+        if more == More::No {
+            self.ready.remove(&token);
+        }
+        true
+    }
+}
+
+fn bind_parts(address: SocketAddr, parts: Parts) -> io::Result<(Option<UdpSocket>, Option<TcpListener>)> {
+    let mut failed = io::Error::from(ErrorKind::AddrInUse);
+    for _ in 0..PORTS {
+        let tcp = if parts == Parts::Udp { None } else { Some(TcpListener::bind(address)?) };
+        let at = tcp.as_ref().map_or(Ok(address), TcpListener::local_addr)?;
+        if parts == Parts::Tcp {
+            return Ok((None, tcp));
+        }
+        match UdpSocket::bind(at) {
+            Ok(udp) => return Ok((Some(udp), tcp)),
+            // The port was free for one and not for the other.
+            Err(e) if e.kind() == ErrorKind::AddrInUse && address.port() == 0 => failed = e,
+            Err(e) => return Err(e),
+        }
+    }
+    Err(failed)
+}
+
+impl Transport for Sockets {
+    fn me(&self) -> &Sender {
+        self.talk.me()
+    }
+
+    fn carries(&self, way: Way) -> bool {
+        match way {
+            Way::Datagram => self.udp.is_some(),
+            Way::Stream(_) => self.tcp.is_some(),
+        }
+    }
+
+    fn meet(&mut self, now: Tenths, peer: &Name, address: SocketAddr) -> Result<(), Refused> {
+        self.talk.meet(now, peer, address)
+    }
+
+    fn forget(&mut self, now: Tenths, peer: &Name) {
+        self.talk.forget(now, peer);
+    }
+
+    fn send(&mut self, now: Tenths, to: &Name, way: Way, kind: Kind, body: &[u8]) -> Result<u64, Refused> {
+        if !self.carries(way) {
+            return Err(Refused::NoSuchWay(way));
+        }
+        if let Some(stream) = stream_of(way) {
+            return self.talk.send(now, to, stream, kind, body);
+        }
+        let bytes = self.talk.datagram(to, kind, body)?;
+        if let (Some(udp), Some(address)) = (&self.udp, self.talk.address(to)) {
+            udp.send(&bytes, address)?;
+        }
+        Ok(0)
+    }
+
+    fn poll(&mut self, now: Tenths) -> Option<Event> {
+        let mut looked = false;
+        loop {
+            if let Some(event) = self.talk.next_event() {
+                return Some(event);
+            }
+            if let Some(step) = self.talk.next_step(now) {
+                self.carry_out(now, step);
+                continue;
+            }
+            if let Some(tcp) = &mut self.tcp {
+                if tcp.again_at.is_some_and(|at| now >= at) {
+                    self.ready.insert(LISTENER);
+                }
+                let given = std::mem::take(&mut self.given);
+                if !given.is_empty() {
+                    given.into_iter().for_each(|call| tcp.writable(now, call, &mut self.talk));
+                    continue;
+                }
+            }
+            if self.talk.has_events() || self.read(now) {
+                continue;
+            }
+            // Once a call: who polls until None has seen everything that was there when it began.
+            if looked || !self.look(Duration::ZERO).unwrap_or(false) {
+                return None;
+            }
+            looked = true;
+        }
+    }
+
+    fn wake_at(&self) -> Option<Tenths> {
+        let again = self.tcp.as_ref().and_then(|t| t.again_at);
+        let ready = (!self.ready.is_empty() || !self.given.is_empty()).then_some(Tenths::MIN);
+        [again, ready, self.talk.wake_at()].into_iter().flatten().min()
+    }
+}
--- a/crates/link/src/talk.rs
+++ b/crates/link/src/talk.rs
@@ -55,7 +55,7 @@
 }
 
 /// The envelope of a datagram at its longest: beginning, two names, incarnation, kind, lane.
-const DATAGRAM_OVERHEAD: usize = 119;
+pub(crate) const DATAGRAM_OVERHEAD: usize = 119;
 
 /// One connection, whoever made it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -125,10 +125,6 @@
         &self.me
     }
 
-    pub(crate) fn bounds(&self) -> &Bounds {
-        &self.bounds
-    }
-
     pub(crate) fn address(&self, peer: &Name) -> Option<SocketAddr> {
         self.peers.get(peer).map(|p| p.address)
     }
--- a/crates/link/src/tests/grounds.rs
+++ b/crates/link/src/tests/grounds.rs
@@ -2,9 +2,12 @@
 
 use crate::contract::{Ground, bounds};
 use crate::fault::Fault;
-use crate::{Kinds, Memory, Name, Network, Sender, Tenths};
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use crate::{
+    Event, Kind, Kinds, Memory, Name, Network, Parts, Refused, Sender, Sockets, Tenths, Transport, Way,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
 
 /// A network in memory, each of its directions with one fault.
 pub struct Simulated {
@@ -52,3 +55,168 @@
         self.fault != Fault::default()
     }
 }
+
+/// The machine's own sockets.
+pub struct Loopback {
+    parts: Parts,
+    began: Instant,
+    addresses: BTreeMap<Name, SocketAddr>,
+}
+
+impl Loopback {
+    pub fn new(parts: Parts) -> Loopback {
+        Loopback { parts, began: Instant::now(), addresses: BTreeMap::new() }
+    }
+}
+
+impl Ground for Loopback {
+    type T = Sockets;
+
+    fn start(&mut self, me: Sender, kinds: Kinds) -> Sockets {
+        let known = self.addresses.get(&me.name).copied();
+        let at = known.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let sockets = Sockets::bind(me.clone(), kinds, bounds(), at, self.parts, me.incarnation).unwrap();
+        self.addresses.insert(me.name, sockets.address());
+        sockets
+    }
+
+    fn address(&mut self, _: &Name, to: &Name) -> SocketAddr {
+        self.addresses[to]
+    }
+
+    fn now(&self) -> Tenths {
+        self.began.elapsed().as_micros() as Tenths / 100
+    }
+
+    fn pass(&mut self, time: Tenths) {
+        std::thread::sleep(Duration::from_micros(time as u64 * 100));
+    }
+
+    fn inject(&mut self, to: &Name, datagram: &[u8]) -> bool {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.send_to(datagram, self.addresses[to]).is_ok()
+    }
+}
+
+/// What a half-broken transport does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    /// Says nothing of a break.
+    LosesInSilence,
+    /// Tells every message as acknowledged once it was taken.
+    AcknowledgesEarly,
+    /// Hands the second of two messages over first.
+    Swaps,
+    Doubles,
+    /// Takes what should wait, and keeps it.
+    TakesAll,
+    /// Hands over as 1 whatever start a peer has.
+    ForgetsStarts,
+}
+
+/// Memory with something wrong in it.
+pub struct HalfBroken {
+    inner: Memory,
+    wrong: Wrong,
+    kept: Vec<Event>,
+    held: Option<Event>,
+    over: u64,
+}
+
+impl Transport for HalfBroken {
+    fn me(&self) -> &Sender {
+        self.inner.me()
+    }
+
+    fn carries(&self, way: Way) -> bool {
+        self.inner.carries(way)
+    }
+
+    fn meet(&mut self, now: Tenths, peer: &Name, address: SocketAddr) -> Result<(), Refused> {
+        self.inner.meet(now, peer, address)
+    }
+
+    fn forget(&mut self, now: Tenths, peer: &Name) {
+        self.inner.forget(now, peer);
+    }
+
+    fn send(&mut self, now: Tenths, to: &Name, way: Way, kind: Kind, body: &[u8]) -> Result<u64, Refused> {
+        match (self.inner.send(now, to, way, kind, body), way, self.wrong) {
+            (Ok(number), Way::Stream(stream), Wrong::AcknowledgesEarly) => {
+                self.kept.push(Event::Acknowledged { to: to.clone(), stream, number });
+                Ok(number)
+            }
+            (Err(Refused::Full { .. }), _, Wrong::TakesAll) => {
+                self.over += 1;
+                Ok(self.over)
+            }
+            (taken, _, _) => taken,
+        }
+    }
+
+    fn poll(&mut self, now: Tenths) -> Option<Event> {
+        if let Some(event) = self.kept.pop() {
+            return Some(event);
+        }
+        match (self.inner.poll(now)?, self.wrong) {
+            (Event::Broken { .. }, Wrong::LosesInSilence) => self.poll(now),
+            (event @ Event::Message { stream: 0, number: 3, .. }, Wrong::Swaps) => {
+                self.held = Some(event);
+                self.poll(now)
+            }
+            (event @ Event::Message { stream: 0, number: 4, .. }, Wrong::Swaps) => {
+                self.kept.extend(self.held.take());
+                Some(event)
+            }
+            (event @ Event::Message { number: 3, .. }, Wrong::Doubles) => {
+                self.kept.push(event.clone());
+                Some(event)
+            }
+            (Event::Message { from, stream, epoch, number, kind, body }, Wrong::ForgetsStarts) => {
+                let from = Sender { incarnation: 1, ..from };
+                Some(Event::Message { from, stream, epoch, number, kind, body })
+            }
+            (event, _) => Some(event),
+        }
+    }
+
+    fn wake_at(&self) -> Option<Tenths> {
+        self.inner.wake_at()
+    }
+}
+
+/// A whole network of half-broken transports.
+pub struct HalfBrokenGround {
+    pub inner: Simulated,
+    pub wrong: Wrong,
+}
+
+impl Ground for HalfBrokenGround {
+    type T = HalfBroken;
+
+    fn start(&mut self, me: Sender, kinds: Kinds) -> HalfBroken {
+        HalfBroken {
+            inner: self.inner.start(me, kinds),
+            wrong: self.wrong,
+            kept: Vec::new(),
+            held: None,
+            over: 0,
+        }
+    }
+
+    fn address(&mut self, from: &Name, to: &Name) -> SocketAddr {
+        self.inner.address(from, to)
+    }
+
+    fn now(&self) -> Tenths {
+        self.inner.now()
+    }
+
+    fn pass(&mut self, time: Tenths) {
+        self.inner.pass(time);
+    }
+
+    fn inject(&mut self, to: &Name, datagram: &[u8]) -> bool {
+        self.inner.inject(to, datagram)
+    }
+}
--- /dev/null
+++ b/crates/link/src/udp.rs
@@ -0,0 +1,44 @@
+//! Datagrams on a UDP socket.
+
+use crate::message::Refused;
+use mio::net::UdpSocket;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+/// Reads that may fail in a row before the socket counts as empty.
+const FAILURES: usize = 16;
+
+pub(crate) struct Datagrams {
+    pub(crate) socket: UdpSocket,
+    /// One byte longer than the longest that is read.
+    buffer: Vec<u8>,
+}
+
+impl Datagrams {
+    pub(crate) fn new(socket: UdpSocket, most: usize) -> Datagrams {
+        Datagrams { socket, buffer: vec![0; most + 1] }
+    }
+
+    pub(crate) fn send(&self, bytes: &[u8], to: SocketAddr) -> Result<(), Refused> {
+        match self.socket.send_to(bytes, to) {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                Err(Refused::Full { waiting: bytes.len(), bound: 0 })
+            }
+            // Any other failure is a datagram that was lost.
+            _ => Ok(()),
+        }
+    }
+
+    /// The next datagram, or None when there is no more. One over the bound comes one byte longer than it.
+    pub(crate) fn read(&mut self) -> Option<&[u8]> {
+        for _ in 0..FAILURES {
+            match self.socket.recv_from(&mut self.buffer) {
+                Ok((length, _)) => return Some(&self.buffer[..length]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+                // A refusal of something sent earlier is told on the next read: the socket is as good as before.
+                Err(_) => {}
+            }
+        }
+        None
+    }
+}
