--- a/crates/link/src/dialling.rs
+++ b/crates/link/src/dialling.rs
@@ -17,6 +17,8 @@
     /// Given to the connection, not yet taken by it. Bytes.
     ahead: usize,
     streams: BTreeMap<StreamId, Outgoing>,
+    /// The number that a new stream begins with.
+    first: u64,
     /// The stream whose turn it is to write.
     turn: StreamId,
     /// When something last waited here.
@@ -24,7 +26,7 @@
 }
 
 impl Peer {
-    pub(crate) fn new(name: Name, address: SocketAddr, redial: Redial) -> Peer {
+    pub(crate) fn new(name: Name, address: SocketAddr, redial: Redial, first: u64) -> Peer {
         Peer {
             name,
             address,
@@ -33,6 +35,7 @@
             greeted: false,
             ahead: 0,
             streams: BTreeMap::new(),
+            first,
             turn: 0,
             used: 0,
         }
@@ -62,7 +65,13 @@
             return Err(Refused::Full { waiting: all, bound: bounds.peer_bytes });
         }
         self.used = now;
-        self.streams.entry(stream).or_insert_with(Outgoing::new).send(now, kind, body, bounds.stream_bytes)
+        let first = self.first;
+        self.streams.entry(stream).or_insert_with(|| Outgoing::new(first)).send(
+            now,
+            kind,
+            body,
+            bounds.stream_bytes,
+        )
     }
 
     /// What is to be done for this peer now; what is to be told goes to `events`.
@@ -197,6 +206,11 @@
         (self.address, self.redial) = (address, redial);
     }
 
+    /// A number that no message of any stream had yet.
+    pub(crate) fn unused_number(&self) -> u64 {
+        self.streams.values().map(Outgoing::next_number).fold(self.first, u64::max)
+    }
+
     pub(crate) fn wake_at(&self, bounds: &Bounds) -> Option<Tenths> {
         let silent = self.streams.values().filter_map(|s| s.silent_at(bounds.patience)).min();
         let idle = self.redial.is_up().then(|| self.used + bounds.idle);
--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -106,7 +106,8 @@
         kind: Kind,
         body: Vec<u8>,
     },
-    /// All messages of this stream up to `number` were handed to the peer's program. (Not: stored by it.)
+    /// All of this stream's messages up to `number`, but for those handed back before, were handed to the peer's program.
+    /// (Not: stored by it.)
     Acknowledged {
         to: Name,
         stream: StreamId,
--- a/crates/link/src/outgoing.rs
+++ b/crates/link/src/outgoing.rs
@@ -22,8 +22,20 @@
 }
 
 impl Outgoing {
-    pub(crate) fn new() -> Outgoing {
-        Outgoing { next: 1, epoch: 1, waiting: VecDeque::new(), bytes: 0, written: 0, since: 0 }
+    /// Whose first message gets the number `first`, which is 1 or more.
+    pub(crate) fn new(first: u64) -> Outgoing {
+        Outgoing {
+            next: first,
+            epoch: first,
+            waiting: VecDeque::new(),
+            bytes: 0,
+            written: first - 1,
+            since: 0,
+        }
+    }
+
+    pub(crate) fn next_number(&self) -> u64 {
+        self.next
     }
 
     pub(crate) fn epoch(&self) -> u64 {
--- a/crates/link/src/talk.rs
+++ b/crates/link/src/talk.rs
@@ -89,6 +89,8 @@
     calls: BTreeMap<Call, Side>,
     listened: usize,
     next_call: u64,
+    /// Where the numbers of new streams begin.
+    first_number: u64,
     /// The latest connection of each speaker.
     speakers: BTreeMap<Name, (Speaker, Option<Call>)>,
     busy: BTreeSet<Duty>,
@@ -111,6 +113,7 @@
             calls: BTreeMap::new(),
             listened: 0,
             next_call: 0,
+            first_number: 1,
             speakers: BTreeMap::new(),
             busy: BTreeSet::new(),
             timers: BTreeSet::new(),
@@ -147,7 +150,7 @@
             // Danger: its numbers must go on, or its next epoch would look older than its last.
             Some(peer) => peer.moved(address, redial),
             None => {
-                self.peers.insert(name.clone(), Peer::new(name.clone(), address, redial));
+                self.peers.insert(name.clone(), Peer::new(name.clone(), address, redial, self.first_number));
             }
         }
         Ok(())
@@ -155,7 +158,9 @@
 
     pub(crate) fn forget(&mut self, now: Tenths, name: &Name) {
         self.part(now, name);
-        self.peers.remove(name);
+        // Danger: a peer that is met again would take its first messages for ones from before.
+        let unused = self.peers.remove(name).map_or(0, |p| p.unused_number());
+        self.first_number = self.first_number.max(unused);
         self.rest(&Duty::Peer(name.clone()));
     }
 
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -1,6 +1,7 @@
 //! The contract on every implementation, half-broken ones that must fail it, and decisions alone.
 
 mod grounds;
+mod many;
 
 use super::*;
 use crate::fault::{Fault, LINE_MOST, Line, REPEAT};
@@ -155,7 +156,7 @@
     #[case] news: u64,
     #[case] left: Vec<u64>,
 ) {
-    let mut stream = Outgoing::new();
+    let mut stream = Outgoing::new(1);
     (0..3).for_each(|_| assert!(stream.send(0, 1, b"x", 1_000).is_ok()));
     (0..2).for_each(|_| assert!(stream.unwritten().is_some()));
     assert_eq!(stream.acknowledged(0, epoch, number), news > 0);
@@ -170,7 +171,7 @@
     #[case] back: Vec<u64>,
     #[case] epoch: u64,
 ) {
-    let mut stream = Outgoing::new();
+    let mut stream = Outgoing::new(1);
     (0..2).for_each(|_| assert!(stream.send(0, 1, b"x", 1_000).is_ok()));
     (0..written).for_each(|_| assert!(stream.unwritten().is_some()));
     assert_eq!(stream.connection_ended().iter().map(|m| m.number).collect::<Vec<_>>(), back);
--- a/crates/link/src/transport.rs
+++ b/crates/link/src/transport.rs
@@ -22,7 +22,8 @@
     /// Not to be talked to any more. Its streams break; what it still sends is handed over.
     fn forget(&mut self, now: Tenths, peer: &Name);
 
-    /// Sends, or says why not. Returns the message's number in its stream, from 1; 0 for a datagram.
+    /// Sends, or says why not. Returns the message's number in its stream; 0 for a datagram. Numbers grow by one
+    /// from 1; after the peer was forgotten, from a later one.
     fn send(&mut self, now: Tenths, to: &Name, way: Way, kind: Kind, body: &[u8]) -> Result<u64, Refused>;
 
     /// What happened, one by one until there is none. A message counts as handed over when it is returned from here.
