Link: nothing is handed to another instance; who was away has patience once more

A peer at a reused address would have been handed others' messages: an eleventh clause asserts the refusal by name. An instance paused for longer than its patience would have broken streams whose answers lay unread in its sockets.

--- a/crates/link/src/contract.rs
+++ b/crates/link/src/contract.rs
@@ -62,7 +62,7 @@
 
 /// Plays every clause on a ground of its own. The first that is not kept is the error.
 pub fn check<G: Ground>(make: impl Fn() -> G) -> Result<(), Breach> {
-    let clauses: [(&'static str, Clause<G>); 10] = [
+    let clauses: [(&'static str, Clause<G>); 11] = [
         ("what can't be sent is refused", refusals),
         ("a datagram arrives as sent or not at all", datagrams),
         ("what can't be read is told and not handed over", unread),
@@ -73,6 +73,7 @@
         ("an unknown kind breaks its stream alone", unknown_kind),
         ("a peer that is not there breaks the stream", nobody),
         ("a forgotten peer's streams are handed back", forgotten),
+        ("nothing is handed to another instance than it is meant for", elsewhere),
     ];
     for (clause, play) in clauses {
         let mut ground = make();
@@ -534,3 +535,36 @@
     let now = play.ground.now();
     must(later.is_none_or(|at| at > now), || "nothing is left to do, and it wants to be woken".into())
 }
+
+fn elsewhere<G: Ground>(play: &mut Play<G>) -> Kept {
+    play.begin(&["a", "b", "c"])?;
+    let wrong = play.ground.address(&name("a"), &name("c"));
+    let now = play.ground.now();
+    if play.of("a").carries(Way::Stream(1)) {
+        play.send("a", "b", Way::Stream(1), NOTE, b"before").map_err(|why| why.to_string())?;
+    }
+    play.of("a").meet(now, &name("b"), wrong).map_err(|why| why.to_string())?;
+    play.poll(&["a"]);
+    let says = |e: &Event| matches!(e, Event::Unread { why: Unread::NotMine(b), .. } if b == "b");
+    if !play.streams("a") {
+        for _ in 0..20 {
+            play.send("a", "b", Way::Datagram, NOTE, b"x").map_err(|why| why.to_string())?;
+        }
+        return play.until(&["a", "b", "c"], 20_000, "a refusal by name", |p| p.told("c").iter().any(says));
+    }
+    let broken = play.broken("a");
+    must(broken.len() == 1 && *broken[0].3 == Why::Left, || format!("told of the move: {broken:?}"))?;
+    play.send("a", "b", Way::Stream(1), NOTE, b"astray").map_err(|why| why.to_string())?;
+    let back = |p: &Play<G>| p.broken("a").len() == 2;
+    play.until(&["a", "b", "c"], bounds().patience + 20_000, "the break of what went astray", back)?;
+    let why = play.broken("a")[1].3;
+    must(*why == Why::Refused(Unread::NotMine("b".into())), || format!("broken because {why:?}"))?;
+    must(play.told("c").iter().any(says), || "who got it was not told".into())?;
+    play.meet("a", "b")?;
+    let number = play.send("a", "b", Way::Stream(1), NOTE, b"after").map_err(|why| why.to_string())?;
+    must(number == 3, || format!("numbers go on with {number}"))?;
+    let came = |p: &Play<G>| p.handed("b", "a", 1).last().is_some_and(|h| h.2 == b"after");
+    play.until(&["a", "b", "c"], 60_000, "what was sent to the right address", came)?;
+    let at_c = play.handed("c", "a", 1);
+    must(at_c.is_empty(), || format!("handed to another: {at_c:?}"))
+}
--- a/crates/link/src/dialling.rs
+++ b/crates/link/src/dialling.rs
@@ -139,14 +139,14 @@
 
     /// Streams that nobody answers for too long break; so does the connection that carried them.
     fn end_silence(&mut self, now: Tenths, bounds: &Bounds, events: &mut impl Extend<Event>) -> Option<Step> {
-        let silent = |s: &Outgoing| s.silent_at(bounds.patience).is_some_and(|at| now >= at);
-        if !self.streams.values().any(silent) {
-            return None;
-        }
-        for (id, stream) in self.streams.iter_mut().filter(|(_, s)| silent(s)) {
-            events.extend(broken(&self.name, *id, stream.broke(), Why::Silent));
+        let mut any = false;
+        for (id, stream) in &mut self.streams {
+            if stream.is_silent(now, bounds.patience) {
+                any = true;
+                events.extend(broken(&self.name, *id, stream.broke(), Why::Silent));
+            }
         }
-        if self.redial.is_up() { self.hang_up(now, Why::Lost, events) } else { None }
+        if any && self.redial.is_up() { self.hang_up(now, Why::Lost, events) } else { None }
     }
 
     fn hang_up(&mut self, now: Tenths, why: Why, events: &mut impl Extend<Event>) -> Option<Step> {
--- a/crates/link/src/outgoing.rs
+++ b/crates/link/src/outgoing.rs
@@ -6,6 +6,9 @@
 /// What a message counts beside its body, so that empty ones are bounded too. Bytes.
 const BESIDE_BODY: usize = 64;
 
+/// Who comes so much too late was away. Tenths of a millisecond.
+const AWAY: Tenths = 5_000;
+
 #[derive(Debug)]
 pub(crate) struct Outgoing {
     /// The number that the next message gets.
@@ -19,19 +22,15 @@
     written: u64,
     /// Since when the front has been waiting.
     since: Tenths,
+    /// Patience began again once for the front, because this instance itself was away.
+    excused: bool,
 }
 
 impl Outgoing {
     /// Whose first message gets the number `first`, which is 1 or more.
     pub(crate) fn new(first: u64) -> Outgoing {
-        Outgoing {
-            next: first,
-            epoch: first,
-            waiting: VecDeque::new(),
-            bytes: 0,
-            written: first - 1,
-            since: 0,
-        }
+        let (waiting, written) = (VecDeque::new(), first - 1);
+        Outgoing { next: first, epoch: first, waiting, bytes: 0, written, since: 0, excused: false }
     }
 
     pub(crate) fn next_number(&self) -> u64 {
@@ -67,7 +66,7 @@
             return Err(Refused::Full { waiting: self.bytes, bound });
         }
         if self.waiting.is_empty() {
-            self.since = now;
+            (self.since, self.excused) = (now, false);
         }
         let number = self.next;
         self.next += 1;
@@ -101,7 +100,7 @@
         }
         let news = self.waiting.len() < before;
         if news {
-            self.since = now;
+            (self.since, self.excused) = (now, false);
         }
         news
     }
@@ -111,6 +110,18 @@
         self.is_waiting().then(|| self.since + patience)
     }
 
+    /// Whether patience with the front has ended.
+    pub(crate) fn is_silent(&mut self, now: Tenths, patience: Tenths) -> bool {
+        let Some(at) = self.silent_at(patience).filter(|at| now >= *at) else { return false };
+        // Danger: an instance that was itself paused would blame its peers, whose answers wait unread in its sockets. But
+        // one that always comes late must still find out: once for each front.
+        if now - at >= AWAY && !self.excused {
+            (self.since, self.excused) = (now, true);
+            return false;
+        }
+        true
+    }
+
     /// The connection ended. What of it was written and not acknowledged may be lost: then all that waits is handed back,
     /// for later messages must not overtake it. Otherwise the stream goes on with the next connection.
     pub(crate) fn connection_ended(&mut self) -> Vec<Message> {
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -178,6 +178,25 @@
     assert_eq!(stream.epoch(), epoch);
 }
 
+#[rstest]
+#[case::polled_in_time(&[10_000], vec![1])]
+#[case::away_and_answered(&[90_000, 90_001], vec![])]
+#[case::away_twice(&[90_000, 200_000], vec![1])]
+fn who_was_away_has_patience_once_more(#[case] polls: &[Tenths], #[case] back: Vec<u64>) {
+    let mut stream = Outgoing::new(1);
+    stream.send(0, 1, b"x", 1_000).unwrap();
+    let silent = polls.iter().filter(|now| stream.is_silent(**now, 10_000)).count() > 0;
+    let broke = if silent { stream.broke() } else { Vec::new() };
+    assert_eq!(broke.iter().map(|m| m.number).collect::<Vec<_>>(), back);
+}
+
+#[rstest]
+fn transports_move_to_their_thread() {
+    fn moves<T: Transport + Send + 'static>() {}
+    moves::<Sockets>();
+    moves::<Memory>();
+}
+
 /// Times at which a peer is dialled that answers never, or hangs up after `held`.
 fn dials(seed: u64, held: Option<Tenths>) -> Vec<Tenths> {
     let backoff = Backoff { first: 100, most: 1_600, answer: 50, steady: 1_000 };
