--- a/crates/chaos/src/fleet.rs
+++ b/crates/chaos/src/fleet.rs
@@ -173,9 +173,10 @@
         answer.recv_timeout(ANSWER).map_err(|_| io::Error::from(io::ErrorKind::TimedOut))
     }
 
-    /// A fault of one direction beside the schedule, in place of the one set here before; the default takes it back.
+    /// A fault of one direction beside the schedule, in place of the one set here before; the default takes it back. It
+    /// holds when this returns.
     pub fn set(&self, from: &Name, to: &Name, fault: Fault) -> io::Result<()> {
-        self.order(Order::Link { from: from.clone(), to: to.clone(), fault })
+        self.ask(|done| Order::Link { from: from.clone(), to: to.clone(), fault, done })
     }
 
     /// Done when it returns: a killed process is gone, a started one has begun.
--- a/crates/chaos/src/harness.rs
+++ b/crates/chaos/src/harness.rs
@@ -19,7 +19,7 @@
 
 /// What the handle asks of the thread.
 pub(crate) enum Order {
-    Link { from: Name, to: Name, fault: Fault },
+    Link { from: Name, to: Name, fault: Fault, done: SyncSender<()> },
     Act { name: Name, act: Act, done: SyncSender<io::Result<()>> },
     State { name: Name, told: SyncSender<State> },
     History { told: SyncSender<Vec<(Tenths, Decision)>> },
@@ -53,10 +53,7 @@
                 }
                 self.order(now, order);
             }
-            while let Some(decision) = self.course.next_decision(now) {
-                // A process that can't be acted on shows in its state; the course goes on.
-                let _ = self.carry_out(now, decision);
-            }
+            self.play(now);
             self.relays.carry_on(tenths(self.began));
             let wakes = [self.course.wake_at(), self.relays.wake_at()];
             let wait = wakes.into_iter().flatten().min().map_or(LONGEST, |at| {
@@ -70,9 +67,20 @@
         }
     }
 
+    fn play(&mut self, now: Tenths) {
+        while let Some(decision) = self.course.next_decision(now) {
+            // A process that can't be acted on shows in its state; the course goes on.
+            let _ = self.carry_out(now, decision);
+        }
+    }
+
     fn order(&mut self, now: Tenths, order: Order) {
         match order {
-            Order::Link { from, to, fault } => self.course.set(&from, &to, fault),
+            Order::Link { from, to, fault, done } => {
+                self.course.set(&from, &to, fault);
+                self.play(now);
+                let _ = done.try_send(());
+            }
             Order::Act { name, act, done } => {
                 let _ = done.try_send(self.carry_out(now, Decision::Process { name, act }));
             }
--- a/crates/chaos/src/tests.rs
+++ b/crates/chaos/src/tests.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use vetchkeel_link::contract::{self, Ground, bounds};
 use vetchkeel_link::fault::{Fault, Line, REPEAT};
-use vetchkeel_link::{Kinds, Name, Parts, Sender, Sockets, Tenths};
+use vetchkeel_link::{Event, Kinds, Name, Parts, Sender, Sockets, Tenths, Transport, Way, Why};
 use vetchkeel_operator::OperatorFile;
 
 fn name(text: &str) -> Name {
@@ -70,6 +70,57 @@
     contract::check(|| Relayed::new(fault)).unwrap_or_else(|breach| panic!("{breach}"));
 }
 
+/// Why a's stream to b breaks, and after how long, when b is gone and these faults began just before.
+fn broken_after(forth: Fault, back: Fault, ends: bool) -> (Why, Tenths) {
+    let mut ground = Relayed::new(Fault::default());
+    let kinds = Kinds::new(&[(1, "note")]);
+    let start = |g: &mut Relayed, n: &str| g.start(Sender { name: name(n), incarnation: 1 }, kinds.clone());
+    let (mut a, mut b) = (start(&mut ground, "a"), Some(start(&mut ground, "b")));
+    let (to, at) = (name("b"), ground.address(&name("a"), &name("b")));
+    a.meet(0, &to, at).unwrap();
+    a.send(ground.now(), &to, Way::Stream(1), 1, b"first").unwrap();
+    let mut told = None;
+    while !matches!(told, Some(Event::Acknowledged { .. })) {
+        assert!(ground.now() < 50_000, "no talk through relays");
+        b.as_mut().and_then(|b| b.poll(ground.now()));
+        told = a.poll(ground.now());
+        ground.pass(10);
+    }
+    ground.fleet.set(&name("a"), &to, forth).unwrap();
+    ground.fleet.set(&to, &name("a"), back).unwrap();
+    if ends {
+        b = None;
+    }
+    let began = ground.now();
+    a.send(began, &to, Way::Stream(1), 1, b"second").unwrap();
+    while ground.now() < began + 60_000 {
+        b.as_mut().and_then(|b| b.poll(ground.now()));
+        if let Some(Event::Broken { why, .. }) = a.poll(ground.now()) {
+            return (why, ground.now() - began);
+        }
+        ground.pass(10);
+    }
+    panic!("nothing was told");
+}
+
+#[rstest]
+#[case::ends_on_a_whole_link(Fault::default(), Fault::default(), true, Why::Lost, 0)]
+#[case::ends_behind_a_cut(cut(), cut(), true, Why::Silent, bounds().patience)]
+#[case::ends_and_the_news_is_cut(Fault::default(), cut(), true, Why::Silent, bounds().patience)]
+#[case::is_there_behind_a_cut(cut(), Fault::default(), false, Why::Silent, bounds().patience)]
+#[case::is_there_and_answers_are_cut(Fault::default(), cut(), false, Why::Silent, bounds().patience)]
+#[case::is_reset(Fault { reset: true, ..Fault::default() }, Fault::default(), false, Why::Lost, 0)]
+fn what_a_link_hides_is_found_by_patience(
+    #[case] forth: Fault,
+    #[case] back: Fault,
+    #[case] ends: bool,
+    #[case] why: Why,
+    #[case] least: Tenths,
+) {
+    let (found, after) = broken_after(forth, back, ends);
+    assert!(found == why && (least..least + 10_000).contains(&after), "{found:?} after {after}");
+}
+
 fn cut() -> Fault {
     Fault { cut: true, ..Fault::default() }
 }
--- a/crates/chaos/tests/processes.rs
+++ b/crates/chaos/tests/processes.rs
@@ -168,7 +168,8 @@
     let (a, b) = (&names[0], &names[1]);
     until("talk", Duration::from_secs(5), || heard(&logs, a, b) > 20 && heard(&logs, b, a) > 20);
     fleet.set(a, b, Fault { cut: true, ..Fault::default() }).unwrap();
-    std::thread::sleep(Duration::from_millis(200));
+    // What had passed before is written by then.
+    std::thread::sleep(Duration::from_millis(300));
     let (at_a, at_b) = (heard(&logs, a, b), heard(&logs, b, a));
     until("talk of b to a", Duration::from_secs(5), || heard(&logs, a, b) > at_a + 40);
     assert_eq!(heard(&logs, b, a), at_b);
--- /dev/null
+++ b/crates/link/examples/speed.rs
@@ -0,0 +1,99 @@
+//! What the sockets of two instances on loopback carry: messages a second at full rate, and the time from a message's due
+//! time to its acknowledgement at a steady rate. `cargo run --release -p vetchkeel-link --example speed`
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use vetchkeel_link::{Bounds, Event, Kinds, Name, Parts, Refused, Sender, Sockets, Tenths, Transport, Way};
+
+const SECONDS: u64 = 2;
+const STREAM: Way = Way::Stream(1);
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap_or_else(|| panic!("{text} is a name"))
+}
+
+fn sockets(me: &str) -> Sockets {
+    let me = Sender { name: name(me), incarnation: 1 };
+    let any = ([127, 0, 0, 1], 0).into();
+    Sockets::bind(me, Kinds::new(&[(1, "note")]), Bounds::default(), any, Parts::Both, 1)
+        .unwrap_or_else(|e| panic!("no sockets on loopback: {e}"))
+}
+
+/// What a sender was told, and when it went on.
+struct Run {
+    acknowledged: u64,
+    refused: u64,
+    /// From due to acknowledged, in microseconds.
+    took: Vec<u64>,
+}
+
+/// Sends for some seconds: `rate` a second, or as much as is taken.
+fn run(length: usize, rate: Option<u64>) -> Run {
+    let (mut a, mut b) = (sockets("a"), sockets("b"));
+    let over = AtomicBool::new(false);
+    let (began, body) = (Instant::now(), vec![7u8; length]);
+    let now = || (began.elapsed().as_micros() / 100) as Tenths;
+    let met = a.meet(0, &name("b"), b.address());
+    assert!(met.is_ok(), "{met:?}");
+    let waker = b.waker();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !over.load(Ordering::Relaxed) {
+                while b.poll(now()).is_some() {}
+                let _ = b.wait(Duration::from_millis(20));
+            }
+        });
+        let mut run = Run { acknowledged: 0, refused: 0, took: Vec::new() };
+        let mut due: VecDeque<Instant> = VecDeque::new();
+        let mut sent = 0u64;
+        while began.elapsed() < Duration::from_secs(SECONDS) {
+            loop {
+                let at =
+                    rate.map_or(Instant::now(), |r| began + Duration::from_nanos(sent * 1_000_000_000 / r));
+                if at > Instant::now() {
+                    break;
+                }
+                match a.send(now(), &name("b"), STREAM, 1, &body) {
+                    Ok(_) => {
+                        due.push_back(at);
+                        sent += 1;
+                    }
+                    Err(Refused::Full { .. }) => {
+                        run.refused += 1;
+                        break;
+                    }
+                    Err(why) => panic!("{why}"),
+                }
+            }
+            while let Some(event) = a.poll(now()) {
+                match event {
+                    Event::Acknowledged { number, .. } => {
+                        while run.acknowledged < number {
+                            run.acknowledged += 1;
+                            let at = due.pop_front().unwrap_or(began);
+                            run.took.push(at.elapsed().as_micros() as u64);
+                        }
+                    }
+                    other => panic!("told {other:?}"),
+                }
+            }
+            let _ = a.wait(Duration::from_micros(rate.map_or(1_000, |r| 1_000_000 / r)));
+        }
+        over.store(true, Ordering::Relaxed);
+        let _ = waker.wake();
+        run
+    })
+}
+
+fn main() {
+    println!("length rate acknowledged_per_s p50_us p99_us refused");
+    for (length, rate) in [(200, None), (16_384, None), (200, Some(500)), (200, Some(10_000))] {
+        let mut run = run(length, rate);
+        run.took.sort_unstable();
+        let at = |part: f64| run.took.get((run.took.len() as f64 * part) as usize).copied().unwrap_or(0);
+        let rate = rate.map_or("full".to_owned(), |r| r.to_string());
+        let (a_second, p50, p99) = (run.acknowledged / SECONDS, at(0.5), at(0.99));
+        println!("{length} {rate} {a_second} {p50} {p99} {}", run.refused);
+    }
+}
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -129,6 +129,19 @@
     assert_eq!(b.next_step(0), Some(Step::Close { call: first }));
 }
 
+#[rstest]
+fn what_was_not_handed_over_is_not_acknowledged() {
+    let mut b = talk("b", "a");
+    let call = b.accepted(0).unwrap();
+    b.heard(0, call, &frame(Lane::Hello { dial: 1 }, b""));
+    (1..=2).for_each(|number| b.heard(0, call, &frame(Lane::Stream { stream: 1, epoch: 1, number }, b"")));
+    assert_eq!(b.next_step(0), None);
+    assert!(matches!(b.next_event(), Some(Event::Message { number: 1, .. })));
+    let Some(Step::Write { frame, .. }) = b.next_step(0) else { panic!("no acknowledgement") };
+    let lane = decode(&frame).map(|(header, _)| header.lane);
+    assert_eq!(lane, Ok(Lane::Acknowledged { stream: 1, epoch: 1, number: 1 }));
+}
+
 #[rstest]
 fn made_up_names_leave_room_for_those_that_talk() {
     let me = Sender { name: name("b"), incarnation: 1 };
@@ -190,6 +203,26 @@
     assert_eq!(broke.iter().map(|m| m.number).collect::<Vec<_>>(), back);
 }
 
+#[rstest]
+fn a_pause_of_its_own_breaks_no_stream_that_was_answered() {
+    let network = Network::new(1);
+    let start = |n| {
+        network.start(
+            0,
+            Sender { name: name(n), incarnation: 1 },
+            Kinds::new(&[(1, "note")]),
+            Bounds::default(),
+        )
+    };
+    let (mut a, mut b) = (start("a"), start("b"));
+    a.meet(0, &name("b"), network.address(&name("b"))).unwrap();
+    a.send(0, &name("b"), Way::Stream(1), 1, b"x").unwrap();
+    // a is polled until b was handed the message, and then not for 10 s.
+    let handed = (0..100).find(|now| a.poll(*now).is_none() && b.poll(*now).is_some());
+    assert!(handed.is_some_and(|now| b.poll(now).is_none()));
+    assert_eq!(a.poll(100_000), Some(Event::Acknowledged { to: name("b"), stream: 1, number: 1 }));
+}
+
 #[rstest]
 fn transports_move_to_their_thread() {
     fn moves<T: Transport + Send + 'static>() {}
