--- a/crates/link/src/memory.rs
+++ b/crates/link/src/memory.rs
@@ -221,10 +221,6 @@
     fn write(&mut self, now: Tenths, end: &End, frame: Vec<u8>) {
         let Some(pipe) = self.pipes.get_mut(end) else { return };
         let Some(other) = pipe.other.clone() else { return };
-        if !pipe.held.is_empty() {
-            pipe.held.push_back(frame);
-            return;
-        }
         match self.line(&end.sender.name, &other.sender.name).bytes(now, frame.len()) {
             Some(at) => self.arrive(&other.sender, at, Arrival::Frame { call: other.call, frame }),
             None => {
