--- a/crates/link/examples/speed.rs
+++ b/crates/link/examples/speed.rs
@@ -4,7 +4,10 @@
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
-use vetchkeel_link::{Bounds, Event, Kinds, Name, Parts, Refused, Sender, Sockets, Tenths, Transport, Way};
+use vetchkeel_link::{
+    Bounds, Event, Header, Kinds, Lane, Memory, Name, Network, Parts, Refused, Sender, Sockets, Tenths,
+    Transport, Way, encode,
+};
 
 const SECONDS: u64 = 2;
 const STREAM: Way = Way::Stream(1);
@@ -86,7 +89,42 @@
     })
 }
 
+/// Instances on a simulated network, each with a message to five others every 100 ms, polled every 10 ms of told time:
+/// messages handed over, and how long that took.
+fn simulated(instances: usize, seconds: Tenths) -> (u64, Duration) {
+    let (began, network) = (Instant::now(), Network::new(1));
+    let names: Vec<Name> = (0..instances).map(|i| name(&format!("n{i}"))).collect();
+    let start = |n: &Name| {
+        let me = Sender { name: n.clone(), incarnation: 1 };
+        network.start(0, me, Kinds::new(&[(1, "note")]), Bounds::default())
+    };
+    let mut all: Vec<Memory> = names.iter().map(start).collect();
+    for (i, memory) in all.iter_mut().enumerate() {
+        for peer in (1..=5).map(|p| &names[(i + p * 7) % instances]) {
+            assert!(memory.meet(0, peer, network.address(peer)).is_ok());
+        }
+    }
+    let mut handed = 0;
+    for now in (0..seconds * 10_000).step_by(100) {
+        for (i, memory) in all.iter_mut().enumerate() {
+            if now % 1_000 == 0 {
+                for peer in (1..=5).map(|p| &names[(i + p * 7) % instances]) {
+                    assert!(memory.send(now, peer, STREAM, 1, &[7; 200]).is_ok());
+                }
+            }
+            while let Some(event) = memory.poll(now) {
+                handed += u64::from(matches!(event, Event::Message { .. }));
+            }
+        }
+    }
+    (handed, began.elapsed())
+}
+
 fn main() {
+    let header = |lane| Header { from: "gw-1", incarnation: 1_764_633_600, to: "gw-2", kind: 1, lane };
+    let (datagram, stream) = (Lane::Datagram, Lane::Stream { stream: 1, epoch: 1, number: 100_000 });
+    let lengths = [datagram, stream].map(|lane| encode(&header(lane), b"").len());
+    println!("envelope: datagram {} bytes, stream {} bytes and 4 of length", lengths[0], lengths[1]);
     println!("length rate acknowledged_per_s p50_us p99_us refused");
     for (length, rate) in [(200, None), (16_384, None), (200, Some(500)), (200, Some(10_000))] {
         let mut run = run(length, rate);
@@ -96,4 +134,8 @@
         let (a_second, p50, p99) = (run.acknowledged / SECONDS, at(0.5), at(0.99));
         println!("{length} {rate} {a_second} {p50} {p99} {}", run.refused);
     }
+    for instances in [10, 100, 300] {
+        let (handed, took) = simulated(instances, 10);
+        println!("memory: {instances} instances, 10 s of told time: {handed} handed over in {took:.2?}");
+    }
 }
