Link: a last look before a silent stream breaks; tests that hold on a busy machine

A pause between patience and half a second more still blamed the peer. The stream now breaks 0.1 s after patience, counted from when the instance looks.

--- a/crates/link/src/contract.rs
+++ b/crates/link/src/contract.rs
@@ -284,7 +284,7 @@
         play.ground.pass(1);
     }
     let least = if faulty { lengths.len() / 4 } else { lengths.len() };
-    play.until(&["a", "b"], 20_000, "the arrival of datagrams", |p| p.told("b").len() >= least)?;
+    play.until(&["a", "b"], 80_000, "the arrival of datagrams", |p| p.told("b").len() >= least)?;
     let mut count = BTreeMap::new();
     for event in play.told("b") {
         let Event::Datagram { from, kind, body } = event else { return Err(format!("told {event:?}")) };
@@ -324,11 +324,11 @@
         let says = |p: &Play<G>| {
             p.told("b").iter().any(|e| matches!(e, Event::Unread { why, .. } if *why == expected))
         };
-        play.until(&["b"], 10_000, &format!("being told {expected:?}"), says)?;
+        play.until(&["b"], 60_000, &format!("being told {expected:?}"), says)?;
     }
     play.ground.inject(&name("b"), &good);
     let handed = |p: &Play<G>| p.told("b").iter().filter(|e| matches!(e, Event::Datagram { .. })).count();
-    play.until(&["b"], 10_000, "a good one after the bad", |p| handed(p) > 0)?;
+    play.until(&["b"], 60_000, "a good one after the bad", |p| handed(p) > 0)?;
     must(handed(play) == 1, || "more than the good one was handed over".into())
 }
 
@@ -380,12 +380,19 @@
     }
     let (bound, length) = (bounds().stream_bytes, 10_000);
     let mut taken = 0u64;
-    let end = play.ground.now() + 3_000;
+    let mut end = play.ground.now() + 200_000;
+    let mut full = false;
     // b is there and does not poll.
     while play.ground.now() < end {
         match play.send("a", "b", Way::Stream(3), NOTE, &body(taken + 1, length)) {
             Ok(_) => taken += 1,
-            Err(Refused::Full { .. }) => play.ground.pass(50),
+            Err(Refused::Full { .. }) => {
+                // Some time is left for what should not come.
+                if !std::mem::replace(&mut full, true) {
+                    end = play.ground.now() + 3_000;
+                }
+                play.ground.pass(50);
+            }
             Err(why) => return Err(format!("refused: {why}")),
         }
         must(taken as usize * length <= bound, || format!("{taken} messages taken, none handed over"))?;
@@ -393,7 +400,7 @@
         let early = play.acknowledged("a", "b", 3);
         must(early == 0, || format!("{early} told as acknowledged that nobody was handed"))?;
     }
-    must(taken as usize * length > bound / 2, || format!("only {taken} messages were taken"))?;
+    must(full && taken as usize * length > bound / 2, || format!("only {taken} messages were taken"))?;
     let all = |p: &Play<G>| p.acknowledged("a", "b", 3) == taken;
     play.until(&["a", "b"], 100_000, "the acknowledgement of all that was taken", all)?;
     let handed = play.handed("b", "a", 3);
@@ -421,7 +428,7 @@
         must(now < end, || "too little is handed over".into())?;
     }
     play.transports.remove(&name("b"));
-    play.until(&["a"], 40_000, "being told of the break", |p| !p.broken("a").is_empty())?;
+    play.until(&["a"], 80_000, "being told of the break", |p| !p.broken("a").is_empty())?;
     let handed = play.handed("b", "a", 5).len() as u64;
     let acknowledged = play.acknowledged("a", "b", 5);
     must(acknowledged <= handed, || format!("{acknowledged} acknowledged, {handed} handed over"))?;
@@ -463,7 +470,7 @@
     play.send("a", "b", Way::Stream(5), NOTE, b"and again").map_err(|why| why.to_string())?;
     play.send("b", "a", Way::Stream(5), NOTE, b"back").map_err(|why| why.to_string())?;
     let both = |p: &Play<G>| p.handed("b", "a", 5).len() >= before + 2 && p.handed("a", "b", 5).len() == 1;
-    play.until(&["a", "b"], 60_000, "talk with the later start", both)?;
+    play.until(&["a", "b"], 80_000, "talk with the later start", both)?;
     let later = play.handed("b", "a", 5).split_off(before);
     let expected = [(first, first, &b"again"[..]), (first, first + 1, &b"and again"[..])];
     must(later == expected, || format!("the later start was handed {later:?}"))?;
@@ -484,7 +491,7 @@
         play.send("a", "b", Way::Stream(stream), kind, b"x").map_err(|why| why.to_string())?;
     }
     let done = |p: &Play<G>| !p.broken("a").is_empty() && p.acknowledged("a", "b", 2) == 2;
-    play.until(&["a", "b"], 30_000, "the break of one stream and the end of the other", done)?;
+    play.until(&["a", "b"], 80_000, "the break of one stream and the end of the other", done)?;
     let broken = play.broken("a");
     let [(_, 1, back, Why::Refused(Unread::Kind(NEWER)))] = broken[..] else {
         return Err(format!("told {broken:?}"));
@@ -495,7 +502,7 @@
     must(play.told("b").iter().any(says), || "its receiver was not told".into())?;
     play.send("a", "b", Way::Stream(1), NOTE, b"y").map_err(|why| why.to_string())?;
     let numbers = |p: &Play<G>| p.handed("b", "a", 1).iter().map(|h| h.1).collect::<Vec<_>>();
-    play.until(&["a", "b"], 30_000, "the stream's next epoch", |p| numbers(p) == [1, 4])?;
+    play.until(&["a", "b"], 80_000, "the stream's next epoch", |p| numbers(p) == [1, 4])?;
     in_order(&play.handed("b", "a", 1))
 }
 
@@ -508,7 +515,7 @@
     for i in 1..=3 {
         play.send("a", "b", Way::Stream(2), NOTE, &body(i, 10)).map_err(|why| why.to_string())?;
     }
-    let limit = bounds().patience + 10_000;
+    let limit = bounds().patience + 40_000;
     let back = |p: &Play<G>| p.broken("a").iter().map(|b| b.2.len()).sum::<usize>();
     play.until(&["a"], limit, "being told that nobody took them", |p| back(p) == 3)
 }
@@ -556,7 +563,7 @@
     must(broken.len() == 1 && *broken[0].3 == Why::Left, || format!("told of the move: {broken:?}"))?;
     play.send("a", "b", Way::Stream(1), NOTE, b"astray").map_err(|why| why.to_string())?;
     let back = |p: &Play<G>| p.broken("a").len() == 2;
-    play.until(&["a", "b", "c"], bounds().patience + 20_000, "the break of what went astray", back)?;
+    play.until(&["a", "b", "c"], bounds().patience + 60_000, "the break of what went astray", back)?;
     let why = play.broken("a")[1].3;
     must(*why == Why::Refused(Unread::NotMine("b".into())), || format!("broken because {why:?}"))?;
     must(play.told("c").iter().any(says), || "who got it was not told".into())?;
--- a/crates/link/src/outgoing.rs
+++ b/crates/link/src/outgoing.rs
@@ -6,8 +6,8 @@
 /// What a message counts beside its body, so that empty ones are bounded too. Bytes.
 const BESIDE_BODY: usize = 64;
 
-/// Who comes so much too late was away. Tenths of a millisecond.
-const AWAY: Tenths = 5_000;
+/// For how long answers are still looked for when patience has ended. Tenths of a millisecond.
+const LAST_LOOK: Tenths = 1_000;
 
 #[derive(Debug)]
 pub(crate) struct Outgoing {
@@ -22,15 +22,15 @@
     written: u64,
     /// Since when the front has been waiting.
     since: Tenths,
-    /// Patience began again once for the front, because this instance itself was away.
-    excused: bool,
+    /// Patience has ended; when that counts, unless something comes in until then.
+    last_look: Option<Tenths>,
 }
 
 impl Outgoing {
     /// Whose first message gets the number `first`, which is 1 or more.
     pub(crate) fn new(first: u64) -> Outgoing {
         let (waiting, written) = (VecDeque::new(), first - 1);
-        Outgoing { next: first, epoch: first, waiting, bytes: 0, written, since: 0, excused: false }
+        Outgoing { next: first, epoch: first, waiting, bytes: 0, written, since: 0, last_look: None }
     }
 
     pub(crate) fn next_number(&self) -> u64 {
@@ -66,7 +66,7 @@
             return Err(Refused::Full { waiting: self.bytes, bound });
         }
         if self.waiting.is_empty() {
-            (self.since, self.excused) = (now, false);
+            (self.since, self.last_look) = (now, None);
         }
         let number = self.next;
         self.next += 1;
@@ -100,26 +100,25 @@
         }
         let news = self.waiting.len() < before;
         if news {
-            (self.since, self.excused) = (now, false);
+            (self.since, self.last_look) = (now, None);
         }
         news
     }
 
-    /// When patience with the front ends.
+    /// When to ask whether the front is silent.
     pub(crate) fn silent_at(&self, patience: Tenths) -> Option<Tenths> {
-        self.is_waiting().then(|| self.since + patience)
+        self.is_waiting().then(|| self.last_look.unwrap_or(self.since + patience))
     }
 
     /// Whether patience with the front has ended.
     pub(crate) fn is_silent(&mut self, now: Tenths, patience: Tenths) -> bool {
-        let Some(at) = self.silent_at(patience).filter(|at| now >= *at) else { return false };
-        // Danger: an instance that was itself paused would blame its peers, whose answers wait unread in its sockets. But
-        // one that always comes late must still find out: once for each front.
-        if now - at >= AWAY && !self.excused {
-            (self.since, self.excused) = (now, true);
+        if self.silent_at(patience).is_none_or(|at| now < at) {
             return false;
         }
-        true
+        // Danger: an instance that was itself paused would blame its peers, whose answers lie unread in its sockets.
+        let looked = self.last_look.is_some();
+        self.last_look.get_or_insert(now + LAST_LOOK);
+        looked
     }
 
     /// The connection ended. What of it was written and not acknowledged may be lost: then all that waits is handed back,
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -192,10 +192,11 @@
 }
 
 #[rstest]
-#[case::polled_in_time(&[10_000], vec![1])]
-#[case::away_and_answered(&[90_000, 90_001], vec![])]
+#[case::polled_in_time(&[9_999, 10_000, 11_000], vec![1])]
+#[case::not_looked_long_enough(&[10_000, 10_999], vec![])]
+#[case::away_and_back(&[90_000, 90_999], vec![])]
 #[case::away_twice(&[90_000, 200_000], vec![1])]
-fn who_was_away_has_patience_once_more(#[case] polls: &[Tenths], #[case] back: Vec<u64>) {
+fn a_stream_breaks_after_a_last_look(#[case] polls: &[Tenths], #[case] back: Vec<u64>) {
     let mut stream = Outgoing::new(1);
     stream.send(0, 1, b"x", 1_000).unwrap();
     let silent = polls.iter().filter(|now| stream.is_silent(**now, 10_000)).count() > 0;
