--- a/crates/chaos/src/tests.rs
+++ b/crates/chaos/src/tests.rs
@@ -3,7 +3,8 @@
 use super::*;
 use crate::passage::{Passage, ROOM};
 use rstest::rstest;
-use std::net::{SocketAddr, UdpSocket};
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::time::Duration;
 use vetchkeel_link::contract::{self, Ground, bounds};
 use vetchkeel_link::fault::{Fault, Line, REPEAT};
@@ -92,8 +93,9 @@
         b = None;
     }
     let began = ground.now();
-    a.send(began, &to, Way::Stream(1), 1, b"second").unwrap();
     while ground.now() < began + 120_000 {
+        // More than one: the first that is written to an end that is gone is still taken by its machine.
+        a.send(ground.now(), &to, Way::Stream(1), 1, b"more").unwrap();
         b.as_mut().and_then(|b| b.poll(ground.now()));
         if let Some(Event::Broken { why, .. }) = a.poll(ground.now()) {
             return (why, ground.now() - began);
@@ -121,6 +123,19 @@
     assert!(found == why && (least..least + 60_000).contains(&after), "{found:?} after {after}");
 }
 
+/// What comes first on a new connection to a relay whose instance is not there.
+#[rstest]
+#[case::whole(Fault::default(), false)]
+#[case::cut_on_the_way_there(cut(), true)]
+fn a_dial_behind_a_cut_hears_nothing(#[case] fault: Fault, #[case] silent: bool) {
+    let fleet = Fleet::relays(&names(), Schedule::always(1, fault)).unwrap();
+    let relay = fleet.place(&name("a")).unwrap().peers[&name("b")];
+    let mut socket = TcpStream::connect(relay).unwrap();
+    socket.set_read_timeout(Some(Duration::from_millis(if silent { 300 } else { 10_000 }))).unwrap();
+    let heard = socket.read(&mut [0; 8]).map_err(|e| e.kind());
+    assert_eq!(heard == Err(ErrorKind::WouldBlock), silent, "{heard:?}");
+}
+
 fn cut() -> Fault {
     Fault { cut: true, ..Fault::default() }
 }
@@ -250,7 +265,7 @@
     line.set(Fault { delay: 10, jitter: 100, drop: 0.5, ..Fault::default() });
     let mut passage = Passage::default();
     let mut sent = Vec::new();
-    for i in 0.. {
+    for i in 0..1_000 {
         if !passage.has_room() {
             break;
         }
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -142,6 +142,30 @@
     assert_eq!(lane, Ok(Lane::Acknowledged { stream: 1, epoch: 1, number: 1 }));
 }
 
+/// Answers that b gives to 1,000 messages of a peer that reads none of them, with room for 1,000 bytes.
+#[rstest]
+#[case::acknowledgements(1, false)]
+#[case::refusals(9, true)]
+fn who_reads_no_answer_gets_no_more_of_them(#[case] kind: Kind, #[case] ends: bool) {
+    let me = Sender { name: name("b"), incarnation: 1 };
+    let mut b = Talk::new(me, Kinds::new(&[(1, "note")]), Bounds { ahead: 1_000, ..Bounds::default() }, 1);
+    let call = b.accepted(0).unwrap();
+    b.heard(0, call, &frame(Lane::Hello { dial: 1 }, b""));
+    let (mut bytes, mut closed) = (0, false);
+    for number in 1..=1_000 {
+        let lane = Lane::Stream { stream: 1, epoch: number, number };
+        b.heard(0, call, &encode(&Header { from: "a", incarnation: 1, to: "b", kind, lane }, b""));
+        while b.next_event().is_some() {}
+        while let Some(step) = b.next_step(0) {
+            match step {
+                Step::Write { frame, .. } => bytes += frame.len(),
+                step => closed |= step == Step::Close { call },
+            }
+        }
+    }
+    assert!((900..1_100).contains(&bytes) && closed == ends, "{bytes} bytes, closed: {closed}");
+}
+
 #[rstest]
 fn made_up_names_leave_room_for_those_that_talk() {
     let me = Sender { name: name("b"), incarnation: 1 };
