--- a/crates/link/src/talk.rs
+++ b/crates/link/src/talk.rs
@@ -96,7 +96,7 @@
     busy: BTreeSet<Duty>,
     timers: BTreeSet<(Tenths, Duty)>,
     wakes: BTreeMap<Duty, Tenths>,
-    /// Steps that wait to be pulled: at most one of a kind for each call.
+    /// Steps that wait to be pulled: of each connection its end, and answers within [`Bounds::ahead`].
     steps: VecDeque<Step>,
     /// What is to be told, and for messages the connection they came on.
     events: VecDeque<(Option<Call>, Event)>,
@@ -388,6 +388,7 @@
             Some(Side::Dialled(name)) => {
                 let from = Some(name.clone());
                 self.tell(Event::Unread { from, why });
+                self.close(now, call, Why::Lost);
             }
             _ => {}
         }
--- a/crates/link/src/tcp.rs
+++ b/crates/link/src/tcp.rs
@@ -22,6 +22,8 @@
     frames: Frames,
     out: Vec<u8>,
     written: usize,
+    /// What still comes can't be told apart, and is not read. [`Talk`] ends it.
+    deaf: bool,
 }
 
 pub(crate) struct Connections {
@@ -69,7 +71,8 @@
 
     fn keep(&mut self, call: Call, socket: TcpStream, up: bool, registry: &Registry) -> std::io::Result<()> {
         let (frames, out) = (Frames::default(), Vec::new());
-        let connection = self.open.entry(call).or_insert(Connection { socket, up, frames, out, written: 0 });
+        let connection =
+            self.open.entry(call).or_insert(Connection { socket, up, frames, out, written: 0, deaf: false });
         // A message waits for nothing: what could be gathered is gathered by one write.
         let _ = connection.socket.set_nodelay(true);
         registry.register(&mut connection.socket, token(call), Interest::READABLE | Interest::WRITABLE)
@@ -149,7 +152,7 @@
     /// Reads once.
     pub(crate) fn read(&mut self, now: Tenths, call: Call, talk: &mut Talk) -> More {
         let Some(connection) = self.open.get_mut(&call) else { return More::No };
-        if !connection.up {
+        if !connection.up || connection.deaf {
             return More::No;
         }
         match connection.socket.read(&mut self.chunk) {
@@ -164,8 +167,8 @@
                         Ok(Some(frame)) => talk.heard(now, call, frame),
                         Ok(None) => return More::Perhaps,
                         Err(announced) => {
+                            connection.deaf = true;
                             talk.heard_too_long(now, call, announced);
-                            self.end(now, call, talk);
                             return More::No;
                         }
                     }
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -10,6 +10,8 @@
 use crate::talk::{Call, Step, Talk};
 use grounds::{HalfBrokenGround, Loopback, Simulated, Wrong};
 use rstest::rstest;
+use std::io::{Read, Write};
+use std::time::Duration;
 
 const LATE: Fault = Fault {
     delay: 100,
@@ -248,6 +250,24 @@
     assert_eq!(a.poll(100_000), Some(Event::Acknowledged { to: name("b"), stream: 1, number: 1 }));
 }
 
+#[rstest]
+fn a_frame_over_the_bound_is_refused_in_words() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let me = Sender { name: name("b"), incarnation: 1 };
+    let mut b = Sockets::bind(me, Kinds::default(), Bounds::default(), any, Parts::Tcp, 1).unwrap();
+    let mut socket = std::net::TcpStream::connect(b.address()).unwrap();
+    socket.write_all(&u32::MAX.to_be_bytes()).unwrap();
+    socket.set_read_timeout(Some(Duration::from_millis(10))).unwrap();
+    let mut answer = [0; 256];
+    let length = (0..1_000).find_map(|_| {
+        while b.poll(0).is_some() {}
+        socket.read(&mut answer).ok()
+    });
+    let lane = decode(&answer[4..length.unwrap()]).map(|(header, _)| header.lane);
+    let why = Unread::TooLong { length: u64::from(u32::MAX), bound: 256 * 1_024 + OVERHEAD_MOST as u64 };
+    assert_eq!(lane, Ok(Lane::Refusal { stream: None, why }));
+}
+
 #[rstest]
 fn transports_move_to_their_thread() {
     fn moves<T: Transport + Send + 'static>() {}
