--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -10,7 +10,7 @@
 use crate::Failed;
 use clap::{Args, Subcommand};
 use std::path::PathBuf;
-use vetchkeel_fleet::{Access, SECOND};
+use vetchkeel_emulated::{Access, SECOND};
 use vetchkeel_lab::experiment::fleet_of;
 use vetchkeel_lab::setup::Setup;
 use vetchkeel_operator::{OperatorFile, Section, Wrong};
--- a/crates/cli/src/plan/fit.rs
+++ b/crates/cli/src/plan/fit.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use vetchkeel_capture::{Recorder, RecorderLimits};
-use vetchkeel_fleet::{Draw, Micros, SECOND};
+use vetchkeel_emulated::{Draw, Micros, SECOND};
 use vetchkeel_lab::experiment::fleet_of;
 use vetchkeel_lab::setup::Setup;
 use vetchkeel_lab::sim::simulate_captured;
--- a/crates/cli/src/plan/lose.rs
+++ b/crates/cli/src/plan/lose.rs
@@ -4,7 +4,7 @@
 use super::Question;
 use super::played::play;
 use crate::{Failed, say};
-use vetchkeel_fleet::{Kind, Micros, On, SECOND, Trouble};
+use vetchkeel_emulated::{Kind, Micros, On, SECOND, Trouble};
 use vetchkeel_lab::result::RunResult;
 use vetchkeel_lab::setup::Setup;
 use vetchkeel_planner::restart_order;
@@ -59,8 +59,8 @@
 /// The setup in which these members vanish, and are replaced so much later; and its phases.
 fn lost(setup: &Setup, members: &[usize], replaced_after: Micros) -> (Setup, [Phase; 5]) {
     let plan = &setup.plan;
-    let over = |draw: &vetchkeel_fleet::Draw| match *draw {
-        vetchkeel_fleet::Draw::Between(_, high) => high,
+    let over = |draw: &vetchkeel_emulated::Draw| match *draw {
+        vetchkeel_emulated::Draw::Between(_, high) => high,
         ref other => 2.0 * other.mean(),
     };
     let election = ((over(&plan.copying.detect) + over(&plan.copying.elect)) as Micros).max(SECOND);
--- a/crates/cli/src/plan/played.rs
+++ b/crates/cli/src/plan/played.rs
@@ -1,7 +1,7 @@
 //! A plan's own scenario, played by the simulated driver.
 
 use crate::Failed;
-use vetchkeel_fleet::{Kind, Micros, On, SECOND, Trouble};
+use vetchkeel_emulated::{Kind, Micros, On, SECOND, Trouble};
 use vetchkeel_lab::result::RunResult;
 use vetchkeel_lab::setup::Setup;
 use vetchkeel_lab::sim::simulate;
--- a/crates/cli/src/plan/prove.rs
+++ b/crates/cli/src/plan/prove.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use vetchkeel_fleet::{Draw, SECOND};
+use vetchkeel_emulated::{Draw, SECOND};
 use vetchkeel_lab::loopback;
 use vetchkeel_lab::result::RunResult;
 use vetchkeel_lab::setup::Setup;
@@ -51,7 +51,7 @@
 
 /// A fleet by chance, with as many sets as bring its limit to where it is to be.
 fn drawn(q: &Question, seed: u64) -> Result<(String, Question), Failed> {
-    let mut dice = vetchkeel_fleet::dice(seed, "prove");
+    let mut dice = vetchkeel_emulated::dice(seed, "prove");
     let mut draw = |low: f64, high: f64| Draw::Between(low, high).sample(&mut dice);
     let mut setup = q.setup.clone();
     let (cores, members) = ([2, 4, 8][draw(0.0, 2.999) as usize], draw(2.0, 5.999) as usize);
@@ -59,7 +59,7 @@
     let groups = setup.plan.groups.len();
     let (read, write) = (draw(8_000.0, 40_000.0), draw(8_000.0, 25_000.0));
     for group in &mut setup.plan.groups {
-        let kept = group.access == vetchkeel_fleet::Access::Write;
+        let kept = group.access == vetchkeel_emulated::Access::Write;
         let mean = if kept { write } else { read };
         let share = if kept { writes } else { (1.0 - writes) / (groups - 1) as f64 };
         group.work = Draw::LogNormal(mean, draw(0.3, 1.0));
@@ -73,7 +73,8 @@
     setup.plan.machines[0].cores = cores;
     setup.plan.machines[0].queue = 16 * cores;
     let zones = setup.plan.zones.len();
-    let member = |set: usize, i: usize| vetchkeel_fleet::MemberPlan { zone: (set + i) % zones, machine: 0 };
+    let member =
+        |set: usize, i: usize| vetchkeel_emulated::MemberPlan { zone: (set + i) % zones, machine: 0 };
     let mut ask = |sets: usize| {
         setup.plan.sets = (0..sets).map(|set| (0..members).map(|i| member(set, i)).collect()).collect();
         setup.traffic.sets = vec![1.0; sets];
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::setup::ClientsPlan;
 use crate::tally::Outcome;
-use vetchkeel_fleet::Micros;
+use vetchkeel_emulated::Micros;
 
 /// What a client wants, whatever number of tries it takes.
 #[derive(Clone, Copy, Debug)]
--- a/crates/lab/src/decider.rs
+++ b/crates/lab/src/decider.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use std::collections::{BTreeMap, VecDeque};
 use vetchkeel::{Command, Decision, DispatchEnd, Ending, Entry, Id, Phase, Report, Router, Tenths, Told};
-use vetchkeel_fleet::{Dice, dice};
+use vetchkeel_emulated::{Dice, dice};
 
 /// A router's decisions, whoever makes them.
 pub enum Decider {
@@ -95,8 +95,9 @@
 
 impl Baseline {
     fn new(setup: &Setup, decides: Decides, seed: u64) -> Baseline {
-        let kind =
-            |(i, g): (usize, &vetchkeel_fleet::Group)| (g.name.clone(), (setup.writes(i), setup.mutating(i)));
+        let kind = |(i, g): (usize, &vetchkeel_emulated::Group)| {
+            (g.name.clone(), (setup.writes(i), setup.mutating(i)))
+        };
         Baseline {
             decides,
             kinds: setup.plan.groups.iter().enumerate().map(kind).collect(),
@@ -106,7 +107,7 @@
             ready: VecDeque::new(),
             turns: BTreeMap::new(),
             dice: dice(seed, "baseline"),
-            asks: setup.plan.list.mode != vetchkeel_fleet::ListMode::Push,
+            asks: setup.plan.list.mode != vetchkeel_emulated::ListMode::Push,
         }
     }
 
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -6,7 +6,7 @@
 use crate::setup::{ClientsPlan, Decides, Permits, Setup};
 use parts::{command_group, customers, fleet_plan, traffic_plan, trouble};
 use std::path::Path;
-use vetchkeel_fleet::{Micros, Rhythm, SECOND, TrafficPlan};
+use vetchkeel_emulated::{Micros, Rhythm, SECOND, TrafficPlan};
 use vetchkeel_operator::{OperatorFile, Section, Value, Wrong};
 
 /// No experiment has more points than this.
--- a/crates/lab/src/experiment/parts.rs
+++ b/crates/lab/src/experiment/parts.rs
@@ -1,6 +1,6 @@
 //! The blocks of an experiment.
 
-use vetchkeel_fleet::{
+use vetchkeel_emulated::{
     Access, Checks, Connections, Copying, Draw, Effect, Group, Kind, ListMode, ListPlan, Machine, MemberPlan,
     Micros, On, Plan, Reports, Rhythm, SECOND, TrafficPlan, Trouble, Warming, WaysPlan,
 };
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -28,7 +28,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use vetchkeel_audit::{Auditor, Breach};
 use vetchkeel_capture::Recorder;
-use vetchkeel_fleet::{Dice, Ended, Fleet, ListMode, Micros, Report, SECOND, Traffic, dice};
+use vetchkeel_emulated::{Dice, Ended, Fleet, ListMode, Micros, Report, SECOND, Traffic, dice};
 
 /// From the start of the processes to the first command.
 pub const LEAD: Micros = 2 * SECOND;
@@ -88,7 +88,7 @@
     fleet: Fleet,
     auditor: Auditor,
     tally: Tally,
-    agenda: vetchkeel_fleet::Agenda<Due>,
+    agenda: vetchkeel_emulated::Agenda<Due>,
     /// Each address: its listeners' addresses and registrations, by router.
     places: Vec<Vec<(Option<SocketAddr>, Option<RegistrationToken>)>>,
     conns: Ring<MemberConn>,
@@ -195,7 +195,7 @@
             lives: vec![0; members],
             heard: vec![BTreeSet::new(); routers],
             written: BTreeMap::new(),
-            sessions: plan.groups.iter().any(|g| g.access == vetchkeel_fleet::Access::Session),
+            sessions: plan.groups.iter().any(|g| g.access == vetchkeel_emulated::Access::Session),
             strays: 0,
             foreign: Vec::new(),
             crashed: None,
@@ -306,7 +306,7 @@
     /// Whether the list is down by the troubles of now.
     fn look_at_list(&mut self) {
         let down = self.setup.troubles.iter().any(|t| {
-            t.kind == vetchkeel_fleet::Kind::ListDown
+            t.kind == vetchkeel_emulated::Kind::ListDown
                 && t.from + LEAD <= self.now
                 && self.now < t.until + LEAD
         });
--- a/crates/lab/src/loopback/listing.rs
+++ b/crates/lab/src/loopback/listing.rs
@@ -2,7 +2,7 @@
 
 use super::{Due, SourceKey, Stage, listen};
 use std::net::SocketAddr;
-use vetchkeel_fleet::{Phase, Row, SECOND, Sheet};
+use vetchkeel_emulated::{Phase, Row, SECOND, Sheet};
 
 /// An empty line comes this often while nothing changes.
 pub(super) const BEAT: i64 = 2 * SECOND;
--- a/crates/lab/src/loopback/load.rs
+++ b/crates/lab/src/loopback/load.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use vetchkeel_audit::{Breach, Final, Taken};
 use vetchkeel_capture as capture;
-use vetchkeel_fleet::Micros;
+use vetchkeel_emulated::Micros;
 use vetchkeel_pgwire as pgwire;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/lab/src/loopback/members.rs
+++ b/crates/lab/src/loopback/members.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use vetchkeel::Ending;
 use vetchkeel_audit::Fate;
-use vetchkeel_fleet::{Dialled, Ended, Micros, Needs, Query, Report, Said, Verdict};
+use vetchkeel_emulated::{Dialled, Ended, Micros, Needs, Query, Report, Said, Verdict};
 use vetchkeel_pgwire as pgwire;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -1,6 +1,6 @@
 //! What one run consists of, once its file is read and the values of its sweep are put in.
 
-use vetchkeel_fleet::{Access, Effect, Micros, Plan, TrafficPlan, Trouble};
+use vetchkeel_emulated::{Access, Effect, Micros, Plan, TrafficPlan, Trouble};
 
 /// Who decides in the routers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -15,9 +15,9 @@
 use vetchkeel::{Command, Decision, Ending, Entry, Id, Phase, Tenths};
 use vetchkeel_audit::{Auditor, Fate, Final, Taken};
 use vetchkeel_capture::{self as capture, Recorder};
-use vetchkeel_fleet::{
-    self as fleet, Agenda, Arrival, Dialled, Dice, Ended, Fleet, Micros, Needs, Query, SECOND, Said, Sheet,
-    Traffic, Verdict, dice,
+use vetchkeel_emulated::{
+    self as emulated, Agenda, Arrival, Dialled, Dice, Ended, Fleet, Micros, Needs, Query, SECOND, Said,
+    Sheet, Traffic, Verdict, dice,
 };
 
 use crate::ring::Ring;
@@ -66,7 +66,7 @@
     /// A router has let go of a query: its member learns it.
     Close(u64),
     ProbeReach(u64),
-    ProbeBack(u64, fleet::Report),
+    ProbeBack(u64, emulated::Report),
     ProbeFailed(u64, Ending),
     Idle(usize, usize),
     List(usize, u32, Option<Box<Sheet>>),
@@ -125,7 +125,7 @@
             lives: vec![0; fleet.count()],
             names: (0..fleet.count()).map(member_name).collect(),
             written: BTreeMap::new(),
-            sessions: plan.groups.iter().any(|g| g.access == fleet::Access::Session),
+            sessions: plan.groups.iter().any(|g| g.access == emulated::Access::Session),
             dice: dice(seed, "routers"),
             recorder,
             seed,
@@ -252,7 +252,7 @@
         });
         self.agenda.set(deadline, Event::GiveUp(number));
         let with_session =
-            matches!(group.access, fleet::Access::Session | fleet::Access::Write) && self.sessions;
+            matches!(group.access, emulated::Access::Session | emulated::Access::Write) && self.sessions;
         let command = Command {
             id: Id::from(format!("{number:x}")),
             command_group: group.name.clone(),
@@ -406,9 +406,9 @@
                 machine: Id::from("machine"),
                 set: self.fleet.set_of(row.node) as i64,
                 phase: match row.phase {
-                    fleet::Phase::Up => Phase::Up,
-                    fleet::Phase::Draining => Phase::Draining,
-                    fleet::Phase::Gone => Phase::Removed,
+                    emulated::Phase::Up => Phase::Up,
+                    emulated::Phase::Draining => Phase::Draining,
+                    emulated::Phase::Gone => Phase::Removed,
                 },
                 started: if row.started > 0 { clock(row.started - ahead) } else { 0 },
                 primary: row.primary,
@@ -417,7 +417,7 @@
         let mut named = vec![false; if sheet.whole { self.names.len() } else { 0 }];
         for row in sheet.rows.iter() {
             named.get_mut(row.node).into_iter().for_each(|n| *n = true);
-            self.auditor.listed(self.now, router, row.node, row.phase != fleet::Phase::Up, row.started);
+            self.auditor.listed(self.now, router, row.node, row.phase != emulated::Phase::Up, row.started);
         }
         for node in (0..named.len()).filter(|n| !named[*n] && self.hosts[router].heard.contains(n)) {
             self.auditor.listed(self.now, router, node, true, 0);
--- a/crates/lab/src/sim/links.rs
+++ b/crates/lab/src/sim/links.rs
@@ -354,14 +354,14 @@
         }
     }
 
-    pub(super) fn probed(&mut self, node: usize, probe: u64, report: fleet::Report) {
+    pub(super) fn probed(&mut self, node: usize, probe: u64, report: emulated::Report) {
         let Some(router) = self.probes.get(probe).map(|p| p.router) else { return };
         if let Some(way) = self.way_back(router, node) {
             self.agenda.set(self.now + way, Event::ProbeBack(probe, report));
         }
     }
 
-    pub(super) fn probe_back(&mut self, n: u64, ending: Ending, report: Option<fleet::Report>) {
+    pub(super) fn probe_back(&mut self, n: u64, ending: Ending, report: Option<emulated::Report>) {
         let Some(probe) = self.probes.get_mut(n) else { return };
         let (router, node, life) = (probe.router, probe.node, probe.life);
         if ending == Ending::TimedOut {
--- a/crates/lab/src/sim/table.rs
+++ b/crates/lab/src/sim/table.rs
@@ -3,7 +3,7 @@
 use crate::clients::Wish;
 use crate::decider::Decider;
 use std::collections::{BTreeMap, BTreeSet};
-use vetchkeel_fleet::Micros;
+use vetchkeel_emulated::Micros;
 
 /// One try of a client: a command, as its router knows it.
 pub(super) struct Try {
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -4,7 +4,7 @@
 use crate::setup::Setup;
 use hdrhistogram::Histogram;
 use vetchkeel::Ending;
-use vetchkeel_fleet::{Micros, SECOND};
+use vetchkeel_emulated::{Micros, SECOND};
 
 /// How a wish ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -12,7 +12,7 @@
 use crate::tally::Outcome;
 use helper::{BASE, read, run, with};
 use rstest::rstest;
-use vetchkeel_fleet::SECOND;
+use vetchkeel_emulated::SECOND;
 
 // ---- files ----
 
--- a/crates/lab/src/told.rs
+++ b/crates/lab/src/told.rs
@@ -2,7 +2,7 @@
 
 use crate::setup::Setup;
 use vetchkeel::Told;
-use vetchkeel_fleet::{Access, Checks, Effect, ListMode, Micros};
+use vetchkeel_emulated::{Access, Checks, Effect, ListMode, Micros};
 
 fn ms(time: Micros) -> String {
     format!("{:.3}", time as f64 / 1e3)
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -1,7 +1,7 @@
 //! Where things go: which set to split, and in which order members are started again so that none is missed too much.
 
 use crate::resources::{Limit, Resource};
-use vetchkeel_fleet::{Micros, Plan, TrafficPlan};
+use vetchkeel_emulated::{Micros, Plan, TrafficPlan};
 
 /// The set that a first limit asks to be split: one whose primary is what runs out. A replica's want is met by another
 /// replica.
--- a/crates/planner/src/resources.rs
+++ b/crates/planner/src/resources.rs
@@ -1,7 +1,7 @@
 //! What a load asks of each resource, and the rate at which each one is used up.
 
 use crate::queue::{Class, Station};
-use vetchkeel_fleet::{Access, Checks, Plan, SECOND, TrafficPlan};
+use vetchkeel_emulated::{Access, Checks, Plan, SECOND, TrafficPlan};
 
 /// What a router is given, and what a command costs it.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/planner/src/size.rs
+++ b/crates/planner/src/size.rs
@@ -1,7 +1,7 @@
 //! How many members a target needs: which fleets to look at, in which order, and when none will do.
 
 use crate::resources::{RouterRoom, limits};
-use vetchkeel_fleet::{Access, MemberPlan, Plan, SECOND, TrafficPlan};
+use vetchkeel_emulated::{Access, MemberPlan, Plan, SECOND, TrafficPlan};
 
 /// A fleet to look at.
 #[derive(Clone, Debug)]
--- a/crates/planner/src/tests.rs
+++ b/crates/planner/src/tests.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use std::sync::Arc;
 use vetchkeel_capture::{Ending, Record};
-use vetchkeel_fleet::{Draw, SECOND, TrafficPlan};
+use vetchkeel_emulated::{Draw, SECOND, TrafficPlan};
 use vetchkeel_lab::experiment::fleet_of;
 use vetchkeel_lab::setup::Setup;
 use vetchkeel_lab::sim::simulate;
