emulated: fleet.rs and node.rs no longer name each other's types

fleet.rs read a member's process from node.rs, and node.rs read Query and Needs from fleet.rs: neither could be read or changed without the other. The plain types at the border now stand in interface.rs, which both read and which reads neither. The position that a query needs is a method of Query, no function of node.rs. Nothing else moves.

--- a/crates/emulated/src/fleet.rs
+++ b/crates/emulated/src/fleet.rs
@@ -3,134 +3,15 @@
 use crate::agenda::Agenda;
 use crate::copy::{Copy, Log};
 use crate::draw::{Dice, Draw, dice, happens};
+use crate::interface::{Dialled, Ended, Happened, Needs, Query, Report, Said, Verdict};
 use crate::list::{List, Phase, Row, Sheet};
-use crate::node::{Behind, Node, WARM_STEP, needed};
+use crate::node::{Behind, Node, WARM_STEP};
 use crate::plan::{Checks, Plan};
 use crate::trouble::Trouble;
 use crate::ways::Ways;
 use crate::{Micros, SECOND};
 use std::collections::VecDeque;
 
-/// What a query needs of the member that runs it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Needs {
-    Nothing,
-    /// To be the primary.
-    Primary,
-    /// All commits up to here.
-    Position(Micros),
-}
-
-/// A query as it reaches a member.
-#[derive(Clone, Copy, Debug)]
-pub struct Query {
-    /// The caller's number for it, unlike any other that is out.
-    pub job: u64,
-    pub group: usize,
-    /// Core-microseconds at speed 1.
-    pub work: f64,
-    pub needs: Needs,
-    /// Nothing is applied on a replica while it runs.
-    pub blocks: bool,
-}
-
-/// How a query ended at its member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It ran, and the answer goes out.
-    Answered,
-    /// It ran, but its answer is lost.
-    Lost,
-    /// It may have run, and its connection breaks (that is already counted as closed).
-    Reset,
-    /// It may have run; the member says so.
-    Error,
-    /// Turned away untouched: no primary, or too far behind.
-    Miss,
-    /// Turned away untouched: no room, or draining.
-    Full,
-}
-
-impl Verdict {
-    /// True if the query has run.
-    pub fn ran(self) -> bool {
-        matches!(self, Verdict::Answered | Verdict::Lost | Verdict::Reset)
-    }
-
-    /// True if it is proven that it never ran.
-    pub fn untouched(self) -> bool {
-        matches!(self, Verdict::Miss | Verdict::Full)
-    }
-}
-
-/// The end of a query, with what its member says of itself.
-#[derive(Clone, Copy, Debug)]
-pub struct Ended {
-    pub node: usize,
-    pub job: u64,
-    pub verdict: Verdict,
-    pub primary: bool,
-    /// The position told: a write's commit, or where positions are told the member's; else 0.
-    pub position: Micros,
-    /// The position of the data that it saw (for a primary the time at which it looked).
-    pub seen: Micros,
-}
-
-/// A member's report: as old as its last refresh.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Report {
-    pub position: Micros,
-    pub primary: bool,
-}
-
-/// What comes out of the fleet, at the time at which it is pulled.
-#[derive(Clone, Debug)]
-pub enum Said {
-    Ended(Ended),
-    Probed {
-        node: usize,
-        probe: u64,
-        report: Report,
-    },
-    /// A process has died: its connections are reset. `fell`: because it was pushed over while it was cold.
-    Died {
-        node: usize,
-        fell: bool,
-    },
-    /// A machine has vanished: its connections stay silent.
-    Vanished {
-        node: usize,
-    },
-    /// A process has started.
-    Started {
-        node: usize,
-    },
-    /// The list has something to tell this router, if it still listens.
-    News {
-        router: usize,
-    },
-    /// A router's watch of the list has broken.
-    WatchBroke {
-        router: usize,
-    },
-    RouterDied {
-        router: usize,
-    },
-    RouterStarts {
-        router: usize,
-        old_list: bool,
-    },
-}
-
-/// What becomes of a dial that reaches an address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Dialled {
-    /// By this member, which need not be the one that was meant.
-    Accepted(usize),
-    Refused,
-    Silent,
-}
-
 pub(crate) enum Task {
     Done(usize, u64),
     Caught(usize, u64),
@@ -159,15 +40,6 @@
     pub(crate) left_at: Micros,
 }
 
-/// Counts of what happened.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Happened {
-    pub elections: u64,
-    pub lost_commits: u64,
-    pub commits: u64,
-    pub fell: u64,
-}
-
 pub struct Fleet {
     pub(crate) plan: Plan,
     pub(crate) nodes: Vec<Node>,
@@ -425,7 +297,7 @@
         if query.needs == Needs::Primary && !primary {
             return self.end(now, node, query, Verdict::Miss, 0);
         }
-        if let (Some(position), Checks::Refuse | Checks::Wait(_)) = (needed(&query), self.plan.checks)
+        if let (Some(position), Checks::Refuse | Checks::Wait(_)) = (query.position(), self.plan.checks)
             && self.position(now, node) < position
         {
             let Checks::Wait(most) = self.plan.checks else {
@@ -460,7 +332,7 @@
     fn caught(&mut self, now: Micros, node: usize, ticket: u64) {
         let Some(i) = self.nodes[node].behind.iter().position(|b| b.ticket == ticket) else { return };
         let (query, until) = (self.nodes[node].behind[i].query, self.nodes[node].behind[i].until);
-        let position = needed(&query).unwrap_or(0);
+        let position = query.position().unwrap_or(0);
         let fresh = self.position(now, node) >= position;
         if !fresh && now < until {
             return self.look_again(now, node, ticket, position, until);
--- a/crates/emulated/src/lib.rs
+++ b/crates/emulated/src/lib.rs
@@ -11,6 +11,7 @@
 mod copy;
 mod draw;
 mod fleet;
+mod interface;
 mod list;
 mod node;
 mod plan;
@@ -21,7 +22,8 @@
 
 pub use agenda::Agenda;
 pub use draw::{Dice, Draw, dice};
-pub use fleet::{Dialled, Ended, Fleet, Happened, Needs, Query, Report, Said, Verdict};
+pub use fleet::Fleet;
+pub use interface::{Dialled, Ended, Happened, Needs, Query, Report, Said, Verdict};
 pub use list::{Phase, Row, Sheet};
 pub use plan::*;
 pub use traffic::{Arrival, Rhythm, Traffic, TrafficPlan};
--- a/crates/emulated/src/node.rs
+++ b/crates/emulated/src/node.rs
@@ -1,7 +1,7 @@
 //! One member: its process, cores, queue, table of connections and copy of the log.
 
 use crate::copy::{Copy, Keeping};
-use crate::fleet::{Needs, Query};
+use crate::interface::Query;
 use crate::plan::{Machine, Warming};
 use crate::{Micros, SECOND};
 use std::collections::VecDeque;
@@ -216,10 +216,5 @@
     }
 }
 
-/// The position that a query needs, if it needs one.
-pub(crate) fn needed(query: &Query) -> Option<Micros> {
-    if let Needs::Position(position) = query.needs { Some(position) } else { None }
-}
-
 /// How often a cold member's speed is looked at again.
 pub(crate) const WARM_STEP: Micros = SECOND / 4;
--- a/crates/emulated/src/troubling.rs
+++ b/crates/emulated/src/troubling.rs
@@ -3,7 +3,8 @@
 use crate::Micros;
 use crate::copy::Copy;
 use crate::draw::{dice, one_of};
-use crate::fleet::{Fleet, Said, Task};
+use crate::fleet::{Fleet, Task};
+use crate::interface::Said;
 use crate::list::Phase;
 use crate::node::Node;
 use crate::trouble::{Kind, On};
