emulated: the type Fleet is Members, in members.rs; the word fleet is the routers' now

Fleet becomes Members, fleet.rs members.rs, and the lab's drivers hold `members`. Operator files and the command line keep their words.

--- a/crates/emulated/src/interface.rs
+++ b/crates/emulated/src/interface.rs
@@ -1,5 +1,5 @@
 //! The plain types at the border: what reaches members, and what comes out. Each member (`node.rs`) and all of them
-//! together (`fleet.rs`) read this file, and it reads neither.
+//! together (`members.rs`) read this file, and it reads neither.
 
 use crate::Micros;
 
--- a/crates/emulated/src/fleet.rs
+++ b/crates/emulated/src/members.rs
@@ -1,4 +1,4 @@
-//! The fleet: what reaches its members goes in, what they say comes out.
+//! All members together: what reaches them goes in, what they say comes out.
 
 use crate::agenda::Agenda;
 use crate::copy::{Copy, Log};
@@ -40,7 +40,7 @@
     pub(crate) left_at: Micros,
 }
 
-pub struct Fleet {
+pub struct Members {
     pub(crate) plan: Plan,
     pub(crate) nodes: Vec<Node>,
     /// The member that lives at each address.
@@ -62,8 +62,9 @@
     pub(crate) happened: Happened,
 }
 
-impl Fleet {
-    pub fn new(plan: Plan, troubles: Vec<Trouble>, seed: u64) -> Fleet {
+impl Members {
+    pub fn new(plan: Plan, troubles: Vec<Trouble>, seed: u64) -> Members {
+        // The name stays as it was: another one would give each seed another run.
         let mut dice = dice(seed, "fleet");
         let mut nodes = Vec::new();
         let mut sets = Vec::new();
@@ -101,7 +102,7 @@
         }
         let apart = Draw::Between(-(plan.clocks_apart as f64), plan.clocks_apart as f64);
         let mut off = crate::draw::dice(seed, "clocks");
-        let mut fleet = Fleet {
+        let mut members = Members {
             clocks: plan.routers.iter().map(|_| apart.sample(&mut off) as Micros).collect(),
             ways: Ways::new(plan.ways.clone(), plan.zones.len()),
             places: (0..nodes.len()).collect(),
@@ -119,8 +120,8 @@
             ticket: 0,
             happened: Happened::default(),
         };
-        fleet.draw_struck(seed);
-        fleet
+        members.draw_struck(seed);
+        members
     }
 
     pub fn plan(&self) -> &Plan {
@@ -599,7 +600,7 @@
         if self.said.is_empty() { self.agenda.first() } else { Some(0) }
     }
 
-    /// What is said at `now`. Call with the times of [`Fleet::wake_at`], in order.
+    /// What is said at `now`. Call with the times of [`Members::wake_at`], in order.
     pub fn next_said(&mut self, now: Micros) -> Option<Said> {
         loop {
             if let Some(said) = self.said.pop_front() {
--- a/crates/emulated/src/plan.rs
+++ b/crates/emulated/src/plan.rs
@@ -1,8 +1,8 @@
-//! What a fleet consists of, before anything happens in it.
+//! What is emulated, before anything happens to it.
 
 use crate::{Draw, Micros, SECOND};
 
-/// A fleet and the rules that hold for it.
+/// The sets of members, the routers' places, and the rules that hold for them.
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub zones: Vec<String>,
--- a/crates/emulated/src/tests.rs
+++ b/crates/emulated/src/tests.rs
@@ -1,4 +1,4 @@
-//! Each test builds a small fleet and shows one effect.
+//! Each test builds a few members and shows one effect.
 
 use super::*;
 use rstest::rstest;
@@ -59,12 +59,12 @@
 }
 
 struct Play {
-    fleet: Fleet,
+    members: Members,
     jobs: u64,
 }
 
 fn play_of(plan: Plan, troubles: Vec<Trouble>) -> Play {
-    Play { fleet: Fleet::new(plan, troubles, 7), jobs: 0 }
+    Play { members: Members::new(plan, troubles, 7), jobs: 0 }
 }
 
 fn play(troubles: Vec<Trouble>) -> Play {
@@ -75,8 +75,8 @@
     /// All that is said up to `now`, with its time.
     fn until(&mut self, now: Micros) -> Vec<(Micros, Said)> {
         let mut said = Vec::new();
-        while let Some(at) = self.fleet.wake_at().filter(|at| *at <= now) {
-            while let Some(one) = self.fleet.next_said(at) {
+        while let Some(at) = self.members.wake_at().filter(|at| *at <= now) {
+            while let Some(one) = self.members.next_said(at) {
                 said.push((at, one));
             }
         }
@@ -86,7 +86,7 @@
     fn ask(&mut self, now: Micros, node: usize, needs: Needs, work: Micros) {
         self.jobs += 1;
         let query = Query { job: self.jobs, group: 0, work: work as f64, needs, blocks: false };
-        self.fleet.query(now, node, query);
+        self.members.query(now, node, query);
     }
 
     /// What becomes of one query that reaches `node` at `now`, and when; None if nothing within 20 s.
@@ -105,7 +105,7 @@
         let mut at = from;
         while at < until {
             self.until(at);
-            if let Some(primary) = self.fleet.primary_of(0) {
+            if let Some(primary) = self.members.primary_of(0) {
                 self.ask(at, primary, Needs::Primary, MS);
             }
             at += every;
@@ -197,9 +197,9 @@
 fn a_replica_has_the_log_late_and_applies_one_after_the_other() {
     let mut p = play(vec![]);
     // Five commits at once at 1 ms: they are here at 11 ms, and applied by 21 ms.
-    p.fleet.plan.machines[0].cores = 8;
-    (0..5).for_each(|i| p.fleet.sets[0].log.commit(MS + i, 2_000.0));
-    let at = |p: &mut Play, ms: Micros| p.fleet.position(ms * MS, 1);
+    p.members.plan.machines[0].cores = 8;
+    (0..5).for_each(|i| p.members.sets[0].log.commit(MS + i, 2_000.0));
+    let at = |p: &mut Play, ms: Micros| p.members.position(ms * MS, 1);
     assert_eq!((at(&mut p, 11), at(&mut p, 14)), (MS - 1, MS));
     assert!(at(&mut p, 22) >= 12 * MS);
 }
@@ -207,18 +207,18 @@
 #[rstest]
 fn nothing_is_applied_while_a_long_read_holds_the_replica() {
     let mut p = play(vec![]);
-    p.fleet.query(0, 1, Query { job: 1, group: 0, work: 300_000.0, needs: Needs::Nothing, blocks: true });
+    p.members.query(0, 1, Query { job: 1, group: 0, work: 300_000.0, needs: Needs::Nothing, blocks: true });
     p.write_for(MS, 200 * MS, 20 * MS);
-    let (blocked, free) = (p.fleet.position(200 * MS, 1), p.fleet.position(200 * MS, 2));
+    let (blocked, free) = (p.members.position(200 * MS, 1), p.members.position(200 * MS, 2));
     p.until(400 * MS);
-    assert!(blocked < 10 * MS && free > 180 * MS && p.fleet.position(400 * MS, 1) > 380 * MS);
+    assert!(blocked < 10 * MS && free > 180 * MS && p.members.position(400 * MS, 1) > 380 * MS);
 }
 
 #[rstest]
 fn reports_are_as_old_as_their_last_refresh() {
     let mut p = play(vec![]);
     p.until(199 * MS);
-    p.fleet.probe(0, 1);
+    p.members.probe(0, 1);
     let said = p.until(199 * MS);
     let Some((_, Said::Probed { report, .. })) = said.first() else { panic!("a report") };
     assert_eq!(*report, Report { position: 100 * MS, primary: true });
@@ -227,10 +227,10 @@
 #[rstest]
 fn a_table_of_connections_has_an_end() {
     let mut p = play(vec![]);
-    let dials: Vec<Dialled> = (0..11).map(|_| p.fleet.dial(1)).collect();
+    let dials: Vec<Dialled> = (0..11).map(|_| p.members.dial(1)).collect();
     assert_eq!((dials[9], dials[10]), (Dialled::Accepted(1), Dialled::Refused));
-    p.fleet.hang_up(1);
-    assert_eq!(p.fleet.dial(1), Dialled::Accepted(1));
+    p.members.hang_up(1);
+    assert_eq!(p.members.dial(1), Dialled::Accepted(1));
 }
 
 #[rstest]
@@ -240,7 +240,7 @@
 fn a_query_that_nobody_waits_for(#[case] stops: bool, #[case] job: u64, #[case] dropped: bool) {
     let mut p = play_of(Plan { cancel_stops_running: stops, ..plan() }, vec![]);
     (0..3).for_each(|_| p.ask(0, 1, Needs::Nothing, 10 * MS));
-    assert_eq!(p.fleet.withdraw(MS, 1, job), dropped);
+    assert_eq!(p.members.withdraw(MS, 1, job), dropped);
 }
 
 // ---- troubles ----
@@ -251,7 +251,7 @@
     p.ask(0, 1, Needs::Nothing, 10 * MS);
     let said = p.until(500 * MS);
     assert!(matches!(said.as_slice(), [(_, Said::Died { node: 1, fell: false })]), "{said:?}");
-    assert_eq!(p.fleet.dial(1), Dialled::Refused);
+    assert_eq!(p.members.dial(1), Dialled::Refused);
     // Back with a quarter of its capacity: 10 ms of work take nearly four times as long.
     let (verdict, took) = p.fate(SECOND, 1, Needs::Nothing).expect("it runs again");
     assert!(verdict == Verdict::Answered && (35 * MS..=40 * MS).contains(&took), "{took}");
@@ -263,13 +263,13 @@
 fn a_primary_that_goes_is_replaced_by_election(#[case] kind: Kind) {
     let mut p = play(vec![on(kind, 0, SECOND, 9 * SECOND)]);
     p.until(SECOND + 900 * MS);
-    assert_eq!(p.fleet.primary_of(0), Some(0), "not given up yet");
+    assert_eq!(p.members.primary_of(0), Some(0), "not given up yet");
     p.until(2 * SECOND + 100 * MS);
-    assert_eq!(p.fleet.primary_of(0), None);
-    let stands = p.fleet.position(2 * SECOND + 400 * MS, 2);
+    assert_eq!(p.members.primary_of(0), None);
+    let stands = p.members.position(2 * SECOND + 400 * MS, 2);
     assert!(stands <= SECOND, "positions stand still while there is no primary");
     p.until(2 * SECOND + 600 * MS);
-    assert_eq!(p.fleet.primary_of(0), Some(1));
+    assert_eq!(p.members.primary_of(0), Some(1));
     p.until(10 * SECOND);
     assert_eq!(
         p.fate(10 * SECOND, 0, Needs::Primary).map(|f| f.0),
@@ -282,7 +282,7 @@
 fn a_primary_that_is_back_soon_stays_one() {
     let mut p = play(vec![on(Kind::Crash { listed: true }, 0, SECOND, SECOND + 500 * MS)]);
     p.until(5 * SECOND);
-    assert_eq!((p.fleet.primary_of(0), p.fleet.happened().elections), (Some(0), 0));
+    assert_eq!((p.members.primary_of(0), p.members.happened().elections), (Some(0), 0));
 }
 
 #[rstest]
@@ -318,7 +318,7 @@
 fn a_replica_that_applies_slowly_falls_behind_and_answers_as_quickly() {
     let mut p = play(vec![on(Kind::SlowApply { times: 20.0 }, 1, 0, 10 * SECOND)]);
     p.write_for(0, SECOND, 10 * MS);
-    assert!(p.fleet.position(SECOND, 1) < 400 * MS && p.fleet.position(SECOND, 2) > 900 * MS);
+    assert!(p.members.position(SECOND, 1) < 400 * MS && p.members.position(SECOND, 2) > 900 * MS);
     assert_eq!(p.fate(SECOND, 1, Needs::Nothing).map(|f| f.1), Some(10 * MS));
 }
 
@@ -331,7 +331,7 @@
     assert_eq!(count(|s| matches!(s, Said::Died { .. })), 4);
     assert_eq!(count(|s| matches!(s, Said::Started { .. })), 4);
     assert_eq!(count(|s| matches!(s, Said::News { .. })), 0, "the list says nothing");
-    assert!(p.fleet.alive(1));
+    assert!(p.members.alive(1));
 }
 
 #[rstest]
@@ -345,24 +345,24 @@
     let cut = Kind::ZoneCut { zone: 0, to: None, one_way };
     let mut p = play(vec![anywhere(cut, 0, SECOND)]);
     p.until(MS);
-    assert_eq!((p.fleet.delay(0, 1), p.fleet.delay(1, 0), p.fleet.delay(0, 0)), (out, back, Some(200)));
+    assert_eq!((p.members.delay(0, 1), p.members.delay(1, 0), p.members.delay(0, 0)), (out, back, Some(200)));
     p.until(2 * SECOND);
-    assert_eq!(p.fleet.delay(0, 1), Some(700));
+    assert_eq!(p.members.delay(0, 1), Some(700));
 }
 
 #[rstest]
 fn a_replica_behind_a_cut_stands_still_and_catches_up() {
     let mut p = play(vec![anywhere(Kind::ZoneCut { zone: 1, to: None, one_way: false }, 100 * MS, SECOND)]);
     p.write_for(0, 900 * MS, 10 * MS);
-    assert!(p.fleet.position(900 * MS, 1) <= 100 * MS && p.fleet.position(900 * MS, 2) > 800 * MS);
+    assert!(p.members.position(900 * MS, 1) <= 100 * MS && p.members.position(900 * MS, 2) > 800 * MS);
     p.until(2 * SECOND);
-    assert!(p.fleet.position(2 * SECOND, 1) > 1_900 * MS);
+    assert!(p.members.position(2 * SECOND, 1) > 1_900 * MS);
 }
 
 #[rstest]
 fn a_primary_that_is_cut_off_is_given_up_and_its_last_commits_are_lost() {
     let mut p = play(vec![]);
-    p.fleet.plan.sets[0][1].zone = 1;
+    p.members.plan.sets[0][1].zone = 1;
     let mut cut = plan();
     cut.sets = vec![vec![
         MemberPlan { zone: 0, machine: 0 },
@@ -374,7 +374,7 @@
         vec![anywhere(Kind::ZoneCut { zone: 0, to: None, one_way: false }, 100 * MS, 5 * SECOND)],
     );
     p.write_for(0, 3 * SECOND, 50 * MS);
-    assert!(p.fleet.primary_of(0) == Some(1) && p.fleet.happened().lost_commits > 10);
+    assert!(p.members.primary_of(0) == Some(1) && p.members.happened().lost_commits > 10);
     p.until(6 * SECOND);
     assert_eq!(p.fate(6 * SECOND, 0, Needs::Primary).map(|f| f.0), Some(Verdict::Miss));
 }
@@ -392,7 +392,7 @@
 fn squeezed_connections() {
     let mut p = play(vec![on(Kind::Squeeze { part: 0.2 }, 1, 0, SECOND)]);
     p.until(MS);
-    let dials: Vec<Dialled> = (0..3).map(|_| p.fleet.dial(1)).collect();
+    let dials: Vec<Dialled> = (0..3).map(|_| p.members.dial(1)).collect();
     assert_eq!(dials, [Dialled::Accepted(1), Dialled::Accepted(1), Dialled::Refused]);
 }
 
@@ -400,9 +400,9 @@
 fn a_draining_primary_hands_over_without_losing_a_commit() {
     let mut p = play(vec![on(Kind::Drain, 0, SECOND, 5 * SECOND)]);
     p.write_for(0, 2 * SECOND, 10 * MS);
-    assert_eq!((p.fleet.primary_of(0), p.fleet.happened().lost_commits), (Some(1), 0));
+    assert_eq!((p.members.primary_of(0), p.members.happened().lost_commits), (Some(1), 0));
     assert_eq!(p.fate(2 * SECOND, 0, Needs::Nothing).map(|f| f.0), Some(Verdict::Full));
-    let sheets: Vec<Sheet> = std::iter::from_fn(|| p.fleet.list_news(0)).collect();
+    let sheets: Vec<Sheet> = std::iter::from_fn(|| p.members.list_news(0)).collect();
     assert!(sheets.iter().flat_map(|s| s.rows.iter()).any(|r| r.node == 0 && r.phase == Phase::Draining));
 }
 
@@ -410,14 +410,15 @@
 fn a_replacement_takes_the_address_with_an_old_copy() {
     let mut p = play(vec![on(Kind::Replace, 1, 4 * SECOND, 5 * SECOND)]);
     p.until(4 * SECOND + MS);
-    assert_eq!(p.fleet.dial(1), Dialled::Silent);
+    assert_eq!(p.members.dial(1), Dialled::Silent);
     p.until(5 * SECOND + MS);
     // Who dials the old member's address reaches the new one.
-    assert_eq!((p.fleet.dial(1), p.fleet.place_of(3)), (Dialled::Accepted(3), 1));
-    let copy = p.fleet.nodes[3].copy.heard;
+    assert_eq!((p.members.dial(1), p.members.place_of(3)), (Dialled::Accepted(3), 1));
+    let copy = p.members.nodes[3].copy.heard;
     assert!(copy <= 5 * SECOND, "{copy}");
     p.until(6 * SECOND + 100 * MS);
-    let rows: Vec<Row> = std::iter::from_fn(|| p.fleet.list_news(0)).flat_map(|s| s.rows.to_vec()).collect();
+    let rows: Vec<Row> =
+        std::iter::from_fn(|| p.members.list_news(0)).flat_map(|s| s.rows.to_vec()).collect();
     assert!(
         rows.iter().any(|r| r.node == 3 && r.started > 0)
             && rows.iter().any(|r| r.node == 1 && r.phase == Phase::Gone)
@@ -434,7 +435,7 @@
     (0..queries).for_each(|i| p.ask(SECOND + i as Micros, 1, Needs::Nothing, 100 * MS));
     let said = p.until(30 * SECOND);
     let fell = said.iter().any(|(_, s)| matches!(s, Said::Died { fell: true, .. }));
-    assert_eq!((fell, p.fleet.alive(1)), (falls, !falls));
+    assert_eq!((fell, p.members.alive(1)), (falls, !falls));
 }
 
 // ---- the list ----
@@ -448,7 +449,7 @@
     let mut told = None;
     for ms in 0..5_000 {
         let heard = p.until(ms * MS).iter().any(|(_, s)| matches!(s, Said::News { router: 0 }));
-        told = told.or(if heard { p.fleet.list_news(0).map(|_| ms) } else { None });
+        told = told.or(if heard { p.members.list_news(0).map(|_| ms) } else { None });
     }
     assert_eq!(told, Some(told_ms));
 }
@@ -458,12 +459,12 @@
     let mut watched = plan();
     watched.list.mode = ListMode::Watch;
     let mut p = play_of(watched, vec![anywhere(Kind::ListDown, SECOND, 2 * SECOND)]);
-    assert!(p.fleet.ask_list(0).is_some_and(|s| s.whole && s.rows.len() == 3));
+    assert!(p.members.ask_list(0).is_some_and(|s| s.whole && s.rows.len() == 3));
     let said = p.until(SECOND);
     assert!(matches!(said.as_slice(), [(_, Said::WatchBroke { router: 0 })]), "{said:?}");
-    assert!(p.fleet.ask_list(0).is_none());
+    assert!(p.members.ask_list(0).is_none());
     p.until(2 * SECOND);
-    assert!(p.fleet.ask_list(0).is_some());
+    assert!(p.members.ask_list(0).is_some());
 }
 
 #[rstest]
@@ -471,13 +472,13 @@
     let routers = Kind::Routers { which: vec![1], old_list: true };
     let mut p = play(vec![on(Kind::Drain, 2, SECOND, 9 * SECOND), anywhere(routers, 500 * MS, 6 * SECOND)]);
     let drained = |sheet: &Sheet| sheet.rows.iter().any(|r| r.node == 2 && r.phase == Phase::Draining);
-    let _ = p.fleet.first_list(1, false);
+    let _ = p.members.first_list(1, false);
     let said = p.until(7 * SECOND);
     let starts = |s: &(Micros, Said)| matches!(s, (at, Said::RouterStarts { router: 1, old_list: true }) if *at == 6 * SECOND);
     assert!(said.iter().any(starts));
     // It was told nothing while it was away: it starts with what it had, and hears of the drain after that.
-    assert!(!drained(&p.fleet.first_list(1, true)) && p.fleet.list_news(1).is_some_and(|s| drained(&s)));
-    assert!(drained(&p.fleet.first_list(1, false)));
+    assert!(!drained(&p.members.first_list(1, true)) && p.members.list_news(1).is_some_and(|s| drained(&s)));
+    assert!(drained(&p.members.first_list(1, false)));
 }
 
 // ---- the traffic ----
--- a/crates/emulated/src/trouble.rs
+++ b/crates/emulated/src/trouble.rs
@@ -99,7 +99,7 @@
 }
 
 impl Kind {
-    /// True for what is a matter of the traffic, not of the fleet.
+    /// True for what is a matter of the traffic, not of the members.
     pub fn of_traffic(&self) -> bool {
         matches!(self, Kind::Burst { .. } | Kind::HotSet { .. } | Kind::Noisy { .. } | Kind::Surge { .. })
     }
--- a/crates/emulated/src/troubling.rs
+++ b/crates/emulated/src/troubling.rs
@@ -3,13 +3,13 @@
 use crate::Micros;
 use crate::copy::Copy;
 use crate::draw::{dice, one_of};
-use crate::fleet::{Fleet, Task};
 use crate::interface::Said;
 use crate::list::Phase;
+use crate::members::{Members, Task};
 use crate::node::Node;
 use crate::trouble::{Kind, On};
 
-impl Fleet {
+impl Members {
     /// Which members each trouble strikes: named, or drawn by the seed alone.
     pub(crate) fn draw_struck(&mut self, seed: u64) {
         for i in 0..self.troubles.len() {
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -28,7 +28,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use vetchkeel_audit::{Auditor, Breach};
 use vetchkeel_capture::Recorder;
-use vetchkeel_emulated::{Dice, Ended, Fleet, ListMode, Micros, Report, SECOND, Traffic, dice};
+use vetchkeel_emulated::{Dice, Ended, ListMode, Members, Micros, Report, SECOND, Traffic, dice};
 
 /// From the start of the processes to the first command.
 pub const LEAD: Micros = 2 * SECOND;
@@ -85,7 +85,7 @@
     since: Instant,
     unix_us: f64,
     now: Micros,
-    fleet: Fleet,
+    members: Members,
     auditor: Auditor,
     tally: Tally,
     agenda: vetchkeel_emulated::Agenda<Due>,
@@ -164,8 +164,8 @@
         let plan = &setup.plan;
         let mut troubles = setup.troubles.clone();
         troubles.iter_mut().for_each(|t| (t.from, t.until) = (t.from + LEAD, t.until + LEAD));
-        let fleet = Fleet::new(plan.clone(), troubles, seed);
-        let (members, routers) = (fleet.count(), plan.routers.len());
+        let members = Members::new(plan.clone(), troubles, seed);
+        let (count, routers) = (members.count(), plan.routers.len());
         let mut figures = crate::figures(setup);
         figures.answer_slack += SLACK;
         figures.drain_grace += SLACK;
@@ -182,7 +182,7 @@
             auditor: Auditor::new(figures),
             tally: Tally::new(setup),
             agenda: Default::default(),
-            places: vec![vec![(None, None); routers]; members],
+            places: vec![vec![(None, None); routers]; count],
             conns: Ring::default(),
             flights: Ring::default(),
             probes: Ring::default(),
@@ -192,7 +192,7 @@
             clients: Ring::default(),
             tries: Ring::default(),
             routers: Vec::new(),
-            lives: vec![0; members],
+            lives: vec![0; count],
             heard: vec![BTreeSet::new(); routers],
             written: BTreeMap::new(),
             sessions: plan.groups.iter().any(|g| g.access == vetchkeel_emulated::Access::Session),
@@ -203,13 +203,13 @@
             listeners: Vec::new(),
             dice: dice(seed, "routers"),
             scratch: vec![0; 64 * 1024].into(),
-            fleet,
+            members,
             setup,
         };
         for set in 0..plan.sets.len() {
-            stage.fleet.primary_of(set).into_iter().for_each(|p| stage.auditor.primary(p));
+            stage.members.primary_of(set).into_iter().for_each(|p| stage.auditor.primary(p));
         }
-        (0..members).try_for_each(|place| stage.open_place(place))?;
+        (0..count).try_for_each(|place| stage.open_place(place))?;
         for router in 0..routers {
             let list = stage.open_list(router)?;
             // A free port, for the router to listen on.
@@ -231,7 +231,7 @@
     }
 
     fn start_router(&mut self, router: usize, old_list: bool) -> Result<(), String> {
-        let sheet = self.fleet.first_list(router, old_list);
+        let sheet = self.members.first_list(router, old_list);
         let known = self.sheet(router, &sheet);
         let seed = rand::RngExt::random(&mut self.dice);
         let (listen, list) = (self.routers[router].listen, self.routers[router].list);
@@ -245,7 +245,7 @@
 
     /// A time of the run as Unix time in milliseconds, by the members' clocks as a router compares them with its own.
     fn unix_ms(&self, router: usize, at: Micros) -> f64 {
-        (self.unix_us + (at - self.fleet.clock_ahead(router)) as f64) / 1e3
+        (self.unix_us + (at - self.members.clock_ahead(router)) as f64) / 1e3
     }
 
     fn clock(&self) -> Micros {
@@ -347,7 +347,7 @@
     }
 
     fn settle(&mut self) -> Result<(), String> {
-        while let Some(said) = self.fleet.next_said(self.now) {
+        while let Some(said) = self.members.next_said(self.now) {
             self.hear(said)?;
         }
         Ok(())
@@ -374,7 +374,7 @@
         self.look_at_routers();
         loop {
             self.now = self.clock();
-            let next = [self.fleet.wake_at(), self.agenda.first(), arrival.map(|a| a.at + LEAD), Some(end)];
+            let next = [self.members.wake_at(), self.agenda.first(), arrival.map(|a| a.at + LEAD), Some(end)];
             let next = next.into_iter().flatten().min().unwrap_or(end);
             let wait = Duration::from_micros((next - self.now).max(0) as u64);
             event_loop.dispatch(Some(wait), &mut ready).map_err(|e| e.to_string())?;
@@ -436,7 +436,7 @@
     }
 
     fn result(&mut self, seed: u64) -> RunResult {
-        let (happened, length) = (self.fleet.happened(), self.setup.length);
+        let (happened, length) = (self.members.happened(), self.setup.length);
         let lateness = percentiles(&self.lateness);
         let mut breach_counts = self.auditor.counts();
         breach_counts[1] += self.foreign.len() as u64;
--- a/crates/lab/src/loopback/listing.rs
+++ b/crates/lab/src/loopback/listing.rs
@@ -33,10 +33,10 @@
         let started = if row.started > 0 { self.unix_ms(router, row.started) } else { 0.0 };
         serde_json::json!({
             "id": format!("m{node}"),
-            "addr": self.address(router, self.fleet.place_of(node)).to_string(),
-            "zone": plan.zones[self.fleet.zone_of(node)],
+            "addr": self.address(router, self.members.place_of(node)).to_string(),
+            "zone": plan.zones[self.members.zone_of(node)],
             "kind": "machine",
-            "cell": self.fleet.set_of(node),
+            "cell": self.members.set_of(node),
             "state": state,
             "weight": 1.0,
             "started_ms": started,
@@ -89,7 +89,7 @@
     }
 
     fn answer_watch(&mut self, router: usize, key: u64) {
-        let Some(sheet) = self.fleet.ask_list(router) else { return };
+        let Some(sheet) = self.members.ask_list(router) else { return };
         self.list_audited(router, &sheet);
         let line = self.sheet(router, &sheet).to_string();
         let head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -112,7 +112,7 @@
     pub(super) fn list_news(&mut self, router: usize) {
         let open = self.watches.iter().find(|(_, w)| w.router == router && w.told).map(|(key, _)| key);
         let Some(key) = open.filter(|key| !self.silent_watches.contains(key)) else { return };
-        let Some(sheet) = self.fleet.list_news(router) else { return };
+        let Some(sheet) = self.members.list_news(router) else { return };
         self.list_audited(router, &sheet);
         let line = self.sheet(router, &sheet).to_string();
         self.watches.get_mut(key).into_iter().for_each(|w| w.wire.send(&Self::chunk(&line)));
--- a/crates/lab/src/loopback/members.rs
+++ b/crates/lab/src/loopback/members.rs
@@ -66,13 +66,13 @@
     }
 
     fn way(&mut self, router: usize, node: usize) -> Option<Micros> {
-        let (from, to) = (self.setup.plan.routers[router], self.fleet.zone_of(node));
-        self.fleet.delay(from, to)
+        let (from, to) = (self.setup.plan.routers[router], self.members.zone_of(node));
+        self.members.delay(from, to)
     }
 
     fn way_back(&mut self, router: usize, node: usize) -> Option<Micros> {
-        let (from, to) = (self.fleet.zone_of(node), self.setup.plan.routers[router]);
-        self.fleet.delay(from, to)
+        let (from, to) = (self.members.zone_of(node), self.setup.plan.routers[router]);
+        self.members.delay(from, to)
     }
 
     pub(super) fn conn_ready(&mut self, key: u64) {
@@ -172,7 +172,7 @@
     pub(super) fn dial_reaches(&mut self, key: u64) {
         let Some(conn) = self.conns.get(key) else { return };
         let (router, place) = (conn.router, conn.place);
-        match self.fleet.dial(place) {
+        match self.members.dial(place) {
             Dialled::Silent => {}
             Dialled::Refused => self.conn_ended(key, true),
             Dialled::Accepted(by) => {
@@ -205,7 +205,7 @@
             return;
         };
         if self.lives[by] != life {
-            if self.fleet.resident(by).is_some() {
+            if self.members.resident(by).is_some() {
                 self.conn_ended(key, true);
             }
             return;
@@ -215,10 +215,10 @@
             Some(position) => Needs::Position(position),
             None => Needs::Nothing,
         };
-        let (set, strength) = (self.fleet.set_of(by), self.fleet.strength(by));
+        let (set, strength) = (self.members.set_of(by), self.members.strength(by));
         self.tally.reached(by, set, strength);
         let blocks = self.setup.plan.groups[group].blocks;
-        self.fleet.query(self.now, by, Query { job: n, group, work, needs, blocks });
+        self.members.query(self.now, by, Query { job: n, group, work, needs, blocks });
     }
 
     pub(super) fn probe_reaches(&mut self, key: u64) {
@@ -226,7 +226,7 @@
             return;
         };
         let number = self.probes.push(key);
-        if self.fleet.probe(place, number) == Dialled::Refused {
+        if self.members.probe(place, number) == Dialled::Refused {
             self.conn_ended(key, true);
         }
     }
@@ -259,13 +259,13 @@
             Said::Probed { node, probe, report } => self.probed(node, probe, report),
             Said::Died { node, .. } => {
                 self.lives[node] += 1;
-                self.close_place(self.fleet.place_of(node));
+                self.close_place(self.members.place_of(node));
                 self.end_all(node);
             }
             Said::Vanished { node } => self.lives[node] += 1,
             Said::Started { node } => {
-                self.lives.resize(self.fleet.count(), 0);
-                let (strength, place) = (self.fleet.strength(node), self.fleet.place_of(node));
+                self.lives.resize(self.members.count(), 0);
+                let (strength, place) = (self.members.strength(node), self.members.place_of(node));
                 self.auditor.started(self.now, node, strength);
                 // Whoever still holds a connection to the one before is reset now.
                 let stale =
@@ -317,7 +317,7 @@
             needed.filter(|_| ended.verdict == Verdict::Answered).map(|needed| (ended.seen + slack, needed));
         self.auditor.ended(self.now, command, ended.node, fate, read);
         if fate == Fate::Ran {
-            let (set, strength) = (self.fleet.set_of(ended.node), self.fleet.strength(ended.node));
+            let (set, strength) = (self.members.set_of(ended.node), self.members.strength(ended.node));
             self.tally.ran(ended.node, set, strength, work);
         }
         let router = self.conns.get(key).map(|c| c.router);
@@ -399,10 +399,10 @@
             return;
         }
         if let Some(job) = job
-            && self.fleet.withdraw(self.now, by, job)
+            && self.members.withdraw(self.now, by, job)
         {
             self.flights.remove(job);
         }
-        self.fleet.hang_up(by);
+        self.members.hang_up(by);
     }
 }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -16,7 +16,7 @@
 use vetchkeel_audit::{Auditor, Fate, Final, Taken};
 use vetchkeel_capture::{self as capture, Recorder};
 use vetchkeel_emulated::{
-    self as emulated, Agenda, Arrival, Dialled, Dice, Ended, Fleet, Micros, Needs, Query, SECOND, Said,
+    self as emulated, Agenda, Arrival, Dialled, Dice, Ended, Members, Micros, Needs, Query, SECOND, Said,
     Sheet, Traffic, Verdict, dice,
 };
 
@@ -75,7 +75,7 @@
 /// One run.
 pub struct Sim<'a> {
     setup: &'a Setup,
-    fleet: Fleet,
+    members: Members,
     traffic: Traffic,
     auditor: Auditor,
     tally: Tally,
@@ -111,7 +111,7 @@
     fn new(setup: &'a Setup, seed: u64, recorder: Option<&'a mut Recorder>) -> Result<Sim<'a>, String> {
         let plan = &setup.plan;
         let routers = plan.routers.len();
-        let fleet = Fleet::new(plan.clone(), setup.troubles.clone(), seed);
+        let members = Members::new(plan.clone(), setup.troubles.clone(), seed);
         let mut sim = Sim {
             traffic: Traffic::new(setup.traffic.clone(), &plan.groups, &setup.troubles, seed),
             auditor: Auditor::new(crate::figures(setup)),
@@ -122,19 +122,19 @@
             flights: Ring::default(),
             probes: Ring::default(),
             pools: Pools::new(routers),
-            lives: vec![0; fleet.count()],
-            names: (0..fleet.count()).map(member_name).collect(),
+            lives: vec![0; members.count()],
+            names: (0..members.count()).map(member_name).collect(),
             written: BTreeMap::new(),
             sessions: plan.groups.iter().any(|g| g.access == emulated::Access::Session),
             dice: dice(seed, "routers"),
             recorder,
             seed,
             now: 0,
-            fleet,
+            members,
             setup,
         };
         for set in 0..plan.sets.len() {
-            sim.fleet.primary_of(set).into_iter().for_each(|p| sim.auditor.primary(p));
+            sim.members.primary_of(set).into_iter().for_each(|p| sim.auditor.primary(p));
         }
         for router in 0..routers {
             sim.start_router(router, false)?;
@@ -148,15 +148,15 @@
         let longest = self.setup.plan.groups.iter().map(|g| g.timeout).max().unwrap_or(0);
         let end = self.setup.length + longest + SECOND;
         loop {
-            let next = [self.fleet.wake_at(), self.agenda.first(), arrival.map(|a| a.at)];
+            let next = [self.members.wake_at(), self.agenda.first(), arrival.map(|a| a.at)];
             let Some(at) = next.into_iter().flatten().min().filter(|at| *at <= end) else { break };
             self.now = self.now.max(at);
-            while let Some(said) = self.fleet.next_said(self.now) {
+            while let Some(said) = self.members.next_said(self.now) {
                 self.hear(said)?;
             }
             while let Some((_, event)) = self.agenda.take(self.now) {
                 self.happen(event);
-                while let Some(said) = self.fleet.next_said(self.now) {
+                while let Some(said) = self.members.next_said(self.now) {
                     self.hear(said)?;
                 }
             }
@@ -166,7 +166,7 @@
             }
         }
         self.auditor.finish(end);
-        let happened = self.fleet.happened();
+        let happened = self.members.happened();
         let length = self.setup.length;
         Ok(RunResult {
             driver: "simulated".into(),
@@ -358,11 +358,11 @@
         let decider = Decider::start(self.setup, told(self.setup, router), seed, clock(self.now))?;
         let host = &mut self.hosts[router];
         (host.decider, host.wake) = (Some(decider), Micros::MAX);
-        let sheet = self.fleet.first_list(router, old_list);
+        let sheet = self.members.first_list(router, old_list);
         self.list_told(router, &sheet);
         // What it missed while it was away comes after it has started.
         let life = self.hosts[router].life;
-        if let Some(news) = self.fleet.list_news(router) {
+        if let Some(news) = self.members.list_news(router) {
             self.agenda.set(self.now + AGENT, Event::List(router, life, Some(Box::new(news))));
         }
         self.pull(router);
@@ -396,15 +396,15 @@
     }
 
     fn list_told(&mut self, router: usize, sheet: &Sheet) {
-        let ahead = self.fleet.clock_ahead(router);
+        let ahead = self.members.clock_ahead(router);
         let entries: Vec<Entry> = sheet
             .rows
             .iter()
             .map(|row| Entry {
                 node: self.names[row.node].clone(),
-                zone: Id::from(self.setup.plan.zones[self.fleet.zone_of(row.node)].as_str()),
+                zone: Id::from(self.setup.plan.zones[self.members.zone_of(row.node)].as_str()),
                 machine: Id::from("machine"),
-                set: self.fleet.set_of(row.node) as i64,
+                set: self.members.set_of(row.node) as i64,
                 phase: match row.phase {
                     emulated::Phase::Up => Phase::Up,
                     emulated::Phase::Draining => Phase::Draining,
@@ -468,7 +468,7 @@
                 idle.into_iter().for_each(|(node, conn)| self.close(node, conn));
             }
             Decision::WatchList => {
-                let sheet = self.fleet.ask_list(router);
+                let sheet = self.members.ask_list(router);
                 let life = self.hosts[router].life;
                 let at = self.now + if sheet.is_some() { AGENT } else { SECOND };
                 self.agenda.set(at, Event::List(router, life, sheet.map(Box::new)));
@@ -527,15 +527,15 @@
                 self.connections_end(node, matches!(said, Said::Died { .. }));
             }
             Said::Started { node } => {
-                let count = self.fleet.count();
+                let count = self.members.count();
                 self.lives.resize(count, 0);
                 (self.names.len()..count).for_each(|n| self.names.push(member_name(n)));
-                let strength = self.fleet.strength(node);
+                let strength = self.members.strength(node);
                 self.auditor.started(self.now, node, strength);
             }
             Said::News { router } => {
                 if self.hosts[router].decider.is_some()
-                    && let Some(sheet) = self.fleet.list_news(router)
+                    && let Some(sheet) = self.members.list_news(router)
                 {
                     self.list_told(router, &sheet);
                     self.pull(router);
@@ -560,7 +560,7 @@
         let Some(flight) = self.flights.get_mut(ended.job) else { return };
         flight.at_member = false;
         let (command, work, needed, set) =
-            (flight.command, flight.work, flight.needed, self.fleet.set_of(ended.node));
+            (flight.command, flight.work, flight.needed, self.members.set_of(ended.node));
         let fate = if ended.verdict.untouched() {
             Fate::Untouched
         } else if ended.verdict.ran() {
@@ -574,12 +574,12 @@
         }
         self.auditor.ended(self.now, command, ended.node, fate, read);
         if fate == Fate::Ran {
-            let strength = self.fleet.strength(ended.node);
+            let strength = self.members.strength(ended.node);
             self.tally.ran(ended.node, set, strength, work);
         }
         let job = ended.job;
         let router = self.flights.get(job).map_or(0, |f| f.router);
-        let way = self.fleet.delay(self.fleet.zone_of(ended.node), self.setup.plan.routers[router]);
+        let way = self.members.delay(self.members.zone_of(ended.node), self.setup.plan.routers[router]);
         match (ended.verdict, way) {
             (Verdict::Lost, _) | (_, None) => {}
             (Verdict::Reset, Some(way)) => self.agenda.set(self.now + way, Event::Broken(job)),
--- a/crates/lab/src/sim/links.rs
+++ b/crates/lab/src/sim/links.rs
@@ -5,13 +5,13 @@
 
 impl Sim<'_> {
     fn way(&mut self, router: usize, node: usize) -> Option<Micros> {
-        let (from, to) = (self.setup.plan.routers[router], self.fleet.zone_of(node));
-        self.fleet.delay(from, to)
+        let (from, to) = (self.setup.plan.routers[router], self.members.zone_of(node));
+        self.members.delay(from, to)
     }
 
     fn way_back(&mut self, router: usize, node: usize) -> Option<Micros> {
-        let (from, to) = (self.fleet.zone_of(node), self.setup.plan.routers[router]);
-        self.fleet.delay(from, to)
+        let (from, to) = (self.members.zone_of(node), self.setup.plan.routers[router]);
+        self.members.delay(from, to)
     }
 
     // ---- dispatches ----
@@ -71,7 +71,7 @@
     pub(super) fn dial_reaches(&mut self, n: u64) {
         let Some(flight) = self.flights.get(n) else { return };
         let (router, node) = (flight.router, flight.node);
-        match self.fleet.dial(node) {
+        match self.members.dial(node) {
             Dialled::Silent => {}
             Dialled::Refused => {
                 if let Some(way) = self.way_back(router, node) {
@@ -85,7 +85,7 @@
                         let more = (2.0 * way as f64 * handshake) as Micros;
                         self.agenda.set(self.now + way + more, Event::Opened(n, by));
                     }
-                    _ => self.fleet.hang_up(by),
+                    _ => self.members.hang_up(by),
                 }
             }
         }
@@ -95,7 +95,7 @@
         let life = self.lives[by];
         let conn = Conn { by, life, since: self.now };
         let Some(flight) = self.flights.get_mut(n).filter(|f| f.open) else {
-            return self.fleet.hang_up(by);
+            return self.members.hang_up(by);
         };
         flight.conn = Some(conn);
         let (router, node, command, until) = (flight.router, flight.node, flight.command, flight.until);
@@ -134,7 +134,7 @@
             (conn.by, flight.router, flight.command, flight.written, flight.work);
         if self.lives[by] != conn.life {
             // The process is another one now, or whoever has the address knows nothing of this connection.
-            if self.fleet.resident(by).is_some()
+            if self.members.resident(by).is_some()
                 && let Some(way) = self.way_back(router, by)
             {
                 self.agenda.set(self.now + way, Event::Broken(n));
@@ -150,11 +150,11 @@
             Some(position) => Needs::Position(position),
             None => Needs::Nothing,
         };
-        let (set, strength) = (self.fleet.set_of(by), self.fleet.strength(by));
+        let (set, strength) = (self.members.set_of(by), self.members.strength(by));
         self.tally.reached(by, set, strength);
         self.auditor.sent(written, command, by, work);
         let blocks = self.setup.plan.groups[group].blocks;
-        self.fleet.query(self.now, by, Query { job: n, group, work, needs, blocks });
+        self.members.query(self.now, by, Query { job: n, group, work, needs, blocks });
     }
 
     /// An answer has reached its router.
@@ -210,7 +210,7 @@
         }
         let over = self.tries.get(command).is_none_or(|t| t.ended);
         // What members tell is told by their clocks; a router's may be ahead of them or behind.
-        let ahead = self.fleet.clock_ahead(router);
+        let ahead = self.members.clock_ahead(router);
         let note = ended.map_or(Note::default(), |e| {
             // Positions are told in whole milliseconds, rounded down, and commits up.
             let up = if e.verdict == Verdict::Answered && self.is_write(command) { 999 } else { 0 };
@@ -256,10 +256,10 @@
         let Some(flight) = self.flights.get_mut(n) else { return };
         let Some(conn) = flight.conn.take() else { return };
         if self.lives[conn.by] == conn.life {
-            if flight.at_member && self.fleet.withdraw(self.now, conn.by, n) {
+            if flight.at_member && self.members.withdraw(self.now, conn.by, n) {
                 flight.at_member = false;
             }
-            self.fleet.hang_up(conn.by);
+            self.members.hang_up(conn.by);
         } else {
             flight.at_member = false;
         }
@@ -289,7 +289,7 @@
 
     pub(super) fn close(&mut self, _node: usize, conn: Conn) {
         if self.lives[conn.by] == conn.life {
-            self.fleet.hang_up(conn.by);
+            self.members.hang_up(conn.by);
         }
     }
 
@@ -347,7 +347,7 @@
     pub(super) fn probe_reaches(&mut self, n: u64) {
         let Some(probe) = self.probes.get(n).filter(|p| !p.done) else { return };
         let (router, node) = (probe.router, probe.node);
-        if self.fleet.probe(node, n) == Dialled::Refused
+        if self.members.probe(node, n) == Dialled::Refused
             && let Some(way) = self.way_back(router, node)
         {
             self.agenda.set(self.now + way, Event::ProbeFailed(n, Ending::ConnectFailed));
@@ -376,7 +376,7 @@
         if self.hosts[router].life != life {
             return;
         }
-        let ahead = self.fleet.clock_ahead(router);
+        let ahead = self.members.clock_ahead(router);
         let report = report.map_or(Report::default(), |r| Report {
             primary: Some(r.primary),
             position: Some(clock(r.position.div_euclid(1_000) * 1_000 - ahead)),
