--- a/crates/shared/tests/budgets.rs
+++ b/crates/shared/tests/budgets.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeMap;
 
 use rstest::rstest;
-use vetchkeel_shared::budgets::{BadTerms, Seat, Terms};
+use vetchkeel_shared::Start;
+use vetchkeel_shared::budgets::{BadTerms, Borrower, Lender, Seat, Terms};
 use world::{ALL, Faults, names, play, terms};
 
 const TOTAL: i64 = 400_000;
@@ -54,3 +55,17 @@
     let seats = BTreeMap::from([(names(1)[0].clone(), Seat { floor: 3, home: 8 })]);
     assert_eq!(Terms::new(1, 10, seats, 15_000, 0, 0), Err(BadTerms::Over { sum: 11, total: 10 }));
 }
+
+/// The old process may only be stopped, and wake up with its loan.
+#[test]
+fn a_new_life_of_a_borrower_does_not_free_the_loans_of_the_old() {
+    let terms = terms(TOTAL, 2, 1, 0);
+    let (me, other) = (names(2)[0].clone(), names(2)[1].clone());
+    let mut lender = Lender::new(&terms, &me, Start::default(), 0);
+    let life = |count| Start { at: 0, count };
+    let now = terms.lent_for();
+    let first = Borrower::new(&terms, life(1)).ask(now, 2 * TOTAL);
+    let second = Borrower::new(&terms, life(2)).ask(now, 2 * TOTAL);
+    assert!(lender.asked(now, &other, life(1), &first).is_some_and(|grant| grant.rate > 0));
+    assert_eq!(lender.asked(now, &other, life(2), &second).map(|grant| grant.rate), Some(0));
+}
