--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -18,7 +18,7 @@
 
 pub use borrower::Borrower;
 pub use bucket::Bucket;
-pub use budget::{Budget, Decision, Reading};
+pub use budget::{Budget, Reading};
 pub use demand::Demand;
 pub use lender::Lender;
 pub use terms::{BadTerms, Seat, Terms};
--- a/crates/shared/src/budgets/budget.rs
+++ b/crates/shared/src/budgets/budget.rs
@@ -6,19 +6,7 @@
 use vetchkeel_membership::{Name, Start, Tenths};
 
 use super::{Borrower, Bucket, Demand, Grant, Lender, Rate, Terms};
-use crate::wire::{Body, Message};
-
-/// What the host is to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// Send it; a lost one is made good by the next ask.
-    Send {
-        /// To whom.
-        to: Name,
-        /// What.
-        message: Message,
-    },
-}
+use crate::wire::{Body, Decision, Message};
 
 /// What one router may spend and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,6 +90,7 @@
                     debt.borrower.granted(now, message.start, grant);
                 }
             }
+            _ => return false,
         }
         let share = self.share(now);
         self.bucket.set(now, share);
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -28,6 +28,24 @@
     Ask(crate::budgets::Ask),
     /// A lender answers.
     Grant(crate::budgets::Grant),
+    /// Tallies, in any order.
+    Counts(Vec<crate::counts::Tally>),
+    /// Judgements, in any order.
+    Judgements(Vec<crate::judgements::Judgement>),
+    /// How far a turn is.
+    Turn(crate::turns::Turn, crate::turns::Progress),
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it; every part makes good a lost one.
+    Send {
+        /// To whom.
+        to: Name,
+        /// What.
+        message: Message,
+    },
 }
 
 /// Why bytes were not taken.
@@ -82,3 +100,8 @@
         Err(_) => Err(Refused::Malformed),
     }
 }
+
+/// Bytes that `value` takes; the most there is if it can't be written.
+pub(crate) fn length(value: &impl Serialize) -> usize {
+    postcard::experimental::serialized_size(value).unwrap_or(LONGEST)
+}
--- a/crates/shared/tests/world/mod.rs
+++ b/crates/shared/tests/world/mod.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 
 use nanorand::{Rng, WyRand};
-use vetchkeel_shared::budgets::{Budget, Decision, Rate, Terms};
-use vetchkeel_shared::wire::{self, Message};
+use vetchkeel_shared::budgets::{Budget, Rate, Terms};
+use vetchkeel_shared::wire::{self, Decision, Message};
 use vetchkeel_shared::{Name, Start, Tenths};
 
 /// What may go wrong, and a fault that may be planted.
@@ -60,6 +60,61 @@
     pub blows: u32,
 }
 
+/// Messages on their way.
+pub struct Net {
+    on_way: BTreeMap<(Tenths, u64), (usize, Vec<u8>)>,
+    sent: u64,
+    pub bytes: u64,
+    pub lost: u32,
+    pub doubled: u32,
+    pub delay: Tenths,
+    pub cut: Vec<Vec<bool>>,
+    pub chance: WyRand,
+}
+
+impl Net {
+    pub fn new(count: usize, seed: u64, faults: Faults) -> Net {
+        Net {
+            on_way: BTreeMap::new(),
+            sent: 0,
+            bytes: 0,
+            lost: faults.lost,
+            doubled: faults.doubled,
+            delay: faults.delay,
+            cut: vec![vec![false; count]; count],
+            chance: WyRand::new_seed(seed),
+        }
+    }
+
+    pub fn send(&mut self, now: Tenths, from: usize, to: usize, message: &Message) {
+        let bytes = wire::encode(message).expect("it fits");
+        for _ in 0..1 + u32::from(self.chance.generate_range(0..100u32) < self.doubled) {
+            self.bytes += bytes.len() as u64;
+            self.sent += 1;
+            if self.cut[from][to] || self.chance.generate_range(0..100u32) < self.lost {
+                continue;
+            }
+            // Most come soon; some very late.
+            let most = if self.chance.generate_range(0..4u32) == 0 { self.delay } else { self.delay / 20 };
+            let late = 1 + self.chance.generate_range(0..=most.max(1) as u64) as i64;
+            self.on_way.insert((now + late, self.sent), (to, bytes.clone()));
+        }
+    }
+
+    /// The next that has come.
+    pub fn come(&mut self, now: Tenths) -> Option<(usize, Message)> {
+        let entry = self.on_way.first_entry().filter(|entry| entry.key().0 <= now)?;
+        let (to, bytes) = entry.remove();
+        Some((to, wire::decode(&bytes).expect("what was sent can be read")))
+    }
+
+    /// It waits in the socket until then.
+    fn put_back(&mut self, until: Tenths, to: usize, message: &Message) {
+        self.sent += 1;
+        self.on_way.insert((until, self.sent), (to, wire::encode(message).expect("it fits")));
+    }
+}
+
 struct Router {
     name: Name,
     offset: Tenths,
@@ -108,9 +163,7 @@
             owed: 0,
         })
         .collect();
-    let mut cut = vec![vec![false; routers.len()]; routers.len()];
-    let mut net: BTreeMap<(Tenths, u64), (usize, Vec<u8>)> = BTreeMap::new();
-    let mut sent = 0u64;
+    let mut net = Net::new(routers.len(), seed, faults);
     let mut audit = Audit { over: Rate::MIN, tokens_over: i64::MIN, ..Audit::default() };
     let (mut spent, mut least, mut used, mut steps) = (0i64, i64::MAX, 0i64, 0i64);
     // A clock that runs fast brings its router more a second; the auditor's second is the true one.
@@ -120,7 +173,7 @@
         let hit = |chance: &mut WyRand, of: u32| chance.generate_range(0..10_000u32) < of;
         if hit(&mut chance, faults.cut) {
             let part = chance.generate_range(0..60u32);
-            cut.iter_mut().flatten().for_each(|way| *way = chance.generate_range(0..100u32) < part);
+            net.cut.iter_mut().flatten().for_each(|way| *way = chance.generate_range(0..100u32) < part);
         }
         for at in 0..routers.len() {
             if wants.is_none() && hit(&mut chance, 100) {
@@ -151,16 +204,13 @@
                 ));
             }
         }
-        while let Some(entry) = net.first_entry().filter(|entry| entry.key().0 <= now) {
-            let (key, (to, bytes)) = entry.remove_entry();
+        while let Some((to, message)) = net.come(now) {
             let router = &mut routers[to];
             if now < router.stopped_until {
-                // It waits in the socket.
-                net.insert((router.stopped_until, key.1), (to, bytes));
+                net.put_back(router.stopped_until, to, &message);
                 continue;
             }
             let clock = router.clock(now);
-            let message: Message = wire::decode(&bytes).expect("what was sent can be read");
             if let Some(budget) = &mut router.budget {
                 budget.heard(clock, &message);
             }
@@ -179,20 +229,7 @@
             }
             while let Some(Decision::Send { to, message }) = budget.next_decision(clock) {
                 assert_eq!(message.from, name);
-                let bytes = wire::encode(&message).expect("it fits");
-                let to = names.iter().position(|name| *name == to).expect("a seat");
-                for _ in 0..1 + u32::from(chance.generate_range(0..100u32) < faults.doubled) {
-                    audit.bytes += bytes.len() as u64;
-                    sent += 1;
-                    if cut[at][to] || chance.generate_range(0..100u32) < faults.lost {
-                        continue;
-                    }
-                    // Most come soon; some very late.
-                    let most =
-                        if chance.generate_range(0..4u32) == 0 { faults.delay } else { faults.delay / 20 };
-                    let late = 1 + chance.generate_range(0..=most.max(1) as u64) as i64;
-                    net.insert((now + late, sent), (to, bytes.clone()));
-                }
+                net.send(now, at, names.iter().position(|name| *name == to).expect("a seat"), &message);
             }
             routers[at].budget = Some(budget);
         }
@@ -209,6 +246,7 @@
         audit.shares = routers.iter().map(share).collect();
     }
     audit.used = used / steps.max(1);
+    audit.bytes = net.bytes;
     audit
 }
 
