--- a/crates/shared/tests/escrow_model.rs
+++ b/crates/shared/tests/escrow_model.rs
@@ -171,28 +171,44 @@
     }
 }
 
-fn escrow(lender: Tenths, borrower: Tenths, hurry: Tenths, asks: [u64; 2], lives: (u32, u32)) -> Escrow {
-    Escrow { lender: terms(lender), borrower: terms(borrower), hurry, ticks: 4, asks, lives }
+fn escrow(
+    lender: Tenths,
+    borrower: Tenths,
+    hurry: Tenths,
+    ticks: i64,
+    asks: [u64; 2],
+    lives: (u32, u32),
+) -> Escrow {
+    Escrow { lender: terms(lender), borrower: terms(borrower), hurry, ticks, asks, lives }
 }
 
 #[rstest]
-#[case::no_restart([2, 1], (1, 1))]
-#[case::lender_restarts([2, 1], (2, 1))]
-#[case::borrower_restarts([1, 1], (1, 2))]
-fn every_order_of_events_keeps_the_sum(#[case] asks: [u64; 2], #[case] lives: (u32, u32)) {
-    let checker = escrow(1_000, 1_000, 0, asks, lives).checker().threads(3).spawn_bfs().join();
-    println!("{asks:?} {lives:?}: {} states, {} unique", checker.state_count(), checker.unique_state_count());
+#[case::many_asks(1, [3, 1], (1, 1))]
+#[case::no_restart(4, [2, 1], (1, 1))]
+#[case::lender_restarts(4, [2, 1], (2, 1))]
+#[case::borrower_restarts(4, [1, 1], (1, 2))]
+fn every_order_of_events_keeps_the_sum(
+    #[case] ticks: i64,
+    #[case] asks: [u64; 2],
+    #[case] lives: (u32, u32),
+) {
+    let checker = escrow(1_000, 1_000, 0, ticks, asks, lives).checker().threads(3).spawn_bfs().join();
+    println!(
+        "{ticks} {asks:?} {lives:?}: {} states, {} unique",
+        checker.state_count(),
+        checker.unique_state_count()
+    );
     checker.assert_properties();
 }
 
 #[test]
 fn a_loan_longer_than_its_fence_is_found() {
-    let checker = escrow(1_000, 1_500, 0, [1, 1], (1, 1)).checker().threads(3).spawn_bfs().join();
+    let checker = escrow(1_000, 1_500, 0, 4, [1, 1], (1, 1)).checker().threads(3).spawn_bfs().join();
     assert!(checker.discovery("never above the home").is_some());
 }
 
 #[test]
 fn a_lender_that_does_not_wait_after_its_start_is_found() {
-    let checker = escrow(1_000, 1_000, 1_000, [1, 1], (2, 1)).checker().threads(3).spawn_bfs().join();
+    let checker = escrow(1_000, 1_000, 1_000, 4, [1, 1], (2, 1)).checker().threads(3).spawn_bfs().join();
     assert!(checker.discovery("never above the home").is_some());
 }
