--- /dev/null
+++ b/crates/membership/examples/figures.rs
@@ -0,0 +1,96 @@
+//! Simulated figures of the membership: `cargo run --release -p vetchkeel-membership --example figures [seeds]`.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use vetchkeel_membership::{Change, Tenths};
+use world::{SECOND, World, name};
+
+/// Middle and 99th of a hundred, in milliseconds.
+fn quantiles(mut times: Vec<Tenths>) -> String {
+    times.sort_unstable();
+    let at = |part: usize| times.get((times.len() * part / 100).min(times.len().saturating_sub(1)));
+    let ms = |time: Option<&Tenths>| time.map_or("none".into(), |time| format!("{}", time / 10));
+    format!("{} | {} | {}", ms(at(50)), ms(at(99)), ms(times.last()))
+}
+
+fn main() {
+    let seeds: u64 = std::env::args().nth(1).and_then(|seeds| seeds.parse().ok()).unwrap_or(5);
+    println!(
+        "| instances | lost | bytes a second and router | datagrams a second and router | least to most bytes over seeds |"
+    );
+    println!("| --- | --- | --- | --- | --- |");
+    for (count, lost) in [(10, 0), (100, 0), (300, 0), (10, 5), (100, 5), (300, 5)] {
+        let mut rates = Vec::new();
+        let mut datagrams = 0;
+        for seed in 0..seeds {
+            let mut world = World::whole(count, seed, 60 * SECOND);
+            world.lost = lost;
+            world.run(10 * SECOND);
+            (world.bytes, world.datagrams) = (0, 0);
+            world.run(60 * SECOND);
+            rates.push(world.bytes / 60 / count as u64);
+            datagrams += world.datagrams;
+        }
+        let mean = rates.iter().sum::<u64>() / seeds;
+        let each = datagrams as f64 / 60.0 / count as f64 / seeds as f64;
+        let (least, most) = (rates.iter().min().unwrap_or(&0), rates.iter().max().unwrap_or(&0));
+        println!("| {count} | {lost}% | {mean} | {each:.1} | {least} to {most} |");
+    }
+    println!("\n| instances | lost | event | known p50, ms | p99, ms | last, ms | falsely dead |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for (count, lost) in [(10, 0), (100, 0), (300, 0), (10, 5), (100, 5), (300, 5)] {
+        let (mut joins, mut learnt, mut deaths, mut heals) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let (mut falsely, mut falsely_healed) = (0, 0);
+        for seed in 0..seeds {
+            let mut world = World::new(count + 1, seed);
+            for at in 0..count {
+                world.start(at, 1_000);
+            }
+            world.run(60 * SECOND);
+            world.lost = lost;
+            world.run(10 * SECOND);
+            world.changes.clear();
+            let from = world.now;
+            world.start(count, 2_000);
+            world.run(20 * SECOND);
+            let of_it =
+                |change: &Change| matches!(change, Change::Joined(instance) if instance.name == name(count));
+            joins.extend(
+                world.changes.iter().filter(|(_, _, change)| of_it(change)).map(|(at, ..)| at - from),
+            );
+            let its = world
+                .changes
+                .iter()
+                .filter(|(_, by, change)| *by == count && matches!(change, Change::Joined(_)));
+            learnt.extend(its.map(|(at, ..)| at - from));
+            world.changes.clear();
+            let from = world.now;
+            world.kill(count / 2);
+            world.run(40 * SECOND);
+            let died: Vec<_> =
+                world.changes.iter().filter(|(_, _, change)| matches!(change, Change::Died(_))).collect();
+            let true_ones = died.iter().filter(|(_, _, change)| *change == Change::Died(name(count / 2)));
+            deaths.extend(true_ones.map(|(at, ..)| at - from));
+            falsely += died.iter().filter(|(_, _, change)| *change != Change::Died(name(count / 2))).count();
+            if count <= 100 {
+                world.part(|at| at % 2 == 0);
+                world.run(60 * SECOND);
+                world.cut.clear();
+                world.changes.clear();
+                heals.extend(world.run_until(60 * SECOND, World::agreed));
+                let died = world.changes.iter().filter(|(_, _, change)| matches!(change, Change::Died(_)));
+                falsely_healed += died.count();
+            }
+        }
+        println!("| {count} | {lost}% | a join, by the others | {} | |", quantiles(joins));
+        println!("| {count} | {lost}% | the others, by the one that joins | {} | |", quantiles(learnt));
+        println!("| {count} | {lost}% | a death | {} | {falsely} |", quantiles(deaths));
+        if count <= 100 {
+            println!(
+                "| {count} | {lost}% | all agreed after halves are joined | {} | {falsely_healed} |",
+                quantiles(heals)
+            );
+        }
+    }
+}
--- a/crates/shared/src/budgets/lender.rs
+++ b/crates/shared/src/budgets/lender.rs
@@ -90,7 +90,7 @@
             account.start = start;
             account.number = 0;
         }
-        // Danger: an ask that came late or twice may hold less than a newer one; only the newest speaks.
+        // One that came late or twice says what was wanted then; only the newest speaks.
         if start < account.start || ask.number <= account.number {
             return None;
         }
