--- a/crates/shared/tests/world/mod.rs
+++ b/crates/shared/tests/world/mod.rs
@@ -175,21 +175,19 @@
             let part = chance.generate_range(0..60u32);
             net.cut.iter_mut().flatten().for_each(|way| *way = chance.generate_range(0..100u32) < part);
         }
-        for at in 0..routers.len() {
+        for router in &mut routers {
             if wants.is_none() && hit(&mut chance, 100) {
-                routers[at].wants = terms.total() * [0, 0, 1, 2, 4, 8][chance.generate_range(0..6usize)] / 4;
+                router.wants = terms.total() * [0, 0, 1, 2, 4, 8][chance.generate_range(0..6usize)] / 4;
             }
             if hit(&mut chance, faults.killed) {
-                routers[at].budget = None;
-                routers[at].back_at = now + chance.generate_range(0..2 * terms.lent_for() as u64) as i64;
+                router.budget = None;
+                router.back_at = now + chance.generate_range(0..2 * terms.lent_for() as u64) as i64;
                 audit.blows += 1;
             }
             if hit(&mut chance, faults.stopped) {
-                routers[at].stopped_until =
-                    now + chance.generate_range(0..2 * terms.lent_for() as u64) as i64;
+                router.stopped_until = now + chance.generate_range(0..2 * terms.lent_for() as u64) as i64;
                 audit.blows += 1;
             }
-            let router = &mut routers[at];
             if router.budget.is_none() && router.back_at <= now {
                 router.starts += 1;
                 router.owed = 0;
@@ -215,23 +213,23 @@
                 budget.heard(clock, &message);
             }
         }
-        for at in 0..routers.len() {
-            if now < routers[at].stopped_until {
+        for (at, router) in routers.iter_mut().enumerate() {
+            if now < router.stopped_until {
                 continue;
             }
-            let (clock, name) = (routers[at].clock(now), routers[at].name.clone());
-            let want = wants.map_or(routers[at].wants, |wants| wants(at));
-            let Some(mut budget) = routers[at].budget.take() else { continue };
-            routers[at].owed += want * STEP / 10_000;
-            while routers[at].owed >= 1_000 {
-                routers[at].owed -= 1_000;
+            let (clock, name) = (router.clock(now), router.name.clone());
+            let want = wants.map_or(router.wants, |wants| wants(at));
+            let Some(mut budget) = router.budget.take() else { continue };
+            router.owed += want * STEP / 10_000;
+            while router.owed >= 1_000 {
+                router.owed -= 1_000;
                 spent += if budget.take(clock, 1) { 1_000 } else { 0 };
             }
             while let Some(Decision::Send { to, message }) = budget.next_decision(clock) {
                 assert_eq!(message.from, name);
                 net.send(now, at, names.iter().position(|name| *name == to).expect("a seat"), &message);
             }
-            routers[at].budget = Some(budget);
+            router.budget = Some(budget);
         }
         let share =
             |router: &Router| router.budget.as_ref().map_or(0, |budget| budget.share(router.clock(now)));
