router: first host of the fleet, link and membership in a thread (feature fleet)

Need: what routers are to do together begins with who is there. Membership and link were packages without a host.

Change: feature `fleet` of vetchkeel-router, off by default as `capture` is. Where VETCHKEEL_FLEET names an operator file (deploy/fleet.hcl) the router starts one thread for membership over the link's datagrams, joined to its loop by two bounded rings (rtrb). Changes of the view are counted and logged; no decision about commands depends on them. SIGTERM says good-bye; SIGUSR1 prints the view. A full ring is answered by the whole view; a thread that ends, panics or hangs is told and counted, and the router goes on alone.

--- /dev/null
+++ b/crates/router/src/fleet/file.rs
@@ -0,0 +1,127 @@
+//! The operator file: who this router is in its fleet, and through whom it joins.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use vetchkeel::Tenths;
+use vetchkeel_membership::{Name, Plan, Zone};
+use vetchkeel_operator::{OperatorFile, Section, Wrong};
+
+/// Seeds and ways around in one file.
+const MOST_NAMED: usize = 1_024;
+
+/// The file, checked.
+#[derive(Debug)]
+pub struct Place {
+    pub address: SocketAddr,
+    pub zone: Option<Zone>,
+    pub seeds: BTreeMap<Name, SocketAddr>,
+    /// Who is reached at another address than it says.
+    pub via: BTreeMap<Name, SocketAddr>,
+    pub plan: Plan,
+}
+
+fn address(section: &Section<'_>) -> Result<SocketAddr, Wrong> {
+    let value = section.need("address")?;
+    let parsed: Option<SocketAddr> = value.text()?.parse().ok();
+    // Danger: others are told this address. One that says "any" would lead each of them to itself.
+    let good = parsed.filter(|a| a.port() != 0 && !a.ip().is_unspecified());
+    good.ok_or_else(|| value.wrong("an address and port that others reach, such as \"127.0.0.1:7400\""))
+}
+
+fn named(section: &Section<'_>, what: &str) -> Result<BTreeMap<Name, SocketAddr>, Wrong> {
+    let mut all = BTreeMap::new();
+    for block in section.blocks(what)? {
+        let label = block.label.unwrap_or_default();
+        let expected = "a label that is a router's name: 1 to 32 letters, digits, '-', '_' or '.'";
+        let name = super::name_of(&label).ok_or_else(|| block.section.wrong(expected, label))?;
+        if all.len() == MOST_NAMED {
+            return Err(block.section.wrong(format!("at most {MOST_NAMED} blocks {what}"), "a further one"));
+        }
+        all.insert(name, address(&block.section)?);
+        block.section.done()?;
+    }
+    Ok(all)
+}
+
+/// Operators write times to the microsecond, a plan counts tenths of a millisecond.
+fn time(section: &Section<'_>, name: &str, or: Tenths) -> Result<Tenths, Wrong> {
+    section.time(name, or * 100, 100..=864_000_000_000).map(|micros| micros / 100)
+}
+
+fn plan(section: &Section<'_>, fleet: u32) -> Result<Plan, Wrong> {
+    let or = Plan::default();
+    let plan = Plan {
+        fleet,
+        period: time(section, "period", or.period)?,
+        helpers: section.whole("helpers", or.helpers as u64, 0..=8)? as usize,
+        patience: section.whole("patience", or.patience as u64, 1..=32)? as i64,
+        slack: section.whole("slack", or.slack as u64, 1..=32)? as i64,
+        reach: time(section, "reach", or.reach)?,
+        compare: time(section, "compare", or.compare)?,
+        forget: time(section, "forget", or.forget)?,
+    };
+    section.done()?;
+    plan.check().map_err(|bad| match section.value(bad.what) {
+        Some(value) => value.wrong(bad.expected),
+        None => section.wrong(format!("{} for {}", bad.expected, bad.what), "the usual value"),
+    })?;
+    Ok(plan)
+}
+
+fn place(file: &OperatorFile) -> Result<Place, Wrong> {
+    let root = file.root();
+    let fleet = root.need_block("fleet")?;
+    let number = fleet.whole("number", 0, 0..=u64::from(u32::MAX))? as u32;
+    let zone = match fleet.value("zone") {
+        None => None,
+        Some(value) => Some(Zone::new(value.text()?).map_err(|_| value.wrong("1 to 32 bytes"))?),
+    };
+    let plan = match fleet.block("plan")? {
+        None => Plan { fleet: number, ..Plan::default() },
+        Some(section) => plan(&section, number)?,
+    };
+    let place = Place {
+        address: address(&fleet)?,
+        zone,
+        seeds: named(&fleet, "seed")?,
+        via: named(&fleet, "via")?,
+        plan,
+    };
+    fleet.done()?;
+    root.done()?;
+    Ok(place)
+}
+
+/// Reads and checks it. The error is one line: file, line, what was expected.
+pub fn read(path: &Path) -> Result<Place, String> {
+    OperatorFile::read(path).and_then(|file| place(&file)).map_err(|wrong| wrong.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    fn the_file_beside_the_program_is_one() {
+        let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/fleet.hcl");
+        let place = read(Path::new(path)).expect("a good file");
+        assert_eq!((place.plan, place.seeds.len()), (Plan { fleet: 1, ..Plan::default() }, 2));
+    }
+
+    #[rstest]
+    #[case::no_port("fleet {\n  address = \"127.0.0.1\"\n}", "f:2:13: expected an address and port")]
+    #[case::any("fleet {\n  address = \"0.0.0.0:7400\"\n}", "f:2:13: expected an address and port that")]
+    #[case::unknown("fleet {\n  address = \"127.0.0.1:1\"\n  zones = 1\n}", "f:3:3: expected one of")]
+    #[case::plan(
+        "fleet {\n  address = \"127.0.0.1:1\"\n  plan {\n    reach = \"10ms\"\n  }\n}",
+        "f:4:13: expected at least one period"
+    )]
+    #[case::seed("fleet {\n  address = \"127.0.0.1:1\"\n  seed \"a b\" { }\n}", "f:3:3: expected a label")]
+    fn what_was_expected_is_said(#[case] text: &str, #[case] expected: &str) {
+        let file = OperatorFile::parse("f", text).expect("HCL");
+        let why = place(&file).expect_err("wrong").to_string();
+        assert!(why.starts_with(expected), "{why}");
+    }
+}
--- /dev/null
+++ b/crates/router/src/fleet/host.rs
@@ -0,0 +1,194 @@
+//! The thread that is this router in its fleet: the membership on the link's sockets. Nothing is decided here.
+
+use super::duty::Inside;
+use super::file::Place;
+use super::view::{Told, View};
+use crate::Clock;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use vetchkeel::Tenths;
+use vetchkeel_link::{
+    Bounds, Event, Kinds, Name as LinkName, Parts, Refused, Sender, Sockets, Transport, Waker, Way,
+};
+use vetchkeel_membership::wire::{LONGEST, decode, encode};
+use vetchkeel_membership::{Body, Change, Decision, Instance, Membership, Message, Start};
+
+/// The link's kind of the membership's messages.
+const MEMBERSHIP: u16 = 1;
+/// A message of the membership at its longest, and room for the link's envelope. Bytes.
+const DATAGRAM: usize = LONGEST + 200;
+/// Events taken in before decisions are pulled: a flood must not keep the membership from its own work.
+const EVENTS: usize = 4_096;
+/// How long the thread sleeps at most: so often it beats.
+const LONGEST_SLEEP: Tenths = 2_000;
+/// How often the view is told whole, whatever was told of it.
+const WHOLE: Tenths = 600_000;
+/// Addresses whose names are known; at the bound those of the view are kept.
+const ADDRESSES: usize = 4_096;
+
+/// What the loop asks for.
+pub enum Order {
+    /// Say good-bye and end.
+    Leave,
+}
+
+pub struct Host {
+    clock: Clock,
+    sockets: Sockets,
+    membership: Membership,
+    place: Place,
+    /// Who was last heard of at an address. The link sends to names.
+    names: BTreeMap<SocketAddr, LinkName>,
+    /// Something could not be told: all is to be told as soon as there is room.
+    owes: bool,
+    whole_at: Tenths,
+}
+
+fn link_name(name: &vetchkeel_membership::Name) -> Option<LinkName> {
+    LinkName::new(name.as_str())
+}
+
+impl Host {
+    /// Takes the address. The error is one line.
+    pub fn bind(name: vetchkeel_membership::Name, place: Place, seed: u64) -> Result<Host, String> {
+        let clock = Clock::new();
+        let now = clock.now();
+        let start = Start { at: (now / 10) as u64, count: 0 };
+        // A later life must not draw the numbers of an earlier one.
+        let seed = seed ^ start.at.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let sender = Sender {
+            name: link_name(&name).ok_or_else(|| format!("expected a name of the link, found '{name}'"))?,
+            incarnation: start.at,
+        };
+        let bounds = Bounds { datagram: DATAGRAM, ..Bounds::default() };
+        let kinds = Kinds::new(&[(MEMBERSHIP, "membership")]);
+        let sockets = Sockets::bind(sender, kinds, bounds, place.address, Parts::Udp, seed)
+            .map_err(|e| format!("expected to listen on {}: {e}", place.address))?;
+        let me = Instance { name, start, address: place.address, zone: place.zone.clone() };
+        let seeds: Vec<SocketAddr> = place.seeds.values().copied().collect();
+        let membership = Membership::new(place.plan, me, &seeds, now, seed).map_err(|bad| bad.to_string())?;
+        let names = place.seeds.iter().filter_map(|(name, at)| Some((*at, link_name(name)?))).collect();
+        Ok(Host { clock, sockets, membership, place, names, owes: false, whole_at: now + WHOLE })
+    }
+
+    pub fn waker(&self) -> Waker {
+        self.sockets.waker()
+    }
+
+    /// Until the loop asks for the end, or is gone.
+    pub fn run(mut self, inside: &mut Inside<Told, Order>, wake: &dyn Fn()) -> Result<(), String> {
+        loop {
+            inside.beat.beat();
+            let leaves = inside.orders.is_abandoned() || inside.orders.pop().is_ok();
+            self.hear();
+            if leaves {
+                self.membership.leave();
+            }
+            if self.decide(inside) {
+                wake();
+            }
+            if leaves {
+                return Ok(());
+            }
+            let now = self.clock.now();
+            let due = [self.membership.wake_at(), self.sockets.wake_at()].into_iter().flatten().min();
+            let sleep = due.map_or(LONGEST_SLEEP, |at| at.saturating_sub(now).clamp(0, LONGEST_SLEEP));
+            let sleep = Duration::from_micros(sleep as u64 * 100);
+            self.sockets.wait(sleep).map_err(|e| format!("cannot wait on its sockets: {e}"))?;
+        }
+    }
+
+    /// All that waits in the socket, before any decision: what a stopped process finds there is older than its timers.
+    fn hear(&mut self) {
+        let now = self.clock.now();
+        for _ in 0..EVENTS {
+            match self.sockets.poll(now) {
+                None => return,
+                Some(Event::Datagram { kind: MEMBERSHIP, body, .. }) => match decode(&body) {
+                    Ok(message) => {
+                        self.learn(&message);
+                        self.membership.heard(now, &message);
+                    }
+                    Err(why) => crate::log!("fleet: a message was not taken: {why}"),
+                },
+                Some(Event::Unread { from, why }) => {
+                    let from = from.map_or_else(|| "somebody".to_owned(), |name| name.to_string());
+                    crate::log!("fleet: a message of {from} was not taken: {why}");
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Names of addresses, from what was heard.
+    fn learn(&mut self, message: &Message) {
+        if message.fleet != self.place.plan.fleet {
+            return;
+        }
+        if self.names.len() >= ADDRESSES {
+            let seen = self.membership.view().map(|s| (s.instance.address, link_name(&s.instance.name)));
+            let seeds = self.place.seeds.iter().map(|(name, at)| (*at, link_name(name)));
+            self.names = seen.chain(seeds).filter_map(|(at, name)| Some((at, name?))).collect();
+        }
+        let mut known = |name: &vetchkeel_membership::Name, at: SocketAddr| {
+            self.names.extend(link_name(name).map(|name| (at, name)));
+        };
+        message.claims.iter().for_each(|claim| known(&claim.instance.name, claim.instance.address));
+        if let Body::Errand { to, address, .. } = &message.body {
+            known(to, *address);
+        }
+        known(&message.from.name, message.from.address);
+    }
+
+    /// Carries out what the membership decided. True if the loop is to look.
+    fn decide(&mut self, inside: &mut Inside<Told, Order>) -> bool {
+        let now = self.clock.now();
+        let mut told = false;
+        while let Some(decision) = self.membership.next_decision(now) {
+            match decision {
+                Decision::Send { to, message } => self.send(now, to, &message),
+                // The whole follows: later changes are in it.
+                Decision::Tell(Change::Missed(_)) => self.owes = true,
+                Decision::Tell(_) if self.owes => {}
+                Decision::Tell(change) => {
+                    self.owes = inside.told.push(Told::Change(change)).is_err();
+                    told = true;
+                }
+            }
+        }
+        if self.owes || now >= self.whole_at {
+            let view = View::whole(self.membership.view(), self.membership.doubt().level());
+            self.owes = inside.told.push(Told::Whole(Box::new(view))).is_err();
+            self.whole_at = now + WHOLE;
+            told = true;
+        }
+        told
+    }
+
+    fn send(&mut self, now: Tenths, to: SocketAddr, message: &Message) {
+        let asked = match &message.body {
+            Body::Ping { to, .. } => link_name(to),
+            _ => None,
+        };
+        // One that nobody has named can't be sent to. What is lost here is lost as a datagram would be.
+        let Some(name) = asked.or_else(|| self.names.get(&to).cloned()) else { return };
+        let reached = self.place.via.iter().find(|(other, _)| other.as_str() == name.as_str());
+        let address = reached.map_or(to, |(_, at)| *at);
+        let Ok(body) = encode(message) else { return };
+        if let Err(Refused::TooMany { .. }) = self.sockets.meet(now, &name, address) {
+            self.make_room(now);
+        }
+        let _ = self.sockets.meet(now, &name, address);
+        if let Err(why) = self.sockets.send(now, &name, Way::Datagram, MEMBERSHIP, &body) {
+            crate::log!("fleet: a message to {name} was not sent: {why}");
+        }
+    }
+
+    /// The link forgets whom the membership has forgotten or holds gone; they are met again when they are sent to.
+    fn make_room(&mut self, now: Tenths) {
+        let gone = self.membership.view().filter(|s| !s.standing.is_there());
+        let gone: Vec<LinkName> = gone.filter_map(|s| link_name(&s.instance.name)).collect();
+        gone.iter().for_each(|name| self.sockets.forget(now, name));
+    }
+}
--- /dev/null
+++ b/crates/router/src/fleet/view.rs
@@ -0,0 +1,94 @@
+//! The fleet as the router's loop knows it: a copy of the membership's view, kept by its changes.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use vetchkeel_membership::{Change, Instance, Name, Seen, Standing, Start};
+
+/// Names held; a further one is not taken before the view is told whole again.
+const MOST: usize = 2_048;
+
+/// What the thread tells the loop.
+pub enum Told {
+    Change(Change),
+    /// Everybody, in place of what was told before.
+    Whole(Box<View>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Alive,
+    Suspect,
+    Dead,
+    Left,
+}
+
+impl From<&Standing> for Word {
+    fn from(standing: &Standing) -> Word {
+        match standing {
+            Standing::Alive => Word::Alive,
+            Standing::Suspect(_) => Word::Suspect,
+            Standing::Dead(_) => Word::Dead,
+            Standing::Left => Word::Left,
+        }
+    }
+}
+
+/// Names, lives and standings.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct View {
+    others: BTreeMap<Name, (Start, Word)>,
+    /// How far this router doubts itself, 0 to 8.
+    pub doubt: u8,
+}
+
+impl View {
+    pub fn whole<'a>(seen: impl Iterator<Item = Seen<'a>>, doubt: u8) -> View {
+        let others = seen.map(|s| (s.instance.name.clone(), (s.instance.start, Word::from(s.standing))));
+        View { others: others.collect(), doubt }
+    }
+
+    fn came(&mut self, instance: &Instance) {
+        if self.others.len() < MOST || self.others.contains_key(&instance.name) {
+            self.others.insert(instance.name.clone(), (instance.start, Word::Alive));
+        }
+    }
+
+    fn stands(&mut self, name: &Name, word: Word) {
+        if let Some(other) = self.others.get_mut(name) {
+            other.1 = word;
+        }
+    }
+
+    pub fn apply(&mut self, change: &Change) {
+        match change {
+            Change::Joined(instance) | Change::Restarted(instance) => self.came(instance),
+            Change::Suspected(name) => self.stands(name, Word::Suspect),
+            Change::Returned(name) => self.stands(name, Word::Alive),
+            Change::Died(name) => self.stands(name, Word::Dead),
+            Change::Left(name) => self.stands(name, Word::Left),
+            Change::Doubting(level) => self.doubt = *level,
+            Change::Raised(_) | Change::Superseded(_) | Change::Crowded(_) | Change::Missed(_) => {}
+        }
+    }
+
+    pub fn count(&self, word: Word) -> usize {
+        self.others.values().filter(|(_, w)| *w == word).count()
+    }
+}
+
+impl fmt::Display for Word {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Word::Alive => "alive",
+            Word::Suspect => "suspect",
+            Word::Dead => "dead",
+            Word::Left => "left",
+        })
+    }
+}
+
+impl fmt::Display for View {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.others.iter().try_for_each(|(name, (start, word))| write!(f, " {name}={word}/{start}"))
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod deadlines;
 mod ending;
+mod fleet;
 mod keys;
 mod limits;
 mod log;
@@ -24,6 +25,7 @@
 use counters::Counters;
 use deadlines::{Deadlines, Due};
 use ending::Cause;
+use fleet::Fleet;
 use limits::Limits;
 use nodes::Nodes;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -76,6 +78,7 @@
     deadlines: Deadlines,
     counters: Counters,
     capture: Capture,
+    fleet: Fleet,
     limits: Limits,
     /// What has ended since the module last heard.
     news: VecDeque<News>,
@@ -116,6 +119,7 @@
         let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
         let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
         let nodes = Nodes::new(dial_limit, keep, probe, text("report.fields"));
+        let fleet = Fleet::open(&start.name, start.seed, &handle)?;
         let mut program = Program {
             clock,
             now,
@@ -127,6 +131,7 @@
             deadlines: Deadlines::default(),
             counters: Counters::default(),
             capture: Capture::open(&start.name)?,
+            fleet,
             limits: Limits::new(start.sockets, start.memory),
             news: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
@@ -197,6 +202,7 @@
             _ if self.stopping.is_some() => {}
             _ => {
                 log!("stopping: {} commands open", self.open_commands());
+                self.fleet.leave();
                 let lives = STILL_COMING + self.longest_wait.min(LONGEST_WAIT);
                 self.stopping = Some(self.now + lives);
                 self.deadlines.set(Due::Stop, self.now + STILL_COMING.max(lives - LAST_TAKEN));
@@ -221,6 +227,7 @@
     fn print_counters(&mut self) {
         self.counters.open = self.open_commands();
         eprintln!("{}", self.counters);
+        self.fleet.print();
     }
 
     /// How long a command may take from now on that would wait for `wait`: a process that is told to stop must
