--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -52,7 +52,7 @@
 
 #[cfg(feature = "fleet")]
 mod on {
-    use super::duty::{Ended, Outside};
+    use super::duty::{Ended, Outside, Pulse, Watch};
     use super::host::{Host, Order};
     use super::view::{Told, View, Word};
     use super::{file, name_of};
@@ -61,7 +61,7 @@
     use calloop::ping::make_ping;
     use calloop::timer::{TimeoutAction, Timer};
     use std::path::Path;
-    use std::time::{Duration, Instant};
+    use std::time::Duration;
     use vetchkeel_link::Waker;
     use vetchkeel_membership::Change;
 
@@ -71,8 +71,6 @@
     const ORDERS: usize = 8;
     /// How often the loop looks whether the thread is at work.
     const LOOK: Duration = Duration::from_secs(1);
-    /// A thread that was not seen at work for so long counts as hung. It beats every 200 ms. Milliseconds.
-    const HUNG: u64 = 5_000;
 
     #[derive(Default)]
     struct Counters {
@@ -95,9 +93,7 @@
         outside: Outside<Told, Order>,
         waker: Waker,
         leaving: bool,
-        /// Since when the loop finds no work of the thread.
-        idle: Option<Instant>,
-        hung: bool,
+        watch: Watch,
         over: bool,
     }
 
@@ -241,7 +237,7 @@
                 return;
             }
             let (v, c) = (&self.view, &self.counters);
-            let works = self.joined.as_ref().is_some_and(|j| !j.over && !j.hung);
+            let works = self.joined.as_ref().is_some_and(|j| !j.over && !j.watch.is_hung());
             eprintln!(
                 "counters fleet: works={} alive={} suspect={} dead={} gone={} doubt={} joined={} restarted={} \
                  suspected={} returned={} died={} left={} doubted={} raised={} superseded={} crowded={} wholes={} \
@@ -289,24 +285,19 @@
                 move |i, wake| host.run(i, wake),
             );
             let outside = outside.map_err(|e| format!("no thread: {e}"))?;
-            Ok(Joined { outside, waker, leaving: false, idle: None, hung: false, over: false })
+            Ok(Joined { outside, waker, leaving: false, watch: Watch::default(), over: false })
         }
 
         /// Whether the thread is at work.
         fn look(&mut self, count: &mut u64) {
-            let age = self.outside.beat.age();
-            if age < HUNG {
-                if std::mem::take(&mut self.hung) {
-                    log!("fleet: the thread works again");
+            let (now, age) = self.outside.beat.ages();
+            match self.watch.look(now, age) {
+                None => {}
+                Some(Pulse::Back) => log!("fleet: the thread works again"),
+                Some(Pulse::Hung(age)) => {
+                    *count += 1;
+                    log!("fleet: the thread has not worked for {age} ms; this router goes on without it");
                 }
-                return self.idle = None;
-            }
-            // Danger: a whole process that was stopped finds the last beat old. The thread gets the time of a second look.
-            let idle = *self.idle.get_or_insert_with(Instant::now);
-            if !self.hung && idle.elapsed() >= LOOK {
-                self.hung = true;
-                *count += 1;
-                log!("fleet: the thread has not worked for {age} ms; this router goes on without it");
             }
         }
     }
--- a/crates/router/src/fleet/duty.rs
+++ b/crates/router/src/fleet/duty.rs
@@ -24,7 +24,7 @@
 }
 
 impl Beat {
-    fn new() -> Beat {
+    pub fn new() -> Beat {
         Beat { since: Instant::now(), at: Arc::default() }
     }
 
@@ -32,9 +32,50 @@
         self.at.store(self.since.elapsed().as_millis() as u64, Relaxed);
     }
 
-    /// Milliseconds since the last one.
-    pub fn age(&self) -> u64 {
-        (self.since.elapsed().as_millis() as u64).saturating_sub(self.at.load(Relaxed))
+    /// Milliseconds since the start, and since the last beat.
+    pub fn ages(&self) -> (u64, u64) {
+        let now = self.since.elapsed().as_millis() as u64;
+        (now, now.saturating_sub(self.at.load(Relaxed)))
+    }
+}
+
+/// What is to be told of a thread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pulse {
+    /// It was not seen at work for so many milliseconds.
+    Hung(u64),
+    Back,
+}
+
+/// Whether a thread is at work, judged by the age of its beats.
+#[derive(Debug, Default)]
+pub struct Watch {
+    /// Since when it is found idle. Milliseconds.
+    idle: Option<u64>,
+    hung: bool,
+}
+
+impl Watch {
+    /// So old a beat makes a thread count as hung. It beats every 200 ms. Milliseconds.
+    pub const HUNG: u64 = 5_000;
+    /// If it is found so for this long. Milliseconds.
+    pub const SECOND_LOOK: u64 = 1_000;
+
+    pub fn is_hung(&self) -> bool {
+        self.hung
+    }
+
+    /// What is new with a beat of this age. Both in milliseconds, `now` of any clock that does not go back.
+    pub fn look(&mut self, now: u64, age: u64) -> Option<Pulse> {
+        if age < Watch::HUNG {
+            self.idle = None;
+            return std::mem::take(&mut self.hung).then_some(Pulse::Back);
+        }
+        // Danger: a whole process that was stopped finds the last beat old. The thread gets the time of a second look.
+        let idle = *self.idle.get_or_insert(now);
+        let hung = !self.hung && now.saturating_sub(idle) >= Watch::SECOND_LOOK;
+        self.hung |= hung;
+        hung.then_some(Pulse::Hung(age))
     }
 }
 
@@ -125,4 +166,15 @@
         wake.recv_timeout(Duration::from_secs(10)).expect("woken");
         assert_eq!((outside.next(), outside.ended()), (Some(7), Some(&ended)));
     }
+
+    #[rstest]
+    fn a_thread_is_hung_after_a_second_look_and_a_paused_process_is_not() {
+        let mut watch = Watch::default();
+        // The process was stopped for 10 s: the thread beats before the second look.
+        let paused = [watch.look(20_000, 10_000), watch.look(20_900, 10_900), watch.look(21_000, 100)];
+        assert_eq!((paused, watch.is_hung()), ([None; 3], false));
+        let hung = [watch.look(31_000, 5_000), watch.look(32_000, 6_000), watch.look(33_000, 7_000)];
+        assert_eq!((hung, watch.is_hung()), ([None, Some(Pulse::Hung(6_000)), None], true));
+        assert_eq!([watch.look(34_000, 0), watch.look(35_000, 0)], [Some(Pulse::Back), None]);
+    }
 }
