--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -169,15 +169,17 @@
 #[rstest]
 fn a_one_way_cut_kills_nobody_and_one_that_leaves_is_known_to_have_left() {
     let five = Five::start();
-    let suspicions = |at: usize| five.printed(at).0["suspected"];
-    let (before, lost) = (suspicions(0), five.fleet.datagrams().expect("counts").1);
+    let log = five.folder.join("r1.log");
+    let suspicions = || std::fs::read_to_string(&log).expect("a log").matches("r2 is suspected").count();
+    let (before, lost) = (suspicions(), five.fleet.datagrams().expect("counts").1);
     let cut = Fault { cut: true, ..Fault::default() };
     five.fleet.set(&five.names[0], &five.names[1], cut).expect("set");
-    sleep(Duration::from_secs(6));
-    assert!(five.fleet.datagrams().expect("counts").1 > lost + 3, "the cut held nothing up");
+    let held_up = || five.fleet.datagrams().expect("counts").1 - lost;
+    five.until("the cut holds much up", 2 * LIMIT, || held_up() > 20);
     let deaths: Vec<u64> = (0..5).map(|i| five.printed(i).0["died"]).collect();
     assert_eq!(deaths, [0; 5]);
-    assert!(suspicions(0) <= before + 1, "probes through helpers answer for r2");
+    // Without helpers it is suspected two to four times meanwhile.
+    assert!(suspicions() <= before + 1, "probes through helpers answer for r2: {}", suspicions() - before);
     let State::Runs { pid, .. } = five.fleet.state(&five.names[2]).expect("a state") else { panic!("r3") };
     assert!(Command::new("kill").args(["-TERM", &pid.to_string()]).status().expect("kill").success());
     five.until("r3 has left", LIMIT, || [0, 1, 3, 4].iter().all(|i| five.sees(*i, &[2], "left")));
