Pushed lists: a broken watch is asked for again within a second, however often it failed

Cause: list_failed (src/decide.rs) backs off to a quarter of the stated interval for asking, 2.5 to 5 s with an interval of 10 s, also where changes are pushed and that interval means nothing. What a silent watch misses counts as told after 6 s. Change: where membership is pushed the pause doubles to 0.5 s at most, jittered to 1 s. Sites that ask for their lists are as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -397,7 +397,9 @@
 
     /// A watch or a fetch failed: ask again after a backoff, well inside the stated interval.
     pub fn list_failed(&mut self, now: Tenths) {
-        let most = tenths(self.number("rules.ask_every_ms", 5_000.0)) / 4;
+        // Danger: where changes are pushed, a broken watch is missed for longer than its silence may last.
+        let pushed = is(&self.told, "membership_mode", "automatic");
+        let most = if pushed { SECOND / 2 } else { tenths(self.number("rules.ask_every_ms", 5_000.0)) / 4 };
         let wait = self.rng.jittered((PAUSE << self.list_fails.min(6)).min(most));
         self.list_fails += 1;
         self.agenda.insert((now + wait, Task::Watch));
