--- a/crates/membership/src/membership/learn.rs
+++ b/crates/membership/src/membership/learn.rs
@@ -59,7 +59,7 @@
             return;
         }
         if !claim.outdoes(known) {
-            // Danger: after a partition each side holds the other dead, and nobody would ever answer for itself.
+            // After a partition each side holds the other dead. Told now, it need not wait until it is tried in turn.
             if page && claim.standing == Standing::Alive && !peer.is_there() {
                 self.slandered.insert(name.clone(), known.clone());
             }
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -6,7 +6,7 @@
 
 use nanorand::Rng;
 use rstest::rstest;
-use vetchkeel_membership::{Change, Standing, Start, Tenths, wire};
+use vetchkeel_membership::{Change, Claim, Standing, Start, Tenths, wire};
 use world::{SECOND, World, address, name};
 
 /// No live and connected instance is held dead for longer, once the links are whole.
@@ -99,11 +99,12 @@
 #[rstest]
 #[case::asks((3, 4))]
 #[case::answers((4, 3))]
-fn a_cut_of_one_way_to_one_is_no_death(#[case] cut: (usize, usize)) {
+fn a_cut_of_one_way_to_one_is_not_even_suspected(#[case] cut: (usize, usize)) {
     let mut world = World::whole(10, 1, 20 * SECOND);
     world.cut.insert(cut);
     world.run(60 * SECOND);
-    assert!(died(&world).is_empty(), "{:?}", died(&world));
+    let held = |change: &Change| matches!(change, Change::Died(_) | Change::Suspected(_));
+    assert_eq!(world.changes.iter().filter(|(_, _, change)| held(change)).count(), 0, "{:?}", world.changes);
 }
 
 #[test]
@@ -151,6 +152,23 @@
     assert_eq!(seen.map(|seen| seen.instance.address), Some(address(5)));
 }
 
+/// What one side of a partition concluded must not flap the living of the other.
+#[test]
+fn a_death_told_about_one_held_alive_leaves_it_time_to_answer() {
+    let mut world = World::whole(3, 1, 5 * SECOND);
+    let claim = |at: usize, standing: Standing| Claim {
+        instance: world.nodes[at].instance.clone(),
+        incarnation: 0,
+        standing,
+    };
+    let claims = vec![claim(2, Standing::Dead(name(1)))];
+    let from = world.nodes[1].instance.clone();
+    let message = wire::Message { fleet: 0, from, incarnation: 0, body: wire::Body::News, claims };
+    let own = world.nodes[0].membership.as_mut().expect("it runs");
+    own.heard(world.now, &message);
+    assert_eq!(own.seen(&name(2)), Some(&Standing::Suspect(name(1))));
+}
+
 #[test]
 fn equal_events_give_equal_decisions() {
     let play = || {
