Subsets: which members a router talks to, by rendezvous in sixteens within bounds

Part 1 of the fleet issue asks for subsets that are even, that move little as either side grows, and that routers agree on without talk. New package vetchkeel-subsets: Latin hypercube scores by sixteens of routers, then the cheapest moves until each replica is within its bounds.

--- /dev/null
+++ b/crates/subsets/examples/measure.rs
@@ -0,0 +1,330 @@
+//! The methods side by side, as tables in Markdown: `cargo run --release -p vetchkeel-subsets --example measure`.
+//! Each is written here from its publication; only the last is the library's. docs/subsets.md says what was chosen.
+
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+use vetchkeel_subsets::{Member, Role, Router, Rule, fleet, numbered, subset};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+const SEEDS: u64 = 20;
+
+/// Replicas of one set by id and weight, in the order in which they joined; picks a router; routers by weight. The
+/// answer is each router's picks, as places.
+type Method = fn(&[(String, f64)], usize, &[f64]) -> Vec<Vec<usize>>;
+
+const METHODS: [(&str, Method); 10] = [
+    ("rounds of shuffles", rounds),
+    ("low-discrepancy ring, members numbered as they join", ring),
+    ("low-discrepancy ring, members numbered by id", ring_by_id),
+    ("low-discrepancy ring, lots of 10", lots),
+    ("rendezvous, plain", plain),
+    ("rendezvous, weighted", weighted),
+    ("rendezvous, bounded load 1.1", bounded),
+    ("low-discrepancy rendezvous", scrambled),
+    ("rendezvous by sixteens, no bounds", sixteens),
+    ("this package", ours),
+];
+
+fn hash(id: &str, with: u64) -> u64 {
+    xxh3_64_with_seed(&with.to_le_bytes(), xxh3_64(id.as_bytes()))
+}
+
+fn unit(id: &str, with: u64) -> f64 {
+    ((hash(id, with) >> 12) as f64 + 0.5) / (1u64 << 52) as f64
+}
+
+/// Deterministic subsetting: routers in rounds, a shuffle a round, each router of a round the next part of it.
+fn rounds(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let in_round = (members.len() / picks).max(1);
+    let of = |me: usize| {
+        let mut order: Vec<usize> = (0..members.len()).collect();
+        WyRand::new_seed((me / in_round) as u64).shuffle(&mut order);
+        let from = me % in_round * picks;
+        order[from..(from + picks).min(members.len())].to_vec()
+    };
+    (0..routers.len()).map(of).collect()
+}
+
+/// Van der Corput's sequence in base 2.
+fn corput(i: usize) -> f64 {
+    (i as u32).reverse_bits() as f64 / 2f64.powi(32)
+}
+
+fn next_on_ring(at: f64, order: &[usize], picks: usize) -> Vec<usize> {
+    let mut ring: Vec<(f64, usize)> = order.iter().enumerate().map(|(i, m)| (corput(i), *m)).collect();
+    ring.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let from = ring.partition_point(|r| r.0 < at);
+    (0..picks.min(ring.len())).map(|i| ring[(from + i) % ring.len()].1).collect()
+}
+
+/// Members and routers on one ring, both by the sequence; a router takes the next members.
+fn ring(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let order: Vec<usize> = (0..members.len()).collect();
+    (0..routers.len()).map(|me| next_on_ring(corput(me), &order, picks)).collect()
+}
+
+/// The same where all that members have to be numbered by is their ids.
+fn ring_by_id(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let mut order: Vec<usize> = (0..members.len()).collect();
+    order.sort_by(|a, b| members[*a].0.cmp(&members[*b].0));
+    (0..routers.len()).map(|me| next_on_ring(corput(me), &order, picks)).collect()
+}
+
+/// The same by lots of ten routers, spread over a ring of their own, whose members are shuffled by the lot (by hash, so
+/// that who stays keeps its order).
+fn lots(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let of = |me: usize| {
+        let mut order: Vec<usize> = (0..members.len()).collect();
+        order.sort_by_key(|m| hash(&members[*m].0, (me / 10) as u64));
+        next_on_ring((me % 10) as f64 / 10.0, &order, picks)
+    };
+    (0..routers.len()).map(of).collect()
+}
+
+fn lowest(scores: Vec<f64>, picks: usize) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..scores.len()).collect();
+    order.sort_by(|a, b| scores[*a].total_cmp(&scores[*b]));
+    order.truncate(picks);
+    order
+}
+
+fn plain(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let of = |me: usize| lowest(members.iter().map(|m| unit(&m.0, me as u64)).collect(), picks);
+    (0..routers.len()).map(of).collect()
+}
+
+fn weighted(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let score = |m: &(String, f64), me: usize| -unit(&m.0, me as u64).ln() / m.1;
+    let of = |me: usize| lowest(members.iter().map(|m| score(m, me)).collect(), picks);
+    (0..routers.len()).map(of).collect()
+}
+
+/// Weighted, with what a member takes held under 1.1 of its part: routers in turn, who is full is passed over.
+fn bounded(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let (all, sum) = (routers.iter().sum::<f64>() * picks as f64, members.iter().map(|m| m.1).sum::<f64>());
+    let mut given = vec![0.0; members.len()];
+    let mut of = |(me, weight): (usize, &f64)| {
+        let full = |i: usize| given[i] + weight > (all * members[i].1 / sum * 1.1).ceil();
+        let score =
+            |i: usize| -unit(&members[i].0, me as u64).ln() / members[i].1 + full(i) as u8 as f64 * 1e9;
+        let picked = lowest((0..members.len()).map(score).collect(), picks);
+        picked.iter().for_each(|i| given[*i] += weight);
+        picked
+    };
+    routers.iter().enumerate().map(&mut of).collect()
+}
+
+fn by_package(members: &[(String, f64)], routers: &[f64], rule: &Rule) -> Vec<Vec<usize>> {
+    let member = |(id, weight): &(String, f64)| Member {
+        id: id.clone(),
+        set: 0,
+        role: Role::Replica,
+        weight: *weight,
+        zone: String::new(),
+    };
+    let members: Vec<Member> = members.iter().map(member).collect();
+    let router = |(i, w): (usize, &f64)| Router { number: i as u64, weight: *w };
+    let routers: Vec<Router> = routers.iter().enumerate().map(router).collect();
+    let all = fleet(&routers, &members, rule).expect("a sound fleet");
+    all.into_values().map(|mut sets| sets.remove(&0).unwrap_or_default().replicas).collect()
+}
+
+/// Scores of a member over the routers are van der Corput's sequence under Owen's nested scramble by its id.
+fn scrambled(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    let score = |(id, weight): &(String, f64), me: usize| {
+        let turned = |bit: u32| hash(id, 1 << 40 | u64::from(bit) << 32 | (me as u64 & ((1 << bit) - 1))) & 1;
+        let even = (0..9).fold(0, |sum, bit| sum << 1 | ((me as u64 >> bit & 1) ^ turned(bit)));
+        -((even as f64 + unit(id, me as u64)) / 512.0).ln() / weight
+    };
+    let of = |me: usize| lowest(members.iter().map(|m| score(m, me)).collect(), picks);
+    (0..routers.len()).map(of).collect()
+}
+
+fn sixteens(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    by_package(members, routers, &Rule { replicas: picks, most: 1e9, least: 0.0, ..Rule::default() })
+}
+
+fn ours(members: &[(String, f64)], picks: usize, routers: &[f64]) -> Vec<Vec<usize>> {
+    by_package(members, routers, &Rule { replicas: picks, ..Rule::default() })
+}
+
+/// Fleets of sets: so many, each of so many replicas, of which a router picks so many. A primary is in every subset and
+/// is not counted.
+#[derive(Clone, Copy)]
+struct Shape {
+    sets: usize,
+    replicas: usize,
+    picks: usize,
+}
+
+const SHAPES: [Shape; 4] = [
+    Shape { sets: 40, replicas: 2, picks: 1 },
+    Shape { sets: 30, replicas: 3, picks: 2 },
+    Shape { sets: 12, replicas: 9, picks: 3 },
+    Shape { sets: 2, replicas: 59, picks: 12 },
+];
+
+struct Fleet {
+    /// Sets of replicas.
+    sets: Vec<Vec<(String, f64)>>,
+    routers: Vec<f64>,
+}
+
+/// `uneven`: routers of weight 1, 2 and 3, replicas of weight 1 and 2.
+fn drawn(seed: u64, shape: Shape, routers: usize, uneven: bool) -> Fleet {
+    let mut rng = WyRand::new_seed(seed);
+    let mut weight = |most: u64| if uneven { rng.generate_range(1..=most) as f64 } else { 1.0 };
+    let mut number = 0;
+    let mut replica = || {
+        number += 1;
+        (format!("n-{:08x}", hash("member", seed << 32 | number) >> 32), weight(2))
+    };
+    let sets = (0..shape.sets).map(|_| (0..shape.replicas).map(|_| replica()).collect()).collect();
+    let routers = (0..routers).map(|_| weight(3)).collect();
+    Fleet { sets, routers }
+}
+
+fn picks_of(method: Method, f: &Fleet, picks: usize) -> Vec<Vec<Vec<usize>>> {
+    f.sets.iter().map(|set| method(set, picks, &f.routers)).collect()
+}
+
+/// Over all replicas, their share of the routers' weight over their fair share (by weight, none more than whole):
+/// the largest and the smallest.
+fn shares(f: &Fleet, all: &[Vec<Vec<usize>>], picks: usize) -> (f64, f64) {
+    let (mut most, mut least) = (0.0f64, f64::MAX);
+    for (set, picked) in f.sets.iter().zip(all) {
+        let mut given = vec![0.0; set.len()];
+        picked.iter().zip(&f.routers).for_each(|(p, w)| p.iter().for_each(|m| given[*m] += w));
+        // Fair shares by halving: the scale at which the shares, none over one, add up to the picks.
+        let (mut low, mut high) = (0.0, 1e6);
+        for _ in 0..80 {
+            let mid = (low + high) / 2.0;
+            let sum: f64 = set.iter().map(|m| (m.1 * mid).min(1.0)).sum();
+            if sum < picks as f64 { low = mid } else { high = mid }
+        }
+        let all: f64 = f.routers.iter().sum();
+        for (given, m) in given.iter().zip(set) {
+            let part = given / ((m.1 * high).min(1.0) * all);
+            (most, least) = (most.max(part), least.min(part));
+        }
+    }
+    (most, least)
+}
+
+/// The part of the picks after a growth that were none before, over the least possible; by ids.
+fn moved(method: Method, before: &Fleet, after: &Fleet, picks: usize) -> f64 {
+    let (mut new, mut least) = (0.0, 0.0);
+    for (old, set) in before.sets.iter().zip(&after.sets) {
+        if old.len() == set.len() && before.routers.len() == after.routers.len() {
+            continue;
+        }
+        let (was, is) = (method(old, picks, &before.routers), method(set, picks, &after.routers));
+        for (i, picked) in is.iter().enumerate() {
+            let kept: BTreeSet<&str> = was.get(i).into_iter().flatten().map(|m| old[*m].0.as_str()).collect();
+            new += picked.iter().filter(|m| !kept.contains(set[**m].0.as_str())).count() as f64;
+        }
+        let (sum, joined): (f64, f64) =
+            (set.iter().map(|m| m.1).sum(), set[old.len()..].iter().map(|m| m.1).sum());
+        let full = picks as f64 * is.len() as f64;
+        least += full * (1.0 - was.len() as f64 / is.len() as f64) + full * joined / sum;
+    }
+    new / least
+}
+
+fn with_routers(f: &Fleet, more: usize) -> Fleet {
+    let routers = f.routers.iter().cycle().take(f.routers.len() + more).copied().collect();
+    Fleet { sets: f.sets.clone(), routers }
+}
+
+/// So many replicas join, set by set in turn.
+fn with_members(f: &Fleet, more: usize) -> Fleet {
+    let mut sets = f.sets.clone();
+    let count = sets.len();
+    for i in 0..more {
+        let like = f.sets[i % count][i / count % f.sets[i % count].len()].1;
+        sets[i % count].push((format!("n-{:08x}", hash(&f.sets[0][0].0, i as u64) >> 32), like));
+    }
+    Fleet { sets, routers: f.routers.clone() }
+}
+
+/// Mean and largest distance from it.
+fn spread(values: &[f64]) -> String {
+    let mean = values.iter().sum::<f64>() / values.len() as f64;
+    let off = values.iter().map(|v| (v - mean).abs()).fold(0.0, f64::max);
+    format!("{mean:.2} ± {off:.2}")
+}
+
+fn table(shape: Shape, routers: usize, uneven: bool) {
+    let Shape { sets, replicas, picks } = shape;
+    let fair = (routers * picks) as f64 / replicas as f64;
+    let kind = if uneven { ", uneven weights" } else { "" };
+    println!("\n### {routers} routers, {sets} sets of 1 + {replicas}, {picks} picked{kind}\n");
+    if !uneven {
+        let (most, least) = (fair.ceil() / fair, fair.floor() / fair);
+        println!("Best in whole routers: largest {most:.2}, smallest {least:.2}.\n");
+    }
+    println!("| method | largest over fair | smallest | routers +1 | +10% | x2 | members +1 | +10% | x2 |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (name, method) in METHODS {
+        let mut columns: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+        for seed in 0..SEEDS {
+            let f = drawn(seed, shape, routers, uneven);
+            let (most, least) = shares(&f, &picks_of(method, &f, picks), picks);
+            let count = sets * replicas;
+            let grown = [1, routers / 10, routers].map(|n| with_routers(&f, n));
+            let joined = [1, count / 10, count].map(|n| with_members(&f, n));
+            let parts = grown.iter().chain(&joined).map(|g| moved(method, &f, g, picks));
+            for (i, value) in [most, least].into_iter().chain(parts).enumerate() {
+                columns.entry(i).or_default().push(value);
+            }
+        }
+        let cells: Vec<String> = columns.values().map(|v| spread(v)).collect();
+        println!("| {name} | {} |", cells.join(" | "));
+    }
+}
+
+/// One router's subset of 120 members at 300 routers, the last router's: it plays all others first.
+fn time(shape: Shape, rule: &Rule) {
+    let f = drawn(1, shape, 300, false);
+    let mut members = Vec::new();
+    for (set, of) in f.sets.iter().enumerate() {
+        let member =
+            |id: String, role| Member { id, set: set as i64, role, weight: 1.0, zone: String::new() };
+        members.push(member(format!("p-{set}"), Role::Primary));
+        members.extend(of.iter().map(|m| member(m.0.clone(), Role::Replica)));
+    }
+    let routers = numbered(300);
+    let mut took: Vec<f64> = (0..201)
+        .map(|_| {
+            let from = Instant::now();
+            let sets = subset(299, &routers, &members, rule).expect("a sound fleet");
+            assert_eq!(std::hint::black_box(sets).len(), shape.sets);
+            from.elapsed().as_secs_f64() * 1e3
+        })
+        .collect();
+    took.sort_by(f64::total_cmp);
+    let Shape { sets, replicas, picks } = shape;
+    println!(
+        "| {sets} of 1 + {replicas}, {picks} picked | {:.3} | {:.3} | {:.3} |",
+        took[0], took[100], took[198]
+    );
+}
+
+fn main() {
+    println!(
+        "Mean over {SEEDS} seeds ± the largest distance from it. Growth: picks that are new, over the least possible."
+    );
+    for shape in SHAPES {
+        for routers in [10, 100, 300] {
+            table(shape, routers, false);
+        }
+    }
+    table(SHAPES[2], 100, true);
+    table(SHAPES[2], 300, true);
+    println!("\n### Time for one router's subset, 300 routers\n");
+    println!("| sets | least ms | median | 99th of 100 |\n| --- | --- | --- | --- |");
+    for shape in SHAPES {
+        time(shape, &Rule { replicas: shape.picks, ..Rule::default() });
+    }
+}
--- /dev/null
+++ b/crates/subsets/src/lib.rs
@@ -0,0 +1,13 @@
+//! Which members each router talks to and probes. Every router works out its own subset from what all are told alike
+//! (the routers' numbers, the members, the rule), so that they agree without talk. No I/O, no clock, no chance.
+
+mod fair;
+mod score;
+mod share;
+mod told;
+
+pub use share::{Subset, fleet, subset};
+pub use told::{MEMBERS_MOST, Member, ROUTERS_MOST, Refused, Role, Router, Rule, numbered};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/subsets/src/tests.rs
@@ -0,0 +1,148 @@
+use crate::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+/// `sets` of a primary and so many replicas, zones in turn; ids drawn from the seed.
+fn members(seed: u64, sets: i64, replicas: usize, weights: &[f64]) -> Vec<Member> {
+    let member = |set: i64, i: usize| Member {
+        id: format!("n-{:08x}", xxhash_rust::xxh3::xxh3_64(format!("{seed} {set} {i}").as_bytes()) >> 32),
+        set,
+        role: if i == 0 { Role::Primary } else { Role::Replica },
+        weight: weights[i % weights.len()],
+        zone: format!("z{}", i % 2),
+    };
+    (0..sets).flat_map(|set| (0..=replicas).map(move |i| member(set, i))).collect()
+}
+
+/// By replica: the sum of weights of the routers that picked it.
+fn given(routers: &[Router], members: &[Member], rule: &Rule) -> BTreeMap<usize, f64> {
+    let replica = |(i, m): (usize, &Member)| (m.role == Role::Replica).then_some((i, 0.0));
+    let mut given: BTreeMap<usize, f64> = members.iter().enumerate().filter_map(replica).collect();
+    let all = fleet(routers, members, rule).unwrap();
+    for router in routers {
+        let replicas = all[&router.number].values().flat_map(|s| &s.replicas);
+        replicas.for_each(|m| *given.get_mut(m).unwrap() += router.weight);
+    }
+    given
+}
+
+#[rstest]
+#[case::no_set_is_short(5, 2, false)]
+#[case::fewer_than_asked_for(1, 1, false)]
+#[case::primary_alone(0, 0, true)]
+fn every_subset_has_primary_and_enough_replicas(
+    #[case] replicas: usize,
+    #[case] expected: usize,
+    #[case] short: bool,
+    #[values(1, 10, 100)] balancers: u64,
+    #[values(false, true)] apart: bool,
+) {
+    let members = members(balancers, 4, replicas, &[1.0, 2.0]);
+    let rule = Rule { apart, ..Rule::default() };
+    for sets in fleet(&numbered(balancers), &members, &rule).unwrap().values() {
+        assert_eq!(sets.len(), 4);
+        for subset in sets.values() {
+            assert_eq!((subset.primaries.len(), subset.replicas.len()), (1, expected));
+            assert_eq!(subset.short, short);
+            let zones = subset.replicas.iter().map(|m| &members[*m].zone);
+            assert!(!apart || expected < 2 || zones.clone().max() != zones.min());
+        }
+    }
+}
+
+/// The bounds of the rule, to the next whole router. Without `mend` a replica is 2 and more routers outside.
+#[rstest]
+fn each_replica_stays_within_its_bounds(
+    #[values(10, 100, 300)] balancers: u64,
+    #[values((2, 1), (3, 2), (9, 3))] set: (usize, usize),
+    #[values(0, 1, 2, 3, 4)] seed: u64,
+) {
+    let (replicas, picks) = set;
+    let rule = Rule { replicas: picks, ..Rule::default() };
+    let fair = balancers as f64 * picks as f64 / replicas as f64;
+    let (most, least) = ((fair * 1.1).max(fair.ceil()), (fair * 0.88).min(fair.floor()));
+    for given in given(&numbered(balancers), &members(seed, 5, replicas, &[1.0]), &rule).values() {
+        assert!((least..=most).contains(given), "{given} of fair {fair}");
+    }
+}
+
+/// Replicas of weight 1 and 2, routers of 1 to 3: shares go by weight. A replica of weight 2 among five picks of
+/// eight is in every subset, and no more.
+#[rstest]
+fn shares_go_by_weight(#[values(0, 1, 2, 3, 4)] seed: u64) {
+    let routers: Vec<Router> =
+        (0..100).map(|number| Router { number, weight: 1.0 + (number % 3) as f64 }).collect();
+    let all: f64 = routers.iter().map(|r| r.weight).sum();
+    let members = members(seed, 3, 8, &[1.0, 2.0]);
+    for (picks, light, heavy) in [(3, 0.25, 0.5), (6, 0.5, 1.0)] {
+        let rule = Rule { replicas: picks, ..Rule::default() };
+        for (m, given) in given(&routers, &members, &rule) {
+            let fair = all * if members[m].weight == 1.0 { light } else { heavy };
+            let (most, least) = ((fair * 1.1).max(fair + 3.0), (fair * 0.88).min(fair - 3.0));
+            assert!((least..=most).contains(&given), "{given} of fair {fair}");
+        }
+    }
+}
+
+/// Picks that are new after a growth, over the least possible, mean of 10 seeds.
+#[rstest]
+#[case::a_router_joins(1, 0)]
+#[case::a_tenth_of_the_routers(30, 0)]
+#[case::routers_double(300, 0)]
+#[case::a_member_joins_each_set(0, 1)]
+#[case::members_double(0, 9)]
+fn growth_moves_little_more_than_it_must(#[case] routers: u64, #[case] joined: usize) {
+    let rule = Rule { replicas: 3, ..Rule::default() };
+    let (mut new, mut least) = (0.0, 0.0);
+    for seed in 0..10 {
+        let (few, many) = (members(seed, 2, 9, &[1.0]), members(seed, 2, 9 + joined, &[1.0]));
+        let before = fleet(&numbered(300), &few, &rule).unwrap();
+        let after = fleet(&numbered(300 + routers), &many, &rule).unwrap();
+        let ids = |sets: &BTreeMap<i64, Subset>, of: &[Member]| -> Vec<String> {
+            sets.values().flat_map(|s| &s.replicas).map(|m| of[*m].id.clone()).collect()
+        };
+        for (number, sets) in &after {
+            let had = before.get(number).map(|sets| ids(sets, &few)).unwrap_or_default();
+            new += ids(sets, &many).iter().filter(|id| !had.contains(id)).count() as f64;
+        }
+        least += 6.0 * (routers as f64 + 300.0 * joined as f64 / (9 + joined) as f64);
+    }
+    assert!(new / least < 1.3, "{new} new picks, {least} are the least");
+}
+
+/// Every router finds for itself what it has in the plan of the fleet, in whatever order it was told.
+#[rstest]
+fn routers_agree_without_talk(#[values(0, 1, 2)] seed: u64, #[values(false, true)] named: bool) {
+    let name = |r: Router| if named { Router::named(&format!("r{}", r.number), 2.0) } else { r };
+    let mut routers: Vec<Router> = numbered(20).into_iter().map(name).collect();
+    let mut members = members(seed, 5, 4, &[1.0, 3.0]);
+    let ids = |subset: &Subset, of: &[Member]| -> Vec<String> {
+        subset.primaries.iter().chain(&subset.replicas).map(|m| of[*m].id.clone()).collect()
+    };
+    let plan = fleet(&routers, &members, &Rule::default()).unwrap();
+    let planned: Vec<Vec<String>> =
+        plan.values().flat_map(|s| s.values().map(|s| ids(s, &members))).collect();
+    members.reverse();
+    routers.rotate_left(7);
+    let own = plan.keys().map(|me| subset(*me, &routers, &members, &Rule::default()).unwrap());
+    let found: Vec<Vec<String>> =
+        own.flat_map(|s| s.values().map(|s| ids(s, &members)).collect::<Vec<_>>()).collect();
+    assert_eq!(found, planned);
+}
+
+#[rstest]
+#[case::no_such_router(|_: &mut Vec<Router>, _: &mut Vec<Member>, _: &mut Rule| (), Refused::NotTold(9))]
+#[case::router_twice(|r: &mut Vec<Router>, _: &mut Vec<Member>, _: &mut Rule| r[1].number = 0, Refused::RouterTwice(0))]
+#[case::weight_not_a_number(|r: &mut Vec<Router>, _: &mut Vec<Member>, _: &mut Rule| r[1].weight = f64::NAN, Refused::Weight("router 1".into()))]
+#[case::member_weightless(|_: &mut Vec<Router>, m: &mut Vec<Member>, _: &mut Rule| { m[0].id = "a".into(); m[0].weight = 0.0 }, Refused::Weight("member a".into()))]
+#[case::member_twice(|_: &mut Vec<Router>, m: &mut Vec<Member>, _: &mut Rule| { m[0].id = "a".into(); m[1].id = "a".into() }, Refused::MemberTwice("a".into()))]
+#[case::rule_without_room(|_: &mut Vec<Router>, _: &mut Vec<Member>, rule: &mut Rule| rule.most = 0.9, Refused::Rule)]
+#[case::too_many_routers(|r: &mut Vec<Router>, _: &mut Vec<Member>, _: &mut Rule| *r = numbered(1025), Refused::TooManyRouters(1025))]
+fn what_makes_no_sense_is_refused(
+    #[case] spoil: fn(&mut Vec<Router>, &mut Vec<Member>, &mut Rule),
+    #[case] why: Refused,
+) {
+    let (mut routers, mut members, mut rule) = (numbered(3), members(0, 2, 3, &[1.0]), Rule::default());
+    spoil(&mut routers, &mut members, &mut rule);
+    assert_eq!(subset(9, &routers, &members, &rule), Err(why));
+}
