--- a/crates/subsets/src/share.rs
+++ b/crates/subsets/src/share.rs
@@ -55,6 +55,7 @@
     Ok(all)
 }
 
+/// Danger: sums of weights differ in the last bit by their order, and with them a bound that is just met.
 fn in_order(routers: &[Router]) -> Vec<Router> {
     let mut routers = routers.to_vec();
     routers.sort_by_key(|r| r.number);
--- a/crates/subsets/src/tests.rs
+++ b/crates/subsets/src/tests.rs
@@ -50,7 +50,7 @@
     }
 }
 
-/// The bounds of the rule, to the next whole router. Without `mend` a replica is 2 and more routers outside.
+/// The bounds of the rule, to the next whole router.
 #[rstest]
 fn each_replica_stays_within_its_bounds(
     #[values(10, 100, 300)] balancers: u64,
@@ -66,15 +66,15 @@
     }
 }
 
-/// Replicas of weight 1 and 2, routers of 1 to 3: shares go by weight. A replica of weight 2 among five picks of
-/// eight is in every subset, and no more.
+/// Replicas of weight 1 and 2, routers of 1 to 3: shares go by weight. A replica of weight 2 among seven picks of
+/// eight is in every subset, and what it can't take goes to the others.
 #[rstest]
 fn shares_go_by_weight(#[values(0, 1, 2, 3, 4)] seed: u64) {
     let routers: Vec<Router> =
         (0..100).map(|number| Router { number, weight: 1.0 + (number % 3) as f64 }).collect();
     let all: f64 = routers.iter().map(|r| r.weight).sum();
     let members = members(seed, 3, 8, &[1.0, 2.0]);
-    for (picks, light, heavy) in [(3, 0.25, 0.5), (6, 0.5, 1.0)] {
+    for (picks, light, heavy) in [(3, 0.25, 0.5), (7, 0.75, 1.0)] {
         let rule = Rule { replicas: picks, ..Rule::default() };
         for (m, given) in given(&routers, &members, &rule) {
             let fair = all * if members[m].weight == 1.0 { light } else { heavy };
