--- a/crates/embargo/src/publisher.rs
+++ b/crates/embargo/src/publisher.rs
@@ -110,7 +110,9 @@
     /// End of the longest lease granted.
     until: Tenths,
     acked: Version,
-    /// Request not answered yet.
+    /// Newest request answered: a doubled or late one is not answered again.
+    answered: u64,
+    /// Newer request not answered yet.
     owed: Option<u64>,
     /// By the monotonic reading: when an unacknowledged change goes out again.
     push_at: Tenths,
@@ -201,10 +203,9 @@
     /// The store refused a write: a newer publisher has the office.
     pub fn fenced(&mut self) {
         self.depose();
-        for (ticket, bulletin, outcome) in self.writing.take().map(|w| w.answers).unwrap_or_default() {
+        for (ticket, bulletin, _) in self.writing.take().map(|w| w.answers).unwrap_or_default() {
             // What is settled by the refused write stays unsettled in the record: the next publisher answers it.
             if self.record.entries.get(&bulletin).is_none_or(|e| e.ticket != ticket) {
-                debug_assert!(outcome != Outcome::TooLate);
                 self.answers.push_back((ticket, bulletin, Outcome::Refused(Reason::Fenced)));
             }
         }
@@ -271,12 +272,15 @@
         let held = self.held.entry(holder).or_insert(Held {
             until: Tenths::MIN,
             acked: Version(0),
+            answered: 0,
             owed: None,
             push_at: Tenths::MIN,
         });
         held.acked = held.acked.max(ask.applied);
-        held.owed = Some(held.owed.unwrap_or(0).max(ask.request));
-        self.owing.insert(holder);
+        if ask.request > held.answered {
+            held.owed = Some(held.owed.unwrap_or(0).max(ask.request));
+            self.owing.insert(holder);
+        }
         let acked = held.acked;
         for (id, pending) in &mut self.pending {
             if self.record.entries.get(id).is_some_and(|e| e.schedule.version <= acked) {
@@ -549,6 +553,7 @@
         let grant = self.grant(moment).filter(|_| through == newest);
         let held = self.held.get_mut(&holder)?;
         let request = held.owed.take();
+        held.answered = request.unwrap_or(held.answered);
         let grant = grant.filter(|_| request.is_some());
         if let Some(grant) = grant {
             held.until = held.until.max(grant.until);
--- a/crates/embargo/src/words.rs
+++ b/crates/embargo/src/words.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Version(pub u64);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Release {
     /// True time from which it may be served, the instant itself left out.
     At(Tenths),
@@ -34,7 +34,7 @@
 }
 
 /// How long an edge goes on with a released bulletin after its lease is over: the bound on a withdrawal that can't reach it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Unheard {
     /// So long, 0 or more.
     For(Tenths),
@@ -43,7 +43,7 @@
 }
 
 /// What a refusal may tell of the release.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Notice {
     /// The time of release is public: the come-back time follows it.
     Announced,
@@ -52,7 +52,7 @@
 }
 
 /// One bulletin's schedule, in one version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Schedule {
     pub bulletin: BulletinId,
     pub version: Version,
@@ -88,7 +88,7 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// True time at which it is over.
     pub until: Tenths,
@@ -97,7 +97,7 @@
 }
 
 /// Schedules for one process of an edge, and a lease on them.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Reply {
     pub office: OfficeId,
     pub epoch: Epoch,
--- /dev/null
+++ b/crates/embargo/tests/fleet.rs
@@ -0,0 +1,42 @@
+//! The played fleet: no early serve over seeds, and the auditor sees what a missing defence lets through.
+
+mod world;
+
+use rstest::rstest;
+use world::{Missing, Plan, Troubles, World};
+
+#[test]
+fn nothing_is_served_early_whatever_fails() {
+    let mut serves = 0;
+    for seed in 0..40 {
+        let played = World::play(Plan::new(Troubles::all()), seed);
+        assert!(played.audit.early.is_empty(), "seed {seed}: {:?}", played.audit.early.first());
+        assert!(played.overdue.is_empty(), "seed {seed}: {:?}", played.overdue.first());
+        serves += played.audit.serves;
+    }
+    assert!(serves > 10_000, "served {serves}: too closed to prove anything");
+}
+
+#[rstest]
+#[case::leases_before_a_takeover(Missing::Horizon)]
+#[case::sleep_unseen(Missing::WallClock)]
+#[case::liars(Missing::Outvoting)]
+#[case::open_at_the_latest(Missing::Earliest)]
+#[case::lease_longer_than_the_fence(Missing::Fence)]
+fn a_missing_defence_is_found(#[case] missing: Missing) {
+    let plan = Plan { missing, ..Plan::new(Troubles::all()) };
+    let found = (0..300).find(|seed| !World::play(plan, *seed).audit.early.is_empty());
+    println!("{missing:?}: first found by seed {found:?}");
+    assert!(found.is_some());
+}
+
+/// Whole links, honest clocks: everything opens within a second, and every postponement is answered.
+#[test]
+fn opens_within_a_second_when_links_are_whole() {
+    for seed in 0..10 {
+        let played = World::play(Plan::new(Troubles::default()), seed);
+        let late = played.opened_after.iter().filter(|after| **after > 10_000).count();
+        assert!(!played.opened_after.is_empty());
+        assert_eq!((late, played.unopened, played.unanswered), (0, 0, 0), "seed {seed}");
+    }
+}
