--- a/crates/embargo/src/gate.rs
+++ b/crates/embargo/src/gate.rs
@@ -170,7 +170,6 @@
             // Danger: a publisher that was replaced may still grant; its leases end with the first word of the next.
             office.epoch = reply.epoch;
             office.lease = None;
-            office.requests.clear();
             office.ask_at = Tenths::MIN;
         }
         if reply.after <= office.applied && reply.through > office.applied {
