--- a/crates/embargo/tests/world/mod.rs
+++ b/crates/embargo/tests/world/mod.rs
@@ -807,18 +807,16 @@
                 quartz.wall_ahead += by as f64;
             }
             5 if troubles.crashes && self.processes[node].duty.is_some() => {
-                {
-                    self.processes[node].duty = None;
-                    self.disturb();
-                    let wait = self.within(10 * SECOND);
-                    if node < edges {
-                        self.at(self.now + wait, Event::Start(node));
-                    } else if node == self.publisher {
-                        // Itself again, or the other one.
-                        let next = edges + self.within(2) as usize;
-                        self.processes[next].duty = None;
-                        self.at(self.now + wait, Event::Start(next));
-                    }
+                self.processes[node].duty = None;
+                self.disturb();
+                let wait = self.within(10 * SECOND);
+                if node < edges {
+                    self.at(self.now + wait, Event::Start(node));
+                } else if node == self.publisher {
+                    // Itself again, or the other one.
+                    let next = edges + self.within(2) as usize;
+                    self.processes[next].duty = None;
+                    self.at(self.now + wait, Event::Start(next));
                 }
             }
             6 if troubles.takeovers => {
