--- a/crates/embargo/src/tests.rs
+++ b/crates/embargo/src/tests.rs
@@ -106,13 +106,17 @@
 #[case::never_asked_for(|r: &mut Reply| r.request = 9, false)]
 #[case::whole(|_: &mut Reply| {}, true)]
 #[case::after_what_is_not_here(|r: &mut Reply| (r.after, r.through) = (Version(4), Version(5)), false)]
-#[case::no_room(|r: &mut Reply| r.schedules.push(schedule(4, 4, Release::Withdrawn, Notice::Secret)), false)]
+#[case::no_room(|r: &mut Reply| {
+    r.through = Version(4);
+    r.schedules.push(schedule(4, 4, Release::Withdrawn, Notice::Secret));
+}, false)]
 #[case::longer_than_a_batch(|r: &mut Reply| r.schedules = vec![r.schedules[0]; BATCH + 1], false)]
 fn a_lease_counts_only_whole(#[case] change: fn(&mut Reply), #[case] opens: bool) {
     let gate = GateTerms { renew: 5 * SECOND, retry: SECOND, drift_ppm: 200, bulletins: 3 };
     let mut gate = Gate::new(EdgeId(1), Incarnation(1), gate);
     gate.follow(OFFICE);
     while gate.next_decision(&at(90 * SECOND)).is_some() {}
+    gate.heard(Reply { request: 0, grant: None, ..leased(1, 400) }, &at(90 * SECOND));
     let mut reply = leased(1, 400);
     change(&mut reply);
     gate.heard(reply, &at(90 * SECOND));
