Store: one contract for logs and records, by memory and in redb, with its suite

A gateway needs its window, cursors and epochs after a crash. One Store contract (append at the next position, read with limits, trim, atomic batches of several logs and records, versioned header), a memory and a redb implementation, and a suite in which a new one is a line.

--- /dev/null
+++ b/crates/store/src/batch.rs
@@ -0,0 +1,130 @@
+//! A batch: operations that are applied together or not at all.
+
+use crate::StoreError;
+
+/// Bytes of a log's name or a record's key.
+pub const NAME_BYTES: usize = 128;
+/// Bytes of one entry's payload.
+pub const ENTRY_BYTES: usize = 64 << 10;
+/// Bytes of one record's value.
+pub const RECORD_BYTES: usize = 4 << 10;
+/// Operations in one batch.
+pub const BATCH_OPERATIONS: usize = 16_384;
+/// Bytes of one batch's payloads, names and values.
+pub const BATCH_BYTES: usize = 8 << 20;
+/// Logs in one store.
+pub const LOGS: usize = 4_096;
+/// Records in one store.
+pub const RECORDS: usize = 65_536;
+/// Bytes that an entry is reckoned at beyond its payload, when the room is counted.
+pub const ENTRY_COST: u64 = 64;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Appends one entry; `at` must be the log's next position.
+    Append {
+        log: String,
+        at: u64,
+        payload: Vec<u8>,
+    },
+    /// Drops all entries below a position (at most the next one; further up is an error). Going back does nothing.
+    Trim {
+        log: String,
+        below: u64,
+    },
+    /// Empties a log and lets it go on from a position: the first append after it is there.
+    Begin {
+        log: String,
+        at: u64,
+    },
+    /// Drops a log with its name.
+    Drop {
+        log: String,
+    },
+    Put {
+        key: String,
+        value: Vec<u8>,
+    },
+    Remove {
+        key: String,
+    },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    operations: Vec<Operation>,
+}
+
+impl Batch {
+    pub fn new() -> Batch {
+        Batch::default()
+    }
+
+    pub fn append(mut self, log: &str, at: u64, payload: &[u8]) -> Batch {
+        self.operations.push(Operation::Append { log: log.to_owned(), at, payload: payload.to_vec() });
+        self
+    }
+
+    pub fn trim(mut self, log: &str, below: u64) -> Batch {
+        self.operations.push(Operation::Trim { log: log.to_owned(), below });
+        self
+    }
+
+    pub fn begin(mut self, log: &str, at: u64) -> Batch {
+        self.operations.push(Operation::Begin { log: log.to_owned(), at });
+        self
+    }
+
+    pub fn drop_log(mut self, log: &str) -> Batch {
+        self.operations.push(Operation::Drop { log: log.to_owned() });
+        self
+    }
+
+    pub fn put(mut self, key: &str, value: &[u8]) -> Batch {
+        self.operations.push(Operation::Put { key: key.to_owned(), value: value.to_vec() });
+        self
+    }
+
+    pub fn remove(mut self, key: &str) -> Batch {
+        self.operations.push(Operation::Remove { key: key.to_owned() });
+        self
+    }
+
+    pub fn push(&mut self, operation: Operation) {
+        self.operations.push(operation);
+    }
+
+    pub fn operations(&self) -> &[Operation] {
+        &self.operations
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.operations.is_empty()
+    }
+
+    /// Sizes and counts against their bounds.
+    pub(crate) fn sized(&self) -> Result<(), StoreError> {
+        if self.operations.len() > BATCH_OPERATIONS {
+            return Err(StoreError::TooMany { what: "operations in a batch", bound: BATCH_OPERATIONS });
+        }
+        let mut all = 0;
+        for operation in &self.operations {
+            let (name, what, bytes, bound) = match operation {
+                Operation::Append { log, payload, .. } => (log, "an entry", payload.len(), ENTRY_BYTES),
+                Operation::Put { key, value } => (key, "a record", value.len(), RECORD_BYTES),
+                Operation::Trim { log, .. } | Operation::Begin { log, .. } | Operation::Drop { log } => {
+                    (log, "an entry", 0, ENTRY_BYTES)
+                }
+                Operation::Remove { key } => (key, "a record", 0, RECORD_BYTES),
+            };
+            within("a name", name.len(), NAME_BYTES)?;
+            within(what, bytes, bound)?;
+            all += name.len() + bytes;
+        }
+        within("a batch", all, BATCH_BYTES)
+    }
+}
+
+fn within(what: &'static str, bytes: usize, bound: usize) -> Result<(), StoreError> {
+    if bytes > bound { Err(StoreError::TooLarge { what, bytes, bound }) } else { Ok(()) }
+}
