Feeds: a refusal lets go of nothing once the desk has echoed; found by the model

The model of the handover (real machines; 2 gateways, 1 desk, 1 primary) found two owners: a resume token doubled, refused by a draining gateway, taken by it after a restart, and the late refusal read as a release.

--- a/crates/feeds/src/desk.rs
+++ b/crates/feeds/src/desk.rs
@@ -195,9 +195,14 @@
                     self.out.push_back(Decision::Send { to: from, message: gone });
                 }
             }
-            Message::Later { sub, epoch, after, slot, elsewhere }
+            Message::Later { sub, epoch, after, slot, elsewhere, ended }
                 if sub == self.sub && self.listens(from, epoch) =>
             {
+                // Danger: a doubled token may be refused and then taken. Once the desk has echoed a stamp under this
+                // epoch, a refusal of it lets go of nothing.
+                if !ended && matches!(self.state, State::Attached { .. }) {
+                    return;
+                }
                 self.fence_until = now;
                 if elsewhere {
                     self.turn += 1;
@@ -227,3 +232,11 @@
         false
     }
 }
+
+#[cfg(test)]
+impl Desk {
+    /// For the model: what was counted decides nothing.
+    pub(crate) fn level(&mut self) {
+        self.fenced = 0;
+    }
+}
--- a/crates/feeds/src/gateway.rs
+++ b/crates/feeds/src/gateway.rs
@@ -79,7 +79,7 @@
 }
 
 /// Counts since it was started, for the operator.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     pub pushes: u64,
     pub resent: u64,
@@ -93,6 +93,11 @@
     pub lapsed: u64,
 }
 
+impl std::hash::Hash for Counts {
+    /// What was counted decides nothing: it does not tell one state of a gateway from another.
+    fn hash<H: std::hash::Hasher>(&self, _: &mut H) {}
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Gateway {
     pub(crate) me: GatewayId,
@@ -242,7 +247,7 @@
             }
             (Party::Desk(desk), Message::Gone { sub, epoch }) if desk == sub => self.on_gone(sub, epoch),
             (Party::Gateway(peer), Message::Taken { sub, epoch }) => {
-                let given = |s: &Sub| s.state == State::Left { to: peer };
+                let given = |s: &Sub| matches!(s.state, State::Left { to, .. } if to == peer);
                 if self.subs.get(&sub).is_some_and(given) {
                     self.on_gone(sub, epoch);
                 }
@@ -405,8 +410,8 @@
         if sub.sent != sub.acked {
             due = due.min(sub.again + self.terms.resend);
         }
-        if !matches!(sub.state, State::Owned) {
-            due = due.min(self.now + self.terms.resend / 2);
+        if let State::Offered { asked, .. } | State::Left { asked, .. } = sub.state {
+            due = due.min(asked + self.terms.resend / 2);
         }
         // A timer that is early enough stays: each push would move it otherwise.
         if sub.due > due.max(self.now + 1) {
@@ -474,7 +479,9 @@
 
     /// Why a desk is not taken in now, with when it should come.
     fn refusal(&mut self, sub: SubId, feed: FeedId, epoch: u64, slot: Option<Tenths>) -> Option<Message> {
-        let later = |after, slot, elsewhere| Some(Message::Later { sub, epoch, after, slot, elsewhere });
+        let later = |after, slot, elsewhere| {
+            Some(Message::Later { sub, epoch, after, slot, elsewhere, ended: false })
+        };
         let full = self.subs.len() + self.warm.len() >= self.terms.room;
         if full || self.draining.is_some() || self.outpaced(feed) {
             return later(0, None, true);
@@ -553,7 +560,7 @@
         let Some(epoch) = self.subs.get(&id).map(|s| s.epoch) else { return };
         self.end(id);
         self.counts.told_later += 1;
-        let message = Message::Later { sub: id, epoch, after, slot: None, elsewhere };
+        let message = Message::Later { sub: id, epoch, after, slot: None, elsewhere, ended: true };
         self.out.push_back(Decision::Send { to: Party::Desk(id), message });
     }
 
@@ -572,6 +579,8 @@
         let terms = &self.terms;
         let Some(sub) = self.subs.get_mut(&id) else { return };
         if matches!(sub.state, State::Left { .. }) {
+            sub.stamped = now;
+            self.sub_timer(id);
             return;
         }
         let stuck = sub.sent != sub.acked && now >= sub.moved + terms.patience;
@@ -707,6 +716,15 @@
     }
 }
 
+#[cfg(test)]
+impl Gateway {
+    /// For the model: rates as if nothing had been sent.
+    pub(crate) fn level_paces(&mut self) {
+        self.admission = Pace::new(self.terms.admissions, 10 * MILLISECOND);
+        self.pushes = Pace::new(self.terms.pushes, 10 * MILLISECOND);
+    }
+}
+
 fn entries(feed: FeedId, intake: &Intake, from: Point, payloads: Vec<Arc<[u8]>>) -> Message {
     let (lineage, first, head) = (intake.lineage.clone(), intake.shelf_first, intake.next);
     Message::Entries { feed, lineage, from, payloads, first, head }
--- a/crates/feeds/src/handover.rs
+++ b/crates/feeds/src/handover.rs
@@ -102,7 +102,7 @@
             else {
                 continue;
             };
-            sub.state = State::Offered { to, since: now };
+            sub.state = State::Offered { to, since: now, asked: now };
             self.moving.insert(id);
             self.offer(id, to);
             self.sub_timer(id);
@@ -116,15 +116,22 @@
     }
 
     pub(crate) fn on_handover_due(&mut self, id: SubId) {
-        let Some(sub) = self.subs.get(&id) else { return };
-        match sub.state {
-            State::Offered { since, .. } if self.now >= since + self.terms.offer => self.go_back(id),
-            State::Offered { to, .. } => self.offer(id, to),
+        let (now, fence) = (self.now, self.terms.fence);
+        let again = self.terms.resend / 2;
+        let Some(sub) = self.subs.get_mut(&id) else { return };
+        match &mut sub.state {
+            State::Offered { since, .. } if now >= *since + self.terms.offer => self.go_back(id),
+            State::Offered { to, asked, .. } if now >= *asked + again => {
+                *asked = now;
+                let to = *to;
+                self.offer(id, to);
+            }
             // The desk's own fence is over by then: it is on its way by itself.
-            State::Left { .. } if self.now >= sub.lease_until + self.terms.fence => self.end(id),
-            State::Left { to } => {
+            State::Left { .. } if now >= sub.lease_until + fence => self.end(id),
+            State::Left { to, asked } if now >= *asked + again => {
+                *asked = now;
+                let to = *to;
                 self.go(id, to);
-                self.sub_timer(id);
             }
             _ => {}
         }
@@ -206,7 +213,7 @@
                     self.go_back(id);
                     return;
                 }
-                sub.state = State::Left { to };
+                sub.state = State::Left { to, asked: now };
                 sub.ready = false;
                 // Danger: after a crash this gateway must not take the subscription up again under this epoch.
                 let record = Record { feed: sub.feed, epoch, held: false, at: sub.acked };
@@ -215,7 +222,7 @@
                 self.moving.remove(&id);
                 self.counts.moved_out += 1;
             }
-            State::Left { to } if to == peer => {}
+            State::Left { to, .. } if to == peer => {}
             _ => return,
         }
         let left = self.subs.get(&id).map_or(0, |s| s.lease_until - now);
--- a/crates/feeds/src/intake.rs
+++ b/crates/feeds/src/intake.rs
@@ -10,6 +10,8 @@
 pub(crate) const ANSWER: Tenths = 150 * MILLISECOND;
 /// The primary is asked at least so often, so that it goes on sending and a lost tail is noticed.
 pub(crate) const FOLLOWED: Tenths = 250 * MILLISECOND;
+/// Rounds of asking everybody before a hunt ends without an answer.
+const ROUNDS: u8 = 3;
 /// Peers that are asked for older entries.
 const PEERS: usize = 2;
 
@@ -37,6 +39,7 @@
     asked: usize,
     /// Whether that one is still to be asked.
     fresh: bool,
+    left: u8,
     since: Tenths,
     /// The oldest that any of those asked keeps beyond `from`.
     least: Option<Point>,
@@ -242,20 +245,33 @@
 
     /// Whether a desk at a point can be served from memory.
     pub(crate) fn caught_up(&self, point: Point) -> bool {
-        let reached = self.begun && self.lineage.normal(point).is_some_and(|p| p <= self.next);
-        reached && !matches!(self.at(point), Found::Older)
+        match self.lineage.settle(point) {
+            Settled::Stands => self.begun && point <= self.next && self.at(point) != Found::Older,
+            // What it is told first needs no entries.
+            Settled::Turn { .. } | Settled::Forgotten { .. } => self.begun,
+            Settled::Ahead => false,
+        }
     }
 
     /// Begins a hunt for what is at a point, unless one is on for another.
     pub(crate) fn hunt(&mut self, now: Tenths, from: Point, peers: &[GatewayId]) -> bool {
-        if self.hunt.is_some() || !self.begun {
+        let older = self.begun && from < self.first && self.lineage.settle(from) == Settled::Stands;
+        if self.hunt.is_some() || !older {
             return false;
         }
         let shelf = (from >= self.shelf_first && self.shelf_first < self.next).then_some(Source::Shelf);
         let peers = peers.iter().take(PEERS).map(|g| Source::Peer(*g));
         let sources = shelf.into_iter().chain(peers).chain([Source::Primary]).collect();
-        self.hunt =
-            Some(Hunt { from, sources, asked: 0, fresh: true, since: now, least: None, primary_said: false });
+        self.hunt = Some(Hunt {
+            from,
+            sources,
+            asked: 0,
+            fresh: true,
+            left: ROUNDS,
+            since: now,
+            least: None,
+            primary_said: false,
+        });
         true
     }
 
@@ -267,6 +283,12 @@
                 return None;
             }
             hunt.asked = (hunt.asked + 1) % hunt.sources.len().max(1);
+            hunt.left -= u8::from(hunt.asked == 0);
+            if hunt.left == 0 {
+                // Those that stand there begin another one, and others have their turn.
+                self.hunt = None;
+                return None;
+            }
         }
         (hunt.fresh, hunt.since) = (false, now);
         Some((*hunt.sources.get(hunt.asked)?, hunt.from))
--- a/crates/feeds/src/lib.rs
+++ b/crates/feeds/src/lib.rs
@@ -30,3 +30,6 @@
 pub use words::{
     Entry, FeedId, GatewayId, Item, MILLISECOND, Message, Party, Point, Range, SECOND, SubId, Tenths, What,
 };
+
+#[cfg(test)]
+mod model;
--- a/crates/feeds/src/origin.rs
+++ b/crates/feeds/src/origin.rs
@@ -143,3 +143,11 @@
         self.out.pop_front()
     }
 }
+
+#[cfg(test)]
+impl Origin {
+    /// For the model: followers as if they had just asked.
+    pub(crate) fn level(&mut self) {
+        self.followers.values_mut().for_each(|f| f.until = Tenths::MAX);
+    }
+}
--- a/crates/feeds/src/sub.rs
+++ b/crates/feeds/src/sub.rs
@@ -11,10 +11,12 @@
     Offered {
         to: GatewayId,
         since: Tenths,
+        asked: Tenths,
     },
     /// Given away: never pushed again under this epoch.
     Left {
         to: GatewayId,
+        asked: Tenths,
     },
 }
 
--- a/crates/feeds/src/words.rs
+++ b/crates/feeds/src/words.rs
@@ -124,13 +124,15 @@
         epoch: u64,
         to: GatewayId,
     },
-    /// The sender holds nothing of this subscription; the desk comes back after a time, here or `elsewhere`.
+    /// The desk comes back after a time, here or `elsewhere`. `ended`: the sender held it and never does again under this
+    /// epoch; otherwise it refused a resume token, of which a double may have been taken since.
     Later {
         sub: SubId,
         epoch: u64,
         after: Tenths,
         slot: Option<Tenths>,
         elsewhere: bool,
+        ended: bool,
     },
     /// Will you take it over? The desk has all before `at`.
     Offer {
--- a/crates/feeds/tests/world/mod.rs
+++ b/crates/feeds/tests/world/mod.rs
@@ -181,7 +181,7 @@
             world.hosts.push(host);
             world.start(id);
         }
-        let places = world.places();
+        let places = world.known();
         for id in 0..world.plan.desks {
             let feed = (id % u64::from(world.plan.feeds)) as u32;
             let token = Token { feed: FeedId(feed), epoch: 0, at: Point::NEW };
@@ -219,6 +219,14 @@
             .collect()
     }
 
+    /// What desks know: all gateways there may be, alive or not.
+    fn known(&self) -> Vec<Place> {
+        let room = self.plan.terms.room as u32;
+        (0..self.plan.gateways)
+            .map(|id| Place { id: GatewayId(id), room, held: 0, draining: false })
+            .collect()
+    }
+
     // Troubles, also for those who measure.
 
     pub fn start(&mut self, id: u32) {
@@ -242,7 +250,7 @@
             let now = self.now;
             let held = self.desks.iter().filter(|(_, d)| d.desk.gateway() == Some(GatewayId(id)));
             let ended: Vec<u64> = held.map(|(id, _)| *id).collect();
-            ended.into_iter().for_each(|d| drop(self.pauses.insert(d, Pause { ended: now, begun: 0 })));
+            self.pauses.extend(ended.into_iter().map(|d| (d, Pause { ended: now, begun: 0 })));
         }
     }
 
@@ -314,7 +322,7 @@
             _ => {
                 // A desk that stops, and comes back with its token.
                 let id = self.draw(0, self.plan.desks as i64) as u64;
-                let (back, places, terms) = (back, self.places(), self.plan.terms.clone());
+                let (places, terms) = (self.known(), self.plan.terms.clone());
                 let host = self.desks.get_mut(&id).expect("there");
                 host.desk = Desk::new(back, SubId(id), terms, host.desk.token(), &places);
                 host.wakes = back;
@@ -389,8 +397,12 @@
         match event {
             Event::Deliver { from, to, message, incarnation } => self.deliver(from, to, message, incarnation),
             Event::Wake(id) => {
-                self.hosts[id as usize].wakes = None;
-                self.run(id);
+                // One that was overtaken by an earlier one is void.
+                let host = &mut self.hosts[id as usize];
+                if host.wakes == Some(self.now) {
+                    host.wakes = None;
+                    self.run(id);
+                }
             }
             Event::WakeDesk(id) => {
                 if self.desks[&id].wakes <= self.now {
