--- a/crates/feeds/src/gateway.rs
+++ b/crates/feeds/src/gateway.rs
@@ -569,8 +569,9 @@
         let Some(sub) = self.subs.get_mut(&id) else { return };
         sub.due = Tenths::MAX;
         if now >= sub.lease_until + terms.lapsed {
+            // Gone, cut off, or so slow that its echoes come too late: if it still listens it is told.
             self.counts.lapsed += 1;
-            self.end(id);
+            self.tell_later(id, self.terms.rest + self.jitter(id), false);
             return;
         }
         if let State::Left { .. } | State::Offered { .. } = sub.state {
@@ -585,7 +586,7 @@
         }
         let stuck = sub.sent != sub.acked && now >= sub.moved + terms.patience;
         let behind = sub.behind.is_some_and(|since| now >= since + 6 * terms.patience);
-        if sub.may_push(now) && (stuck || behind) {
+        if stuck || behind {
             let rest = terms.rest + self.jitter(id);
             self.tell_later(id, rest, false);
             return;
--- a/crates/feeds/src/lib.rs
+++ b/crates/feeds/src/lib.rs
@@ -33,3 +33,5 @@
 
 #[cfg(test)]
 mod model;
+#[cfg(test)]
+mod tests;
--- a/crates/feeds/tests/world/mod.rs
+++ b/crates/feeds/tests/world/mod.rs
@@ -269,6 +269,16 @@
         self.hosts[id as usize].gateway.as_ref().map_or(0, Gateway::held)
     }
 
+    /// From now on a desk needs so long for each message.
+    pub fn slow(&mut self, desk: u64, each: Tenths) {
+        let host = self.desks.get_mut(&desk).expect("there");
+        (host.slow, host.busy) = (each, 0);
+    }
+
+    pub fn gateway_of(&self, desk: u64) -> Option<GatewayId> {
+        self.desks[&desk].desk.gateway()
+    }
+
     pub fn counts(&self, id: u32) -> Counts {
         self.hosts[id as usize].gateway.as_ref().map(Gateway::counts).unwrap_or_default()
     }
