--- a/crates/feeds/examples/moves.rs
+++ b/crates/feeds/examples/moves.rs
@@ -67,7 +67,8 @@
     world.run_until(6 * SECOND);
     let (mut pauses, mut delays, mut usual) = (Vec::new(), Vec::new(), Vec::new());
     for id in 0..10 {
-        (world.pauses.clear(), world.delays.clear());
+        world.pauses.clear();
+        world.delays.clear();
         let begins = world.now;
         if planned {
             world.drain(id, 3 * SECOND);
--- a/crates/feeds/src/gateway.rs
+++ b/crates/feeds/src/gateway.rs
@@ -445,12 +445,13 @@
         }
         let warm = self.warm.remove(&id).filter(|w| w.epoch < epoch);
         let back = self.subs.contains_key(&id);
-        if warm.is_none() && !back {
-            if let Some(refusal) = self.refusal(id, feed, epoch, slot) {
-                self.counts.refused += 1;
-                self.out.push_back(Decision::Send { to: Party::Desk(id), message: refusal });
-                return;
-            }
+        if warm.is_none()
+            && !back
+            && let Some(refusal) = self.refusal(id, feed, epoch, slot)
+        {
+            self.counts.refused += 1;
+            self.out.push_back(Decision::Send { to: Party::Desk(id), message: refusal });
+            return;
         }
         self.leave(id);
         let mut sub = Sub::new(self.now, feed, epoch, at);
