--- a/crates/feeds/src/tests.rs
+++ b/crates/feeds/src/tests.rs
@@ -1,3 +1,4 @@
+use crate::intake::{Found, Intake, Source};
 use crate::spread::{caps, moves, preference};
 use crate::*;
 use rstest::rstest;
@@ -111,3 +112,20 @@
     assert_eq!(gateway.held() + slots.len(), 200);
     assert!(slots.windows(2).all(|w| w[1] - w[0] == SECOND / 100), "{slots:?}");
 }
+
+/// The window begins at 60, the shelf at 50, a peer keeps from 40 on and the primary from 30: a desk at 10.
+#[rstest]
+fn a_gap_is_told_on_the_primarys_word_alone() {
+    let (lineage, terms, at) = (Lineage::new(1, 0), Terms::default(), point(1, 10));
+    let mut intake = Intake::shelved(0, lineage.clone(), point(1, 50), point(1, 60));
+    intake.hunt(0, at, &[GatewayId(1)]);
+    assert_eq!(intake.ask(0), Some((Source::Peer(GatewayId(1)), at)));
+    let (peer, primary) = ((&lineage, point(1, 40), point(1, 60)), (&lineage, point(1, 30), point(1, 60)));
+    intake.on_entries(1, false, peer, at, &[], &terms);
+    assert_eq!(intake.ask(1), Some((Source::Primary, at)));
+    // The peer's answer, doubled, while the primary is silent.
+    intake.on_entries(2, false, peer, at, &[], &terms);
+    assert_eq!(intake.at(at), Found::Older);
+    intake.on_entries(3, true, primary, at, &[], &terms);
+    assert_eq!(intake.at(at), Found::Gap { to: point(1, 30) });
+}
