--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
@@ -104,14 +105,14 @@
 
 /// # Errors
 /// [`Refused::TooLong`] if it does not fit; [`Refused::Malformed`] if it can't be written.
-pub fn encode(message: &Message) -> Result<Vec<u8>, Refused> {
+pub fn encode<M: Serialize>(message: &M) -> Result<Vec<u8>, Refused> {
     let bytes = postcard::to_extend(message, vec![VERSION]).map_err(|_| Refused::Malformed)?;
     if bytes.len() > LONGEST { Err(Refused::TooLong(bytes.len())) } else { Ok(bytes) }
 }
 
 /// # Errors
 /// [`Refused`], by name.
-pub fn decode(bytes: &[u8]) -> Result<Message, Refused> {
+pub fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, Refused> {
     let (&version, rest) = bytes.split_first().ok_or(Refused::Empty)?;
     if bytes.len() > LONGEST {
         return Err(Refused::TooLong(bytes.len()));
@@ -127,6 +128,6 @@
 }
 
 /// Bytes that `value` takes; the most there is if it can't be written.
-pub(crate) fn length(value: &impl Serialize) -> usize {
+pub fn length(value: &impl Serialize) -> usize {
     postcard::experimental::serialized_size(value).unwrap_or(LONGEST)
 }
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -200,7 +200,7 @@
 #[case::cut(&[1, 0, 3, b'a'], wire::Refused::Malformed)]
 #[case::long(&[1; 1_201], wire::Refused::TooLong(1_201))]
 fn unknown_bytes_are_refused_by_name(#[case] bytes: &[u8], #[case] refused: wire::Refused) {
-    assert_eq!(wire::decode(bytes), Err(refused));
+    assert_eq!(wire::decode::<wire::Message>(bytes), Err(refused));
 }
 
 #[test]
--- a/crates/shared/tests/shared.rs
+++ b/crates/shared/tests/shared.rs
@@ -305,5 +305,5 @@
 #[case::newer(&[9, 0], wire::Refused::Version(9))]
 #[case::unknown_kind(&[1, 1, b'a', 0, 0, 77], wire::Refused::Malformed)]
 fn unknown_bytes_are_refused_by_name(#[case] bytes: &[u8], #[case] refused: wire::Refused) {
-    assert_eq!(wire::decode(bytes), Err(refused));
+    assert_eq!(wire::decode::<wire::Message>(bytes), Err(refused));
 }
