--- a/crates/shared/tests/budgets.rs
+++ b/crates/shared/tests/budgets.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use rstest::rstest;
-use vetchkeel_shared::budgets::{BadTerms, Borrower, Grant, Lender, Seat, Terms};
+use vetchkeel_shared::budgets::{BadTerms, Borrower, Bucket, Grant, Lender, Seat, Terms};
 use vetchkeel_shared::{Name, Start};
 use world::{ALL, Faults, names, play, terms};
 
@@ -87,3 +87,13 @@
     borrower.ask(later, 9);
     assert!(borrower.granted(later + 1, Start { at: 3, count: 0 }, &grant(3)));
 }
+
+#[test]
+fn a_bucket_loses_what_its_share_loses() {
+    let mut bucket = Bucket::new(1_000, 0);
+    bucket.set(0, 1_000_000);
+    assert!(bucket.take(1_000, 50), "a thousand a second bring a hundred in 0.1 s");
+    bucket.set(1_000, 10_000);
+    assert!(bucket.take(1_000, 1));
+    assert!(!bucket.take(1_000, 1), "ten a second hold one");
+}
