--- a/src/decide.rs
+++ b/src/decide.rs
@@ -720,8 +720,8 @@
     }
 
     /// For how long a member stays fresh enough: known position against bound or token. Where nodes check for
-    /// themselves, how far behind it was at the last word of it. Danger: a miss for one need (a session's write
-    /// of 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
+    /// themselves, how far behind it was at the last word of it. Danger: a miss for one need (a session's
+    /// write of 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
     fn fresh_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
         let fresh = match self.groups[cmd.kind].access {
             Access::Bounded(bound) if !self.node_checks => return m.position + bound - now,
