--- a/src/decide.rs
+++ b/src/decide.rs
@@ -832,9 +832,9 @@
 
     /// Danger: all routers together push over a member that has just started, each with its little. So each
     /// has a credit there that grows with what its own commands usually ask of a member, times what the cold
-    /// one can do by now, and starts by chance below the cheapest command: however many and unequal the routers,
-    /// together they send the ordinary load times that part, from the first moment on. Catches mass restarts,
-    /// members that fail by turns and held writes that land together on a cold new primary.
+    /// one can do by now, and starts by chance below the cheapest command: however many and unequal the
+    /// routers, together they send the ordinary load times that part, from the first moment on. Catches mass
+    /// restarts, members that fail by turns and held writes that land together on a cold new primary.
     fn cold_credit(&self, now: Tenths, m: &Member) -> f64 {
         if m.started == 0 {
             return f64::INFINITY;
