Slopes: vetchkeel lab slopes measures how costs grow with the size

Package slopes: least squares with residual and the range over runs, the table as an operator file, and plays: the decision module's list, real routers beside stand-ins on loopback, subsets, a simulated membership.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -78,6 +78,8 @@
         #[command(flatten)]
         store: At,
     },
+    /// Measures how each cost grows with the size and writes the table that `vetchkeel plan capacity` reads.
+    Slopes(crate::slopes::Asked),
 }
 
 #[derive(clap::Args)]
@@ -158,6 +160,7 @@
                 }
             }
         }
+        Lab::Slopes(asked) => crate::slopes::run(&asked, json),
     }
 }
 
--- /dev/null
+++ b/crates/slopes/src/tests.rs
@@ -0,0 +1,5 @@
+mod helper;
+
+mod fit;
+mod plays;
+mod table;
