--- a/crates/cli/src/slopes.rs
+++ b/crates/cli/src/slopes.rs
@@ -5,7 +5,9 @@
 use std::path::{Path, PathBuf};
 use tracing::{info, warn};
 use vetchkeel_operator::OperatorFile;
-use vetchkeel_slopes::{Means, Measure, Measured, PLAYS, Play, SlopeTable, Unmeasured, measures, play};
+use vetchkeel_slopes::{
+    Means, Measure, Measured, PLAYS, Play, Progress, SlopeTable, Unmeasured, measures, play,
+};
 
 #[derive(clap::Args)]
 pub struct Asked {
@@ -75,6 +77,18 @@
     )
 }
 
+/// Every try, also a void one.
+fn told(progress: Progress) {
+    let Progress { run, size, needs } = progress;
+    match needs {
+        Ok(needs) => {
+            let needs: Vec<String> = needs.iter().map(|(name, need)| format!("{name} {need:.4e}")).collect();
+            info!(run, size, "{}", needs.join(", "));
+        }
+        Err(why) => warn!(run, size, why, "void"),
+    }
+}
+
 pub fn run(asked: &Asked, json: bool) -> Result<(), Failed> {
     let names = known_names(&asked.only)?;
     read_table(&asked.out)?;
@@ -88,11 +102,7 @@
     }
     let (mut done, mut failed): (Vec<Measured>, Vec<Unmeasured>) = (Vec::new(), Vec::new());
     for one in plays {
-        let results = play(one, one.sizes, asked.runs, &means, |p| {
-            let needs: Vec<String> =
-                p.needs.iter().map(|(name, need)| format!("{name} {need:.4e}")).collect();
-            info!(run = p.run, size = p.size, "{}", needs.join(", "));
-        });
+        let results = play(one, one.sizes, asked.runs, &means, told);
         let measured: Vec<Measured> = results.iter().flatten().cloned().collect();
         keep(&asked.out, &measured)?;
         done.extend(measured);
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use catalogue::{Means, Measure, PLAYS, Play, measures};
 pub use fit::{Fit, Point, fit, means};
-pub use measure::{Measured, Progress, Unmeasured, play};
+pub use measure::{Measured, Progress, TRIES, Unmeasured, play};
 pub use table::{Kind, Slope, SlopeTable};
 
 #[cfg(test)]
