Module: new settings are put in force in a running router, whole or not at all

Seen in `Program::reload`: "takes effect at the next start".

Change: what follows from settings is worked out in `Router::reconfigure`, which `start` uses too. Command groups stand in numbered places (`CommandGroups`, src/state.rs): a command in hand keeps the one it came in with, attempts and hold-off included, a place that nothing open knows is used again. Latencies and customers' counts go on under their names.

Measured: 33 new cases; each seen red with its defence taken out (places not held, counts and latencies not carried over, order, check of numbers, places not used again).

--- a/src/decay.rs
+++ b/src/decay.rs
@@ -3,7 +3,7 @@
 use crate::interface::Tenths;
 use std::collections::BTreeMap;
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Decay {
     sum: f64,
     at: Tenths,
@@ -33,7 +33,7 @@
 }
 
 /// A mean whose parts fade with age.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Mean {
     sum: Decay,
     weight: Decay,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 use crate::decay::{ByAge, Decay, Mean};
 use crate::interface::*;
 use crate::state::*;
-use crate::told::{command_groups, is, pick, shares, tenths};
+use crate::told::{command_groups, is, numbers, pick, shares, tenths};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -63,8 +63,7 @@
 #[derive(Default)]
 pub struct Router {
     told: Told,
-    groups: Vec<CommandGroup>,
-    kinds: BTreeMap<String, usize>,
+    groups: CommandGroups,
     order: Vec<usize>,
     shares: BTreeMap<String, (f64, Decay)>,
     all_traffic: Decay,
@@ -103,42 +102,58 @@
     tick: Tenths,
     tightest: Tenths,
     busy: f64,
-    most: u32,
 }
 
 impl Router {
     pub fn start(told: Told, seed: u64, now: Tenths) -> Result<Router, String> {
-        // What is not told is read the cautious way: the primary alone, and never twice.
-        let (groups, kinds) = command_groups(&told, Access::Write, Effect::Mutating)?;
-        let bound = |g: &CommandGroup| if let Access::Bounded(b) = g.access { Some(b) } else { None };
-        let held = groups.iter().filter(|g| matches!(g.access, Access::Write | Access::Fresh));
-        let held = held.map(|g| g.target as f64).fold(f64::INFINITY, f64::min);
-        let tightest = groups.iter().filter_map(bound).min().unwrap_or(SECOND);
-        let mut order: Vec<usize> = (0..groups.len()).collect();
-        let density = |i: usize| groups[i].benefit / groups[i].target as f64;
-        order.sort_by(|a, b| density(*b).total_cmp(&density(*a)));
         let watch = (!is(&told, "membership_mode", "automatic")).then_some((now, Task::Watch));
-        Ok(Router {
-            tick: tenths(pick(&told, "tick_ms", 1.0)?).max(1),
-            cheap: groups.iter().map(|g| g.target).min().unwrap_or(0) * 3,
-            held,
-            most: pick(&told, "permissions.max_attempts", 1)?,
-            busy: (WINDOW_BUSY / pick(&told, "balancers", 1.0)?).round(),
-            least: (WINDOW_LEAST * WINDOW_START / pick(&told, "balancers", 1.0)?).min(WINDOW_LEAST),
-            shares: shares(&told)?,
-            node_checks: ["refuse", "wait"].iter().any(|c| is(&told, "family_info.server_checks", c)),
-            told,
-            groups,
-            kinds,
-            order,
+        let mut router = Router {
             rng: Chance::from(seed),
             agenda: watch.into_iter().collect(),
-            tightest,
             pace: PACE_MOST,
             paced_at: now,
             began: now,
             ..Router::default()
-        })
+        };
+        router.reconfigure(told)?;
+        Ok(router)
+    }
+
+    /// New settings are in force from now on, whole; an error leaves the old ones. Danger: a command that
+    /// came in as repeatable must end as that. It keeps its group, with all that this says of it.
+    pub fn reconfigure(&mut self, told: Told) -> Result<(), String> {
+        // What is not told is read the cautious way: the primary alone, and never twice.
+        let mut groups = command_groups(&told, Access::Write, Effect::Mutating)?;
+        let (routers, tick) = (pick(&told, "balancers", 1.0)?, tenths(pick(&told, "tick_ms", 1.0)?).max(1));
+        let mut shares = numbers(&told).and_then(|()| shares(&told))?;
+        let counted = |name: &String| self.shares.get(name).map_or(Decay::default(), |held| held.1);
+        shares.iter_mut().for_each(|(name, share)| share.1 = counted(name));
+        (self.told, self.tick, self.shares) = (told, tick, shares);
+        // Danger: without late benefit a further try is served for nothing and crowds out first tries. Such
+        // a client is kept away for as long as clients heed.
+        let heeded = tenths(self.number("permissions.max_retry_after_ms", 0.0));
+        for (_, group) in groups.iter_mut().filter(|_| self.allows("permissions.retry_after")) {
+            group.hold_off = if group.late_share > 0.0 { group.target } else { heeded.max(group.target) };
+        }
+        let mut held: BTreeSet<usize> = self.open.values().map(|c| c.kind).collect();
+        self.groups.replace(groups, &held);
+        let in_use = || self.groups.in_use(&held);
+        let waits = in_use().filter(|g| matches!(g.access, Access::Write | Access::Fresh));
+        self.held = waits.map(|g| g.target as f64).fold(f64::INFINITY, f64::min);
+        let bound = |g: &CommandGroup| if let Access::Bounded(b) = g.access { Some(b) } else { None };
+        self.tightest = in_use().filter_map(bound).min().unwrap_or(SECOND);
+        self.cheap = in_use().map(|g| g.target).min().unwrap_or(0) * 3;
+        // What came in under earlier settings goes first, so that the others' places in the pace stay.
+        let mut order: Vec<usize> = self.groups.named.values().copied().collect();
+        held.retain(|place| !order.contains(place));
+        let density = |i: usize| self.groups.places[i].benefit / self.groups.places[i].target as f64;
+        order.sort_by(|a, b| density(*b).total_cmp(&density(*a)).then(a.cmp(b)));
+        self.order = held.into_iter().chain(order).collect();
+        self.busy = (WINDOW_BUSY / routers).round();
+        self.least = (WINDOW_LEAST * WINDOW_START / routers).min(WINDOW_LEAST);
+        self.node_checks = ["refuse", "wait"].iter().any(|c| is(&self.told, "family_info.server_checks", c));
+        self.dirty.extend(self.sets.keys());
+        Ok(())
     }
 
     fn number(&self, name: &str, or: f64) -> f64 {
@@ -152,8 +167,9 @@
     // ---- what the host tells: what is known is brought up to date, nothing is decided ----
 
     pub fn command_arrived(&mut self, now: Tenths, command: Command) -> Result<(), String> {
-        let kind = *self.kinds.get(&command.command_group).ok_or("command of a group not in the settings")?;
-        let group = &self.groups[kind];
+        let kind = self.groups.named.get(&command.command_group).copied();
+        let kind = kind.ok_or("command of a group not in the settings")?;
+        let group = &self.groups.places[kind];
         let (timeout, target) = (now + command.time_left, now + group.target);
         // Without late benefit nothing is spent past the response target, nor ended past it.
         let ends = if group.late_share > 0.0 { timeout } else { timeout.min(target) } - 2 * self.tick;
@@ -196,7 +212,7 @@
         let Some(&key) = self.by_id.get(id) else { return };
         let Some(cmd) = self.open.get_mut(&key) else { return };
         let Some((node, sent)) = cmd.out.remove(&dispatch) else { return };
-        let write = self.groups[cmd.kind].access == Access::Write;
+        let write = self.groups.places[cmd.kind].access == Access::Write;
         let answered = ending == Ending::Answered;
         let unproven = matches!(ending, Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff);
         cmd.maybe_ran = cmd.maybe_ran.or(unproven.then_some((node, sent)));
@@ -218,7 +234,7 @@
         let number = cmd.set;
         self.dirty.insert(number);
         self.used.insert(node);
-        let group = &mut self.groups[cmd.kind];
+        let group = &mut self.groups.places[cmd.kind];
         let (kind, target, ratio) = (cmd.kind, group.target as f64, took as f64 / group.target as f64);
         answered.then(|| group.latency.add(now, USUAL_HALF, took as f64));
         match (over, cmd.closed) {
@@ -536,11 +552,15 @@
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
         let ran = cmd.maybe_ran.is_some_and(|(at, _)| self.repeatable_for(now, cmd, at) <= 0);
         let late = cmd.patience.min(cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths);
-        if cmd.dispatches >= self.most || ran || cmd.hopeless || now + self.tick >= cmd.ends {
+        if cmd.dispatches >= self.groups.places[cmd.kind].attempts
+            || ran
+            || cmd.hopeless
+            || now + self.tick >= cmd.ends
+        {
             return self.give_up(now, key);
         }
         let set = self.sets.entry(cmd.set).or_default();
-        set.waiting.resize(self.groups.len(), BTreeSet::new());
+        set.waiting.resize(self.groups.places.len(), BTreeSet::new());
         if !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key))) && late <= now {
             return self.give_up(now, key);
         }
@@ -554,15 +574,10 @@
         if cmd.closed || (!cmd.out.is_empty() && now < cmd.ends) {
             return;
         }
-        let group = &self.groups[cmd.kind];
+        let group = &self.groups.places[cmd.kind];
         let free = matches!(group.effect, Effect::Replayable | Effect::Keyed { everywhere: true, .. });
         let harmless = free || (cmd.maybe_ran.is_none() && cmd.out.is_empty());
-        // Danger: without late benefit a further try is served for nothing and crowds out first tries. Such
-        // a client is kept away for as long as clients heed.
-        let heeded = tenths(self.number("permissions.max_retry_after_ms", 0.0));
-        let most = if group.late_share > 0.0 { group.target } else { heeded.max(group.target) };
-        let hold_off = if self.allows("permissions.retry_after") { most } else { 0 };
-        let throttle = Decision::Throttle { command: cmd.id.clone(), hold_off };
+        let throttle = Decision::Throttle { command: cmd.id.clone(), hold_off: group.hold_off };
         self.ready.push_back(if harmless { throttle } else { Decision::Fail { command: cmd.id.clone() } });
         self.close(key);
     }
@@ -612,7 +627,7 @@
 
     /// True if the command was sent.
     fn offer(&mut self, now: Tenths, number: i64, key: u64) -> bool {
-        let node = match self.groups[self.open[&key].kind].access {
+        let node = match self.groups.places[self.open[&key].kind].access {
             Access::Write | Access::Fresh => match self.primary(number) {
                 Some(primary) => Some(primary).filter(|p| self.has_room(now, *p, 1.0, self.busy)),
                 None => {
@@ -635,7 +650,8 @@
         let can_probe = self.allows("permissions.may_probe");
         let set = self.sets.get_mut(&number)?;
         let cmd = self.open.get_mut(&key)?;
-        let write = self.groups[cmd.kind].access == Access::Write;
+        let group = &self.groups.places[cmd.kind];
+        let (write, most) = (group.access == Access::Write, group.attempts);
         if !write || set.scout.is_some_and(|s| s != key) || set.round_at > now {
             return None;
         }
@@ -648,7 +664,7 @@
         };
         let walk = set.nodes.iter().copied().filter(|n| {
             let m = &self.members[*n];
-            !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < self.most.div_ceil(2)
+            !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < most.div_ceil(2)
         });
         let ranked =
             walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
@@ -709,7 +725,7 @@
 
     /// The usual latency of a command group's answers.
     fn usual(&self, now: Tenths, kind: usize) -> f64 {
-        let group = &self.groups[kind];
+        let group = &self.groups.places[kind];
         group.latency.read(now, USUAL_HALF, group.target as f64 * USUAL_GUESS)
     }
 
@@ -794,15 +810,15 @@
 
     /// A read that may outlast the tightest bound, at twice its unhurried time.
     fn outlasts(&self, kind: usize) -> bool {
-        let time = self.groups[kind].target as f64 * USUAL_GUESS * 2.0;
-        self.groups[kind].access == Access::Any && time > self.tightest as f64
+        let time = self.groups.places[kind].target as f64 * USUAL_GUESS * 2.0;
+        self.groups.places[kind].access == Access::Any && time > self.tightest as f64
     }
 
     /// For how long a member stays fresh enough: known position against bound or token. Where nodes check for
     /// themselves, how far behind it was at the last word of it. Danger: a miss for one need (a session's
     /// write of 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
     fn fresh_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
-        let fresh = match self.groups[cmd.kind].access {
+        let fresh = match self.groups.places[cmd.kind].access {
             Access::Bounded(bound) if !self.node_checks => return m.position + bound - now,
             Access::Bounded(bound) => m.behind(now) < bound,
             Access::Session => {
@@ -817,8 +833,8 @@
     /// what must first get a connection is written when a rule forbids it by then. So it says for how long.
     fn lawful_for(&self, now: Tenths, key: u64, node: Node) -> Tenths {
         let (cmd, m) = (&self.open[&key], &self.members[node]);
-        let group = &self.groups[cmd.kind];
-        let answer = !cmd.closed && now < cmd.ends && cmd.dispatches < self.most && m.set == cmd.set;
+        let group = &self.groups.places[cmd.kind];
+        let answer = !cmd.closed && now < cmd.ends && cmd.dispatches < group.attempts && m.set == cmd.set;
         if !answer || !cmd.out.is_empty() || self.cold_credit(now, m) < group.target as f64 {
             return 0;
         }
@@ -829,7 +845,7 @@
     fn takes_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
         // Danger: named as primary by a report after a note as replica, it may be none again. No excuse then.
         let primary = (m.state == State::Healthy || m.been_primary) && m.noted != Some(false);
-        let unaged = primary || self.node_checks || self.groups[cmd.kind].access == Access::Write;
+        let unaged = primary || self.node_checks || self.groups.places[cmd.kind].access == Access::Write;
         match (m.shut || self.may_drain(m), unaged) {
             (true, _) => 0,
             (_, true) => Tenths::MAX,
@@ -856,7 +872,7 @@
 
     /// What may have run goes out again only if it is replayable, or keyed, in scope and in time.
     fn repeatable_for(&self, now: Tenths, cmd: &Open, node: Node) -> Tenths {
-        cmd.maybe_ran.map_or(Tenths::MAX, |(at, sent)| match self.groups[cmd.kind].effect {
+        cmd.maybe_ran.map_or(Tenths::MAX, |(at, sent)| match self.groups.places[cmd.kind].effect {
             Effect::Replayable => Tenths::MAX,
             Effect::Mutating => 0,
             Effect::Keyed { everywhere, by_zone, window } => {
@@ -913,7 +929,7 @@
         let patience = (self.usual(now, kind) * 2.5) as Tenths;
         self.agenda.insert((now + patience.max(2 * self.tick), Task::Overdue(key, dispatch)));
         let credit = self.cold_credit(now, &self.members[node]);
-        let work = self.groups[kind].target as f64;
+        let work = self.groups.places[kind].target as f64;
         self.allowance -= if self.paced(now, self.members[node].set) { work } else { 0.0 };
         let m = &mut self.members[node];
         m.out.insert((key, dispatch), now);
@@ -925,7 +941,7 @@
     fn overdue(&mut self, now: Tenths, key: u64, dispatch: u32) {
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed) else { return };
         let Some(&(node, sent)) = cmd.out.get(&dispatch) else { return };
-        let (number, target) = (cmd.set, self.groups[cmd.kind].target);
+        let (number, target) = (cmd.set, self.groups.places[cmd.kind].target);
         let usual = (self.usual(now, cmd.kind) as Tenths).max(self.tick);
         let m = &self.members[node];
         let late = m.unheard + m.out.values().filter(|at| **at + 2 * usual < now).count();
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -6,8 +6,8 @@
 const NOW: Tenths = 1_000_000;
 const KINDS: [&str; 5] = ["any", "bounded", "session", "fresh", "write"];
 
-/// A router with one set of three members, `a` the listed primary, and a command group for each access.
-fn router(extra: &[(&str, &str)]) -> Router {
+/// Settings with a command group for each access; what is `extra` is told besides, or instead.
+fn told(extra: &[(&str, &str)]) -> Told {
     let mut told = Told::new();
     let mut tell = |name: &str, value: &str| _ = told.insert(name.to_owned(), value.to_owned());
     tell("request_classes.count", "5");
@@ -28,7 +28,12 @@
     for (name, value) in extra {
         tell(name, value);
     }
-    let mut router = Router::start(told, 7, NOW - SECOND).expect("complete settings");
+    told
+}
+
+/// A router with one set of three members, `a` the listed primary, and a command group for each access.
+fn router(extra: &[(&str, &str)]) -> Router {
+    let mut router = Router::start(told(extra), 7, NOW - SECOND).expect("complete settings");
     let entries: Vec<Entry> = ["a", "b", "c"].iter().map(|id| entry(id, Phase::Up, 0)).collect();
     router.members_changed(NOW - SECOND, true, &entries);
     router
@@ -73,7 +78,7 @@
             r.members[1].credit
         })
         .collect();
-    assert!(credits.iter().all(|c| *c < r.groups[0].target as f64), "{credits:?}");
+    assert!(credits.iter().all(|c| *c < r.groups.places[0].target as f64), "{credits:?}");
 }
 
 #[rstest]
@@ -1111,3 +1116,98 @@
     let why = Router::start(told, 7, NOW).err().expect("not to be told apart");
     assert_eq!(why, "expected another name for request_classes.1, found 'a' at 0 too");
 }
+
+#[rstest]
+#[case::effect("request_classes.4.semantics", "pure")]
+#[case::access("family_info.class_read", "any,bounded,session,fresh,fresh")]
+#[case::target("request_classes.4.aim_ms", "50")]
+#[case::late_share("request_classes.4.late_value", "0")]
+#[case::benefit("request_classes.4.importance", "9")]
+#[case::attempts("permissions.max_attempts", "1")]
+#[case::hold_off("permissions.retry_after", "false")]
+#[case::name("request_classes.4.name", "other")]
+#[case::dropped("request_classes.count", "4")]
+fn a_command_in_hand_keeps_the_group_it_came_in_with(#[case] name: &str, #[case] value: &str) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let group = r.groups.places[4].clone();
+    r.reconfigure(told(&[(name, value)])).expect("settings that are whole");
+    assert_eq!(r.groups.places[r.open[&0].kind], group);
+    assert_ne!(r.groups.named.get("write"), Some(&4));
+    assert_eq!(r.order[0], 4, "it has its turn: {:?}", r.order);
+}
+
+#[rstest]
+#[case::effect("request_classes.4.semantics", "pure", |r: &Router, at: usize| r.groups.places[at].effect == Effect::Replayable)]
+#[case::target("request_classes.4.aim_ms", "50", |r: &Router, at: usize| r.groups.places[at].target == 500)]
+#[case::attempts("permissions.max_attempts", "1", |r: &Router, at: usize| r.groups.places[at].attempts == 1)]
+#[case::cheapest("request_classes.4.aim_ms", "50", |r: &Router, _: usize| r.cheap == 1_500)]
+#[case::tightest("family_info.lag_allowed_ms", "0,40,0,0,0", |r: &Router, _: usize| r.tightest == 400)]
+#[case::many_routers("balancers", "100", |r: &Router, _: usize| r.least < WINDOW_LEAST)]
+#[case::checks("family_info.server_checks", "wait", |r: &Router, _: usize| r.node_checks)]
+#[case::cancel("permissions.cancel", "false", |r: &Router, _: usize| !r.allows("permissions.cancel"))]
+fn new_settings_hold_for_what_comes(
+    #[case] name: &str,
+    #[case] value: &str,
+    #[case] holds: fn(&Router, usize) -> bool,
+) {
+    let mut r = router(&[]);
+    r.reconfigure(told(&[(name, value)])).expect("settings that are whole");
+    assert!(holds(&r, r.groups.named["write"]));
+}
+
+#[rstest]
+#[case::no_count("request_classes.count", "many")]
+#[case::no_name("request_classes.count", "6")]
+#[case::name_twice("request_classes.4.name", "any")]
+#[case::no_time("request_classes.4.hard_limit_ms", "soon")]
+#[case::no_number("rules.drain_grace_ms", "half a second")]
+#[case::less_than_nothing("rules.fall_ms", "-1")]
+#[case::endless("rules.warm_after_ms", "inf")]
+#[case::not_a_number("penalties.cross_zone", "NaN")]
+#[case::attempts("permissions.max_attempts", "1.5")]
+#[case::share("projects.count", "1")]
+fn wrong_settings_change_nothing(#[case] name: &str, #[case] value: &str) {
+    let mut r = router(&[]);
+    let before = (r.told.clone(), r.groups.places.clone(), r.groups.named.clone(), r.order.clone());
+    let wrong = r.reconfigure(told(&[("request_classes.0.aim_ms", "77"), (name, value)]));
+    assert!(wrong.is_err());
+    assert_eq!((r.told, r.groups.places, r.groups.named, r.order), before);
+}
+
+#[rstest]
+#[case::same(&[], 5)]
+#[case::other_target(&[("request_classes.0.aim_ms", "77")], 5)]
+#[case::renamed(&[("request_classes.0.name", "other")], 5)]
+fn places_of_command_groups_are_used_again(#[case] change: &[(&str, &str)], #[case] most: usize) {
+    let mut r = router(&[]);
+    (0..100)
+        .for_each(|i| r.reconfigure(told(if i % 2 == 0 { change } else { &[] })).expect("whole settings"));
+    assert!(r.groups.places.len() <= most, "{}", r.groups.places.len());
+}
+
+#[rstest]
+fn what_was_measured_goes_on_under_its_name() {
+    let share = |share| [("projects.count", "1"), ("projects.0.name", "acme"), ("projects.0.share", share)];
+    let mut r = router(&share("0.5"));
+    r.beyond_share(NOW, "acme");
+    r.groups.places[0].latency.add(NOW, USUAL_HALF, 900.0);
+    let (usual, counted) = (r.usual(NOW, 0), r.shares["acme"].1);
+    let (count, name, share) = ("projects.count", "projects.0.name", "projects.0.share");
+    let change = [(count, "1"), (name, "acme"), (share, "0.2"), ("request_classes.0.importance", "3")];
+    r.reconfigure(told(&change)).expect("settings that are whole");
+    assert_eq!((r.usual(NOW, r.groups.named["any"]), r.shares["acme"]), (usual, (0.2, counted)));
+}
+
+#[rstest]
+#[case::dearer("3")]
+#[case::cheaper("0.1")]
+fn commands_in_hand_leave_the_others_their_places_in_the_pace(#[case] benefit: &str) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let change = told(&[("request_classes.4.importance", benefit)]);
+    let behind = |r: &Router| r.order.iter().rev().position(|place| *place == r.groups.named["any"]);
+    let alone = Router::start(change.clone(), 7, NOW).expect("settings that are whole");
+    r.reconfigure(change).expect("settings that are whole");
+    assert_eq!(behind(&r), behind(&alone));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,16 +36,61 @@
     Mutating,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct CommandGroup {
     pub access: Access,
     pub effect: Effect,
     pub target: Tenths,
     pub late_share: f64,
     pub benefit: f64,
+    /// The most dispatches of one command.
+    pub attempts: u32,
+    /// How long a throttled client is told to stay away.
+    pub hold_off: Tenths,
     pub latency: Mean,
 }
 
+/// Command groups in numbered places. A command knows its group by the place, so a group that new settings
+/// change or drop stays as it is for as long as a command of it is open.
+#[derive(Debug, Default)]
+pub(crate) struct CommandGroups {
+    pub places: Vec<CommandGroup>,
+    /// Where the settings' groups are.
+    pub named: BTreeMap<String, usize>,
+}
+
+impl CommandGroups {
+    /// Takes in the groups of new settings, `held` being the places that open commands know. One that is as it
+    /// was keeps its place; another gets one that is not held, with what was measured under its name.
+    pub(crate) fn replace(&mut self, told: Vec<(String, CommandGroup)>, held: &BTreeSet<usize>) {
+        let old = std::mem::take(&mut self.named);
+        let (mut taken, mut moved) = (held.clone(), Vec::new());
+        for (name, mut group) in told {
+            let place = old.get(&name).copied();
+            group.latency = place.map_or(group.latency, |place| self.places[place].latency);
+            match place.filter(|place| self.places[*place] == group) {
+                Some(place) => _ = (taken.insert(place), self.named.insert(name, place)),
+                None => moved.push((name, group)),
+            }
+        }
+        for (name, group) in moved {
+            let place = (0..).find(|place| !taken.contains(place)).unwrap_or(self.places.len());
+            match self.places.get_mut(place) {
+                Some(vacant) => *vacant = group,
+                None => self.places.push(group),
+            }
+            _ = (taken.insert(place), self.named.insert(name, place));
+        }
+    }
+
+    /// Those of the settings and of open commands, as far as `held` names them.
+    pub(crate) fn in_use<'a>(&'a self, held: &'a BTreeSet<usize>) -> impl Iterator<Item = &'a CommandGroup> {
+        held.iter()
+            .chain(self.named.values().filter(|place| !held.contains(*place)))
+            .map(|p| &self.places[*p])
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Member {
     pub id: Id,
--- a/src/told.rs
+++ b/src/told.rs
@@ -20,28 +20,52 @@
     value.parse().map_err(|_| format!("setting {name}: cannot read '{value}'"))
 }
 
+/// Settings that are numbers from 0 and are read as they are used.
+const NUMBERS: [&str; 10] = [
+    "me",
+    "balancers",
+    "penalties.cross_zone",
+    "permissions.dial_timeout_ms",
+    "permissions.max_retry_after_ms",
+    "rules.drain_grace_ms",
+    "rules.fall_ms",
+    "rules.start_capacity",
+    "rules.tip_multiple",
+    "rules.warm_after_ms",
+];
+
+/// Whether all those that are told can be read. Danger: read where it is used, a wrong one would count as none.
+pub(crate) fn numbers(told: &Told) -> Result<(), String> {
+    let good = |value: &String| value.parse().is_ok_and(|number: f64| number.is_finite() && number >= 0.0);
+    let told = NUMBERS.iter().filter_map(|name| Some((name, told.get(*name)?)));
+    let wrong = told.into_iter().find(|(_, value)| !good(value));
+    wrong.map_or(Ok(()), |(name, value)| {
+        Err(format!("setting {name}: expected a number from 0, found '{value}'"))
+    })
+}
+
 /// One value of a plain list.
 fn item<'a>(told: &'a Told, name: &str, at: usize) -> Option<&'a str> {
     told.get(name)?.split(',').nth(at)
 }
 
-/// The command groups, and their places by name; `access` and `effect` stand where none is told.
+/// The command groups in the settings' order, by name; `access` and `effect` stand where none is told.
 pub(crate) fn command_groups(
     told: &Told,
     access: Access,
     effect: Effect,
-) -> Result<(Vec<CommandGroup>, BTreeMap<String, usize>), String> {
-    let (mut groups, mut kinds) = (Vec::new(), BTreeMap::new());
+) -> Result<Vec<(String, CommandGroup)>, String> {
+    let (mut groups, mut places) = (Vec::new(), BTreeMap::new());
     for i in 0..need(told, "request_classes.count")? {
         let (name, group) = command_group(told, i, access, effect)?;
-        if let Some(first) = kinds.insert(name.clone(), i) {
+        if let Some(first) = places.insert(name.clone(), i) {
             return Err(format!(
                 "expected another name for request_classes.{i}, found '{name}' at {first} too"
             ));
         }
-        groups.push(group);
+        groups.push((name, group));
     }
-    Ok((groups, kinds))
+    Ok(groups)
 }
 
 /// The customers' shares, each with nothing counted yet.
@@ -82,7 +106,9 @@
     let target = tenths(pick(told, &key("aim_ms"), timeout)?).max(1);
     let late_share = pick(told, &key("late_value"), 0.0)?;
     let benefit = pick(told, &key("importance"), 1.0)?;
-    let group = CommandGroup { access, effect, target, late_share, benefit, latency: Default::default() };
+    let attempts = pick(told, "permissions.max_attempts", 1)?;
+    let (hold_off, latency) = (0, Default::default());
+    let group = CommandGroup { access, effect, target, late_share, benefit, attempts, hold_off, latency };
     Ok((need(told, &key("name"))?, group))
 }
 
