Module: while no member of a set works, each is asked again after two seconds

Cause: a member whose first probes fail rests as after six failures (`break_member`), and the rest is base to twice base: 5 to 10 s. Seen over sockets: 5.04 s until the first attempt.

Change: `rested` (src/decide.rs) in place of the bare time: where no member of the set works, two seconds after the last probe are enough. Beside one that works the long rest stays, as it guards against lists with names that don't exist.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -107,14 +107,9 @@
 impl Router {
     pub fn start(told: Told, seed: u64, now: Tenths) -> Result<Router, String> {
         let watch = (!is(&told, "membership_mode", "automatic")).then_some((now, Task::Watch));
-        let mut router = Router {
-            rng: Chance::from(seed),
-            agenda: watch.into_iter().collect(),
-            pace: PACE_MOST,
-            paced_at: now,
-            began: now,
-            ..Router::default()
-        };
+        let mut router = Router { rng: Chance::from(seed), pace: PACE_MOST, ..Router::default() };
+        (router.paced_at, router.began) = (now, now);
+        router.agenda.extend(watch);
         router.reconfigure(told)?;
         Ok(router)
     }
@@ -687,9 +682,9 @@
     fn seek(&mut self, now: Tenths, number: i64) {
         let Some(set) = self.sets.get_mut(&number).filter(|s| s.seek_at <= now) else { return };
         set.seek_at = now + PAUSE;
-        let open = set.nodes.iter().copied().filter(|n| {
+        let open = self.sets[&number].nodes.iter().copied().filter(|n| {
             let m = &self.members[*n];
-            !m.shut && !m.probing && (m.state != State::TransportError || m.retry_at <= now)
+            !m.shut && !m.probing && (m.state != State::TransportError || self.rested(now, m))
         });
         // Danger: one that never answers is asked for ever. A probe without an answer counts too.
         let last = |m: &Member| m.asked_at.max(m.checked_at);
@@ -714,7 +709,15 @@
     fn ask_due(&self, now: Tenths, m: &Member) -> bool {
         let behind = (m.checked_at - m.position - self.tightest).clamp(0, 2 * SECOND);
         let rest = if m.position == 0 { PAUSE } else { PAUSE.max(self.tightest / 2).max(behind / 4) };
-        if m.state == State::TransportError { m.retry_at <= now } else { m.checked_at + rest <= now }
+        if m.state == State::TransportError { self.rested(now, m) } else { m.checked_at + rest <= now }
+    }
+
+    /// Danger: a set whose members were all out of reach is turned away until the longest rest is over, 10 s
+    /// after they are back. While none of it works, each is asked again after two seconds.
+    fn rested(&self, now: Tenths, m: &Member) -> bool {
+        let works = |n: &Node| !self.members[*n].shut && self.members[*n].state != State::TransportError;
+        let none = |set: &MemberSet| !set.nodes.iter().any(works);
+        m.retry_at <= now || (m.asked_at + 2 * SECOND <= now && self.sets.get(&m.set).is_some_and(none))
     }
 
     /// Danger: a primary that is slow, not crowded, is spared until it idles; nobody else takes its writes.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -623,6 +623,39 @@
     assert!((NOW + least..NOW + 2 * least).contains(&r.members[1].retry_at));
 }
 
+/// With a probe that is lost just before they are back, all within the 4 s that a router may idle for.
+#[rstest]
+#[case::never_met(false, 0)]
+#[case::for_long(true, 9)]
+fn while_no_member_works_one_is_asked_within_a_while(#[case] met: bool, #[case] fails: u32) {
+    let mut r = router(&[]);
+    for node in 0..3 {
+        (r.members[node].met, r.members[node].fails) = (met, fails);
+        r.break_member(NOW, node);
+    }
+    open(&mut r, "any");
+    let at = NOW + 5 * SECOND / 2;
+    assert_eq!(r.pick_reader(at, 1, 0), None);
+    r.seek(at, 1);
+    assert!(r.ready.iter().any(|d| matches!(d, Decision::Probe { .. })), "nobody is asked 2.5 s later");
+}
+
+#[rstest]
+#[case::beside_one_that_works(State::Unknown, NOW - 3 * SECOND, false)]
+#[case::beside_none(State::TransportError, NOW - 3 * SECOND, true)]
+#[case::asked_lately(State::TransportError, NOW - SECOND, false)]
+fn a_broken_member_rests_less_where_none_works(
+    #[case] others: State,
+    #[case] asked_at: Tenths,
+    #[case] rested: bool,
+) {
+    let mut r = router(&[]);
+    r.members.iter_mut().for_each(|m| m.state = others);
+    let m = &mut r.members[1];
+    (m.state, m.retry_at, m.asked_at) = (State::TransportError, NOW + 5 * SECOND, asked_at);
+    assert_eq!(r.rested(NOW, &r.members[1]), rested);
+}
+
 #[rstest]
 fn a_seeking_round_asks_each_in_turn() {
     let mut r = router(&[]);
