Module: a command is settled once a turn, so one that comes back is offered before it is given up

Cause: the timer that `settle` leaves behind stays on the agenda when the command is sent. Where the dispatch ends once that time is over, `dispatch_ended` added a second one; the first put the command into the queue, the second, taken before the set was served, found it there and gave it up.

Change: `Open::settles` holds the one time (`settle_at`, src/decide.rs). Three places said shorter, with the same result.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -162,8 +162,7 @@
     // ---- what the host tells: what is known is brought up to date, nothing is decided ----
 
     pub fn command_arrived(&mut self, now: Tenths, command: Command) -> Result<(), String> {
-        let kind = self.groups.named.get(&command.command_group).copied();
-        let kind = kind.ok_or("command of a group not in the settings")?;
+        let kind = *self.groups.named.get(&command.command_group).ok_or("no such command group")?;
         let group = &self.groups.places[kind];
         let (timeout, target) = (now + command.time_left, now + group.target);
         // Without late benefit nothing is spent past the response target, nor ended past it.
@@ -193,7 +192,7 @@
         let patience = now + command.time_left / 2 - 2 * self.tick;
         self.open
             .insert(key, Open { id, kind, set, rank, ends, patience, needs, session, ..Open::default() });
-        self.agenda.insert((now, Task::Settle(key)));
+        self.settle_at(now, key);
         self.agenda.insert((ends, Task::GiveUp(key)));
         Ok(())
     }
@@ -235,7 +234,7 @@
         match (over, cmd.closed) {
             (true, _) => self.close(key),
             (_, true) => self.forget(key),
-            _ => _ = self.agenda.insert((now, Task::Settle(key))),
+            _ => self.settle_at(now, key),
         }
         let tells = answered || matches!(ending, Ending::TimedOut | Ending::Full);
         if let (true, Some(set)) = (tells, self.sets.get_mut(&number)) {
@@ -560,7 +559,14 @@
             return self.give_up(now, key);
         }
         self.dirty.insert(cmd.set);
-        self.agenda.insert((late.max(now + self.tick), Task::Settle(key)));
+        self.settle_at(late.max(now + self.tick), key);
+    }
+
+    /// Danger: settled twice in one turn, a command that came back to wait is given up before it is offered.
+    fn settle_at(&mut self, at: Tenths, key: u64) {
+        let Some(cmd) = self.open.get_mut(&key) else { return };
+        self.agenda.remove(&(std::mem::replace(&mut cmd.settles, at), Task::Settle(key)));
+        self.agenda.insert((at, Task::Settle(key)));
     }
 
     /// The final answer of a command that is given up: throttled where a repeat is harmless, else failed.
@@ -657,12 +663,10 @@
             State::TopologyReject => !can_probe || m.noted_at + 5 * PAUSE < now,
             _ => true,
         };
-        let walk = set.nodes.iter().copied().filter(|n| {
-            let m = &self.members[*n];
+        let walk = set.nodes.iter().map(|n| (&self.members[*n], *n)).filter(|(m, n)| {
             !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < most.div_ceil(2)
         });
-        let ranked =
-            walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
+        let ranked = walk.map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
         if let Some((.., node)) = ranked.min() {
             cmd.tried.push(node);
             set.scout = Some(key);
@@ -756,13 +760,10 @@
                 (count, first) = (count + 1.0, first.or(Some(node)));
             }
             if m.state == State::TransportError || strange || self.fresh_for(now, cmd, m) <= 0 {
-                let first = if strange { &mut meet } else { &mut ask };
-                if !m.probing
-                    && self.ask_due(now, m)
-                    && first.is_none_or(|a: (f64, usize, Node)| (m.turn, m.tie) < (a.0, a.1))
-                {
-                    *first = Some((m.turn, m.tie, node));
-                }
+                let first: &mut Option<(f64, usize, Node)> = if strange { &mut meet } else { &mut ask };
+                let sooner = first.is_none_or(|a| (m.turn, m.tie) < (a.0, a.1));
+                let due = !m.probing && sooner && self.ask_due(now, m);
+                *first = if due { Some((m.turn, m.tie, node)) } else { *first };
                 continue;
             }
             let sooner = best.is_none_or(|b| (m.turn, m.tie) < (b.0, b.1));
@@ -796,11 +797,9 @@
         let wait = (self.usual(now, self.open[&key].kind) / 2.0) as Tenths;
         let checked = |n: &Node| {
             let m = &self.members[*n];
-            let works = m.probing && !matches!(m.state, State::Healthy | State::TransportError);
-            works
-                && (m.met || !known)
-                && now < m.asked_at + wait
-                && self.fresh_for(now, &self.open[&key], m) <= 0
+            let works = !matches!(m.state, State::Healthy | State::TransportError) && (m.met || !known);
+            let asked = m.probing && now < m.asked_at + wait;
+            works && asked && self.fresh_for(now, &self.open[&key], m) <= 0
         };
         if self.sets[&number].nodes.iter().any(checked) {
             return None;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -656,6 +656,36 @@
     assert_eq!(r.rested(NOW, &r.members[1]), rested);
 }
 
+#[rstest]
+#[case::first_settled_later(NOW + 500)]
+#[case::first_settled_in_the_same_turn(NOW)]
+#[case::first_settled_before(NOW - 1)]
+fn a_command_that_comes_back_is_settled_once(#[case] before: Tenths) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.settle_at(before, 0);
+    r.settle_at(NOW, 0);
+    let settles: Vec<_> = r.agenda.iter().filter(|(_, task)| *task == Task::Settle(0)).collect();
+    assert_eq!(settles, [&(NOW, Task::Settle(0))]);
+}
+
+/// The miss of a write comes in the turn in which its own first settling is due, past its patience.
+#[rstest]
+fn a_write_that_was_missed_late_is_offered_to_the_known_primary() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.agenda.clear();
+    r.settle_at(NOW - 1, 0);
+    let cmd = r.open.get_mut(&0).expect("open");
+    (cmd.patience, cmd.dispatches) = (NOW - 10, 1);
+    cmd.out.insert(0, (1, NOW - 100));
+    r.members[0].state = State::Healthy;
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Miss, Some(false)));
+    r.open.get_mut(&0).expect("open").ends = NOW + 100;
+    let sent = r.next_decision(NOW);
+    assert!(matches!(&sent, Some(Decision::Dispatch { node, .. }) if &**node == "a"), "{sent:?}");
+}
+
 #[rstest]
 fn a_seeking_round_asks_each_in_turn() {
     let mut r = router(&[]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -212,6 +212,8 @@
     pub ends: Tenths,
     /// How long it waits for a first dispatch to be written.
     pub patience: Tenths,
+    /// When it is looked at next while nothing of it is out.
+    pub settles: Tenths,
     /// The position that a session or fresh read must see.
     pub needs: Tenths,
     pub session: Option<String>,
