--- a/docs/measured/slopes.hcl
+++ b/docs/measured/slopes.hcl
@@ -32,6 +32,86 @@
   cores    = 8
 }
 
+slope "membership.bytes.instance" {
+  unit     = "bytes a second"
+  per      = "instance"
+  base     = 323.07037166666674
+  value    = -5.109444444462952e-5
+  low      = -3.3023333333318303e-4
+  high     = 3.3938333333333046e-4
+  residual = 9.575824577258219e-5
+  largest  = 500
+  sizes    = [100, 200, 300, 400, 500]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only membership.bytes.instance"
+  cores    = 8
+}
+
+slope "membership.bytes.start.instance" {
+  unit     = "bytes"
+  per      = "instance"
+  base     = -19698.489366666705
+  value    = 956.4786576666667
+  low      = 955.37939
+  high     = 957.6807085
+  residual = 0.040059388790024
+  largest  = 500
+  sizes    = [100, 200, 300, 400, 500]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only membership.bytes.start.instance"
+  cores    = 8
+}
+
+slope "membership.cpu.instance" {
+  unit     = "seconds"
+  per      = "instance"
+  base     = 3.7078979999999933e-6
+  value    = 1.3959627444444445e-7
+  low      = 1.3001430000000002e-7
+  high     = 1.5447711999999997e-7
+  residual = 0.15434793742457678
+  largest  = 500
+  sizes    = [100, 200, 300, 400, 500]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only membership.cpu.instance"
+  cores    = 8
+}
+
+slope "membership.cpu.start.instance" {
+  unit     = "seconds"
+  per      = "instance"
+  base     = -0.00690480533833333
+  value    = 9.278130628333332e-5
+  low      = 8.773169395000001e-5
+  high     = 9.971819719999999e-5
+  residual = 0.3896015685749699
+  largest  = 500
+  sizes    = [100, 200, 300, 400, 500]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only membership.cpu.start.instance"
+  cores    = 8
+}
+
+slope "membership.memory.instance" {
+  unit     = "bytes"
+  per      = "instance"
+  base     = 10953.920000000013
+  value    = 501.168
+  low      = 500.6288
+  high     = 501.552
+  residual = 0.019834460087466303
+  largest  = 500
+  sizes    = [100, 200, 300, 400, 500]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only membership.memory.instance"
+  cores    = 8
+}
+
 slope "module.list.change" {
   unit     = "seconds"
   per      = "member"
@@ -96,6 +176,198 @@
   cores    = 8
 }
 
+slope "router.connections.member" {
+  unit     = "connections"
+  per      = "member"
+  base     = 36.190086558876374
+  value    = 0.9936248026566499
+  low      = 0.9929024987751103
+  high     = 0.9947235015515271
+  residual = 0.011062492454911598
+  largest  = 4900
+  sizes    = [500, 1225, 2450, 3675, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.connections.member"
+  cores    = 8
+}
+
+slope "router.connections.member.390" {
+  unit     = "connections"
+  per      = "member"
+  base     = 337.09887533315
+  value    = 0.5225881352816835
+  low      = 0.5155365315687895
+  high     = 0.5331027019575406
+  residual = 5.719536565005359
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.connections.member.390"
+  cores    = 8
+}
+
+slope "router.cpu.idle.member" {
+  unit     = "seconds"
+  per      = "member"
+  base     = 1.9639121261460582e-5
+  value    = 1.9602059117926327e-9
+  low      = -1.518482774558831e-10
+  high     = 5.859374076796207e-9
+  residual = 0.1480672257313424
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.cpu.idle.member"
+  cores    = 8
+}
+
+slope "router.cpu.statement.member" {
+  unit     = "seconds"
+  per      = "member"
+  base     = 6.0994910650216455e-5
+  value    = 1.7187365922588904e-9
+  low      = 1.1801952191781292e-9
+  high     = 2.2431832876343777e-9
+  residual = 0.03503926331818342
+  largest  = 4900
+  sizes    = [500, 1225, 2450, 3675, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.cpu.statement.member"
+  cores    = 8
+}
+
+slope "router.cpu.statement.member.390" {
+  unit     = "seconds"
+  per      = "member"
+  base     = 1.1018703158647594e-4
+  value    = 1.906845620477426e-8
+  low      = 1.175739154440599e-8
+  high     = 2.4910867954421906e-8
+  residual = 0.09243625448223804
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.cpu.statement.member.390"
+  cores    = 8
+}
+
+slope "router.dials.member" {
+  unit     = "connections a second"
+  per      = "member"
+  base     = 2.3639055957841553
+  value    = -2.9542877586021915e-5
+  low      = -1.0708490049523836e-4
+  high     = 1.1284008214378208e-4
+  residual = 0.8046486553592551
+  largest  = 4900
+  sizes    = [500, 1225, 2450, 3675, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.dials.member"
+  cores    = 8
+}
+
+slope "router.dials.member.390" {
+  unit     = "connections a second"
+  per      = "member"
+  base     = -31.203800141541947
+  value    = 0.062052764073943334
+  low      = 0.06132493097636048
+  high     = 0.06294081384362626
+  residual = 73.2690603431096
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.dials.member.390"
+  cores    = 8
+}
+
+slope "router.list.change" {
+  unit     = "seconds"
+  per      = "member"
+  base     = 5.6131272017002085e-5
+  value    = 3.5250285088870514e-7
+  low      = 3.5098446202371107e-7
+  high     = 3.539456635015164e-7
+  residual = 0.3674852047260786
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.list.change"
+  cores    = 8
+}
+
+slope "router.list.silent" {
+  unit     = "bytes a second"
+  per      = "member"
+  base     = 1567.730378186301
+  value    = 45.93426818056759
+  low      = 43.29490294853864
+  high     = 47.72503516227654
+  residual = 0.5925827234098452
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.list.silent"
+  cores    = 8
+}
+
+slope "router.memory.member" {
+  unit     = "bytes"
+  per      = "member"
+  base     = 3427645.5614006063
+  value    = 1819.3851535704441
+  low      = 1808.6025210918115
+  high     = 1827.9272390405295
+  residual = 0.036232594769891886
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.memory.member"
+  cores    = 8
+}
+
+slope "router.probes.member" {
+  unit     = "probes a second"
+  per      = "member"
+  base     = 0.006575443814460805
+  value    = 3.227243698255253e-5
+  low      = -6.043622113807231e-6
+  high     = 5.943210766015708e-5
+  residual = 2.0835717101973072
+  largest  = 4900
+  sizes    = [500, 1225, 2450, 3675, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.probes.member"
+  cores    = 8
+}
+
+slope "router.probes.member.390" {
+  unit     = "probes a second"
+  per      = "member"
+  base     = -6.058751615515095e-3
+  value    = 1.2450654182334831e-5
+  low      = 0
+  high     = 3.735196254700449e-5
+  residual = 1
+  largest  = 4900
+  sizes    = [50, 500, 1225, 2450, 4900]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.probes.member.390"
+  cores    = 8
+}
+
 slope "subset.cpu.router_member" {
   unit     = "seconds"
   per      = "router times member"
