--- a/crates/slopes/src/shared.rs
+++ b/crates/slopes/src/shared.rs
@@ -25,7 +25,9 @@
 /// A budget's lenders, and its tokens a second: half as many as statements come in all.
 const LENDERS: usize = 20;
 const TOKENS_EACH: i64 = 1_786;
-const SIZES: [usize; 5] = [50, 100, 150, 200, 300];
+/// Instances. Of budgets fewer: a lender's work grows with their square.
+const INSTANCES: [usize; 5] = [100, 250, 500, 1_000, 2_100];
+const BORROWERS: [usize; 5] = [50, 100, 150, 200, 300];
 
 const fn simulated(name: &'static str, unit: &'static str) -> Measure {
     Measure { kind: Kind::Simulated, ..measured(name, unit, "instance") }
@@ -36,7 +38,7 @@
         simulated("shared.counts.cpu.instance", "seconds"),
         simulated("shared.counts.bytes.instance", "bytes a second"),
     ],
-    sizes: &SIZES,
+    sizes: &INSTANCES,
     run: counts,
     processes: false,
 };
@@ -46,7 +48,7 @@
         simulated("shared.judgements.cpu.instance", "seconds"),
         simulated("shared.judgements.bytes.instance", "bytes a second"),
     ],
-    sizes: &SIZES,
+    sizes: &INSTANCES,
     run: judgements,
     processes: false,
 };
@@ -62,7 +64,7 @@
             ..simulated("shared.budgets.cpu.lender.pair", "seconds")
         },
     ],
-    sizes: &SIZES,
+    sizes: &BORROWERS,
     run: budgets,
     processes: false,
 };
--- a/docs/measured/slopes.hcl
+++ b/docs/measured/slopes.hcl
@@ -19,11 +19,11 @@
 slope "list.whole.read" {
   unit     = "seconds"
   per      = "member"
-  base     = -5.548114940033197e-5
-  value    = 4.457893510173697e-6
-  low      = 3.2645634845326716e-6
-  high     = 5.313640111000827e-6
-  residual = 0.309495609113896
+  base     = -5.756033971560503e-4
+  value    = 4.429693054149434e-6
+  low      = 4.308738916956162e-6
+  high     = 4.57847194987593e-6
+  residual = 2.8924464571738606
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -115,11 +115,11 @@
 slope "module.list.change" {
   unit     = "seconds"
   per      = "member"
-  base     = -2.4880997733181683e-5
-  value    = 8.739702505927763e-8
-  low      = 7.585501623655913e-8
-  high     = 9.780839165425974e-8
-  residual = 12.498880064705084
+  base     = 4.0870214881444734e-7
+  value    = 1.0454625668596637e-9
+  low      = 7.429178329197684e-10
+  high     = 1.2969588751033915e-9
+  residual = 0.08271801083874011
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -147,11 +147,11 @@
 slope "module.list.whole" {
   unit     = "seconds"
   per      = "member"
-  base     = -6.1154632869782205e-3
-  value    = 1.1170097435787152e-5
-  low      = 9.934206810918114e-6
-  high     = 1.2194117511993384e-5
-  residual = 464.00012902129606
+  base     = -7.620923238213398e-5
+  value    = 4.773523172870141e-7
+  low      = 3.932376856906534e-7
+  high     = 5.371990124069479e-7
+  residual = 5.76471059884299
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -163,11 +163,11 @@
 slope "module.list.whole.pair" {
   unit     = "seconds"
   per      = "pair of members"
-  base     = 2.699211705232511e-4
-  value    = 2.203646766403948e-9
-  low      = 1.9423526939762835e-9
-  high     = 2.421443162637529e-9
-  residual = 21.948571699256878
+  base     = 2.2661305938704928e-4
+  value    = 8.945923262640312e-11
+  low      = 7.233640917572757e-11
+  high     = 1.017546474168117e-10
+  residual = 19.649176242295617
   largest  = 24010000
   sizes    = [2500, 250000, 1500625, 6002500, 24010000]
   runs     = 3
@@ -224,6 +224,22 @@
   cores    = 8
 }
 
+slope "router.cpu.statement" {
+  unit     = "seconds"
+  per      = "statement a second"
+  base     = 0.031497068541146936
+  value    = 5.042863542445414e-5
+  low      = 4.619086100654225e-5
+  high     = 5.6356555678860694e-5
+  residual = 0.27238401358020137
+  largest  = 3571
+  sizes    = [250, 500, 1000, 2000, 3571]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.cpu.statement"
+  cores    = 8
+}
+
 slope "router.cpu.statement.member" {
   unit     = "seconds"
   per      = "member"
@@ -291,11 +307,11 @@
 slope "router.list.change" {
   unit     = "seconds"
   per      = "member"
-  base     = 5.6131272017002085e-5
-  value    = 3.5250285088870514e-7
-  low      = 3.5098446202371107e-7
-  high     = 3.539456635015164e-7
-  residual = 0.3674852047260786
+  base     = 8.891314770871243e-5
+  value    = 2.0245093653708302e-7
+  low      = 1.953886712820513e-7
+  high     = 2.1299285650951204e-7
+  residual = 0.06515765948360033
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -368,16 +384,80 @@
   cores    = 8
 }
 
+slope "shared.counts.bytes.instance" {
+  unit     = "bytes a second"
+  per      = "instance"
+  base     = 9736.447729729729
+  value    = 0.08583807807808232
+  low      = 0.08474810810810791
+  high     = 0.08698306306306149
+  residual = 3.454353240169519e-4
+  largest  = 300
+  sizes    = [50, 100, 150, 200, 300]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.counts.bytes.instance"
+  cores    = 8
+}
+
+slope "shared.counts.cpu.instance" {
+  unit     = "seconds"
+  per      = "instance"
+  base     = 7.991018761081078e-4
+  value    = 3.5813357554354365e-6
+  low      = 3.2046082317117115e-6
+  high     = 4.005989382702703e-6
+  residual = 0.19539739402663417
+  largest  = 300
+  sizes    = [50, 100, 150, 200, 300]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.counts.cpu.instance"
+  cores    = 8
+}
+
+slope "shared.judgements.bytes.instance" {
+  unit     = "bytes a second"
+  per      = "instance"
+  base     = 13860.719729729732
+  value    = 2.636829189189187
+  low      = 2.5771751351351364
+  high     = 2.7044151351351275
+  residual = 0.030906594796074854
+  largest  = 300
+  sizes    = [50, 100, 150, 200, 300]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.judgements.bytes.instance"
+  cores    = 8
+}
+
+slope "shared.judgements.cpu.instance" {
+  unit     = "seconds"
+  per      = "instance"
+  base     = 3.1494664321621627e-4
+  value    = 4.2955229908708705e-6
+  low      = 3.645752706666667e-6
+  high     = 4.877206714954954e-6
+  residual = 0.11589936233774932
+  largest  = 300
+  sizes    = [50, 100, 150, 200, 300]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.judgements.cpu.instance"
+  cores    = 8
+}
+
 slope "subset.cpu.router_member" {
   unit     = "seconds"
   per      = "router times member"
-  base     = -4.7996732268732085e-4
-  value    = 2.0630530333815956e-8
-  low      = 1.6463026763209764e-8
-  high     = 2.3768521997414636e-8
-  residual = 0.5660861986347431
-  largest  = 1044480
-  sizes    = [36000, 160000, 360000, 640000, 1000000, 1044480]
+  base     = 2.860670698923151e-4
+  value    = 1.9718737047655835e-8
+  low      = 1.917073528032662e-8
+  high     = 2.0778680966671425e-8
+  residual = 0.18620020915499122
+  largest  = 10290000
+  sizes    = [36000, 250000, 1000000, 3430000, 5145000, 10290000]
   runs     = 3
   kind     = "measured"
   command  = "vetchkeel lab slopes --only subset.cpu.router_member"
