--- a/crates/slopes/src/router.rs
+++ b/crates/slopes/src/router.rs
@@ -117,8 +117,13 @@
 /// Resident memory with so many clients, each of which has asked once.
 fn clients(means: &Means, clients: usize, run: u32) -> Result<Vec<f64>, String> {
     let (mut stage, mut process) = begun(means, FEW, run, 18_000)?;
-    stage.clients(clients)?;
-    let all = stage.ask_each()?;
+    // Danger: the router ends a client that asks nothing for long. Each asks soon after it has come.
+    const AT_ONCE: usize = 50;
+    let mut all = true;
+    for _ in 0..clients / AT_ONCE {
+        stage.clients(AT_ONCE)?;
+        all &= stage.ask_each()?;
+    }
     process.alive()?;
     let Tally { answered, failed, .. } = stage.tally;
     if !all {
--- a/crates/slopes/src/router/process.rs
+++ b/crates/slopes/src/router/process.rs
@@ -12,10 +12,19 @@
 /// Megabytes that the router is told it may hold: what is allowed for control, as nothing else is played here.
 const MEMORY_MB: u64 = 256;
 
+/// A folder of its own for configuration and log, gone when it is dropped.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// Killed when it is dropped.
 pub(super) struct Process {
     child: Child,
-    folder: PathBuf,
+    folder: Folder,
 }
 
 fn configuration(stage: &Stage, seed: u64, sockets: u64) -> Value {
@@ -38,16 +47,16 @@
     pub(super) fn start(program: &Path, stage: &Stage, seed: u64, sockets: u64) -> Result<Process, String> {
         static COUNT: AtomicU64 = AtomicU64::new(0);
         let name = format!("vetchkeel-slopes-{}-{}", std::process::id(), COUNT.fetch_add(1, Relaxed));
-        let folder = std::env::temp_dir().join(name);
-        let wrong = |e: std::io::Error| format!("{}: {e}", folder.display());
-        std::fs::create_dir_all(&folder).map_err(wrong)?;
-        let config = folder.join("router.json");
+        let folder = Folder(std::env::temp_dir().join(name));
+        let wrong = |e: std::io::Error| format!("{}: {e}", folder.0.display());
+        std::fs::create_dir_all(&folder.0).map_err(wrong)?;
+        let config = folder.0.join("router.json");
         std::fs::write(&config, configuration(stage, seed, sockets).to_string()).map_err(wrong)?;
         let child = Command::new(program)
             .env("NODE_CONFIG", &config)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(File::create(folder.join("log")).map_err(wrong)?)
+            .stderr(File::create(folder.0.join("log")).map_err(wrong)?)
             .spawn()
             .map_err(|e| format!("{}: {e}", program.display()))?;
         Ok(Process { child, folder })
@@ -58,7 +67,7 @@
     }
 
     fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+        std::fs::read_to_string(self.folder.0.join("log")).unwrap_or_default()
     }
 
     pub(super) fn heard_clients(&self) -> bool {
@@ -87,6 +96,5 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
--- a/crates/slopes/src/router/stage.rs
+++ b/crates/slopes/src/router/stage.rs
@@ -6,7 +6,7 @@
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
 use nanorand::{Rng, WyRand};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, FromRawFd, OwnedFd};
@@ -81,8 +81,8 @@
     timer: OwnedFd,
     conns: BTreeMap<usize, Conn>,
     next: usize,
-    /// Clients that wait for a statement.
-    idle: Vec<usize>,
+    /// Clients that wait for a statement. Danger: the router ends one that asks nothing for long, so they take turns.
+    idle: VecDeque<usize>,
     due: Instant,
     load_began: Instant,
     beat: Instant,
@@ -164,7 +164,7 @@
             timer,
             conns: BTreeMap::new(),
             next: TIMER + 1,
-            idle: Vec::new(),
+            idle: VecDeque::new(),
             due: now,
             load_began: now,
             beat: now + BEAT,
@@ -360,10 +360,10 @@
         self.tell_watches(&list::chunk(&change));
     }
 
-    /// Opens clients until there are so many, a hundred at a time.
+    /// Opens so many clients more, a hundred at a time.
     pub(super) fn clients(&mut self, count: usize) -> Result<(), String> {
         let router = self.router.ok_or("the router's address is not known")?;
-        let mut opened = 0;
+        let (mut opened, before) = (0, self.idle.len());
         while opened < count {
             let more = (count - opened).min(100);
             for _ in 0..more {
@@ -373,7 +373,8 @@
                 pg::startup(&mut conn.output, "svc", "main");
             }
             opened += more;
-            let ready = self.run_until(Duration::from_secs(20), |stage| stage.idle.len() >= opened)?;
+            let ready =
+                self.run_until(Duration::from_secs(20), |stage| stage.idle.len() >= before + opened)?;
             if !ready {
                 return Err(format!("{} of {opened} clients were let in", self.idle.len()));
             }
@@ -399,7 +400,7 @@
                     self.tally.answered += 1;
                 }
                 b'E' => self.tally.failed += 1,
-                b'Z' => self.idle.push(key),
+                b'Z' => self.idle.push_back(key),
                 _ => {}
             }
             used += message.size;
@@ -424,6 +425,7 @@
             if clients.is_empty() {
                 return Ok(true);
             }
+            self.idle.clear();
             for some in clients.chunks(AT_ONCE) {
                 let told = self.tally.answered + self.tally.failed + some.len() as u64;
                 some.iter().for_each(|key| self.ask(*key));
@@ -463,7 +465,7 @@
             let risen = (self.due - self.load_began).as_secs_f64() / RISE.as_secs_f64();
             let gap = -(self.chance.generate::<f64>().max(1e-12)).ln() / (rate * risen.clamp(0.05, 1.0));
             self.due += Duration::from_secs_f64(gap);
-            match self.idle.pop() {
+            match self.idle.pop_front() {
                 Some(key) => self.ask(key),
                 // Every client waits for an answer.
                 None => self.tally.missed += 1,
