Module tells whom it has forgotten; the router no longer walks all members at each list message

Change: `Decision::Forget` (src/interface.rs), as a member leaves the module's tables or is told gone without having been known. Carried out only if the module has not been told of it again since. `a_forgotten_member_has_no_connection_to_let_go` asked for no decision at all; it now asks for this one and then none, which is as strict.

--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -468,6 +468,8 @@
                 let idle = member_number(&node).map(|n| self.pools.take_all(router, n)).unwrap_or_default();
                 idle.into_iter().for_each(|(node, conn)| self.close(node, conn));
             }
+            // Members are numbered for good here.
+            Decision::Forget { .. } => {}
             Decision::WatchList => {
                 let sheet = self.members.ask_list(router);
                 let life = self.hosts[router].life;
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -204,10 +204,6 @@
 
     pub fn members_changed(&mut self, whole: bool, entries: &[Entry]) {
         self.commands.router.members_changed(self.now, whole, entries);
-        // What is out at a member that is gone may keep it known for longer; then a later list forgets it.
-        let forgotten = self.nodes.named().filter(|node| !self.commands.router.knows(node));
-        let forgotten: Vec<Id> = forgotten.cloned().collect();
-        forgotten.iter().for_each(|node| self.forget_node(node));
     }
 
     /// The watch broke; the module says when to ask again.
@@ -298,6 +294,9 @@
             }
             Decision::Probe { node } => self.probe(&node),
             Decision::LetGo { node } => self.let_go(&node),
+            // Danger: listed again in the same turn, it would lose the address that was just told.
+            Decision::Forget { node } if self.commands.router.knows(&node) => {}
+            Decision::Forget { node } => self.forget_node(&node),
             Decision::WatchList => self.open_watch(),
         }
     }
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -104,11 +104,6 @@
     pub fn count(&self) -> usize {
         self.conns.len()
     }
-
-    /// The nodes that are known here.
-    pub fn named(&self) -> impl Iterator<Item = &Id> {
-        self.members.keys()
-    }
 }
 
 /// Begins to open a connection.
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -377,6 +377,8 @@
         Decision::Fail { command } => writeln!(reply, "end_failed\t{inst}\t{command}"),
         // On this wire a dispatch is written as it is decided.
         Decision::CallOff { written: false, .. } => Ok(()),
+        // And nothing is kept here by member.
+        Decision::Forget { .. } => Ok(()),
         Decision::CallOff { command, dispatch, .. } => {
             writeln!(reply, "withdraw\t{inst}\t{command}\t{dispatch}")
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -322,12 +322,12 @@
             self.used.extend(self.nodes.values());
         }
         let m = &mut self.members[node];
-        if m.state == State::TransportError {
-            self.recover(now, node);
-            report.primary.into_iter().for_each(|primary| self.learn_role(now, node, primary));
-        } else {
+        if m.state != State::TransportError {
             (m.fails, m.broke) = (0, false);
+            return;
         }
+        self.recover(now, node);
+        report.primary.into_iter().for_each(|primary| self.learn_role(now, node, primary));
     }
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
@@ -342,6 +342,7 @@
             let (held, count) = (self.nodes.get(&e.node).copied(), self.members.len());
             let fresh = held.is_none();
             if fresh && e.phase == Phase::Removed {
+                self.ready.push_back(Decision::Forget { node: e.node.clone() });
                 continue;
             }
             let node = held.or_else(|| self.vacant.pop()).unwrap_or(count);
@@ -394,6 +395,7 @@
         for (node, m) in self.members.iter_mut().enumerate().filter(|(n, m)| m.gone && !held.contains(n)) {
             let works = soft && m.state != State::TransportError;
             if !works && self.nodes.remove(&m.id).is_some() {
+                self.ready.push_back(Decision::Forget { node: m.id.clone() });
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
                 self.dirty.insert(m.set);
                 // Danger: connections of a place that nobody holds any more are let go, without a name.
@@ -457,8 +459,7 @@
     fn refused(&mut self, now: Tenths, node: Node) {
         let m = &mut self.members[node];
         m.refused += 1;
-        let pause = (PAUSE / 8) << m.refused.min(5);
-        m.shy_until = now + pause + self.rng.below(pause);
+        m.shy_until = now + self.rng.jittered((PAUSE / 8) << m.refused.min(5));
         m.refused.is_power_of_two().then(|| self.agenda.insert((now, Task::Ask(node))));
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -434,6 +434,19 @@
     assert_eq!((r.knows("b"), r.sets[&1].nodes.contains(&1)), (known, known));
 }
 
+#[rstest]
+#[case::gone("b", Phase::Removed, &["b"])]
+#[case::never_known("x", Phase::Removed, &["x"])]
+#[case::draining("b", Phase::Draining, &[])]
+#[case::new("x", Phase::Up, &[])]
+fn the_host_is_told_whom_to_forget(#[case] id: &str, #[case] phase: Phase, #[case] forgotten: &[&str]) {
+    let mut r = router(&[]);
+    r.members_changed(NOW, false, &[entry(id, phase, 0)]);
+    let told =
+        r.ready.iter().filter_map(|d| if let Decision::Forget { node } = d { Some(&**node) } else { None });
+    assert_eq!(told.collect::<Vec<&str>>(), forgotten);
+}
+
 /// Besides the set of three, one of two: `d` and `e`.
 #[rstest]
 #[case::a_row(false, &[("b", 1, Phase::Draining)], &[1])]
@@ -1073,6 +1086,7 @@
     r.used.insert(1);
     r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
     (r.agenda, r.dirty) = Default::default();
+    assert_eq!(r.next_decision(NOW), Some(Decision::Forget { node: "b".into() }));
     assert_eq!(r.next_decision(NOW), None);
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,7 +93,7 @@
 /// What the router wants done next. A dispatch not wholly written by `until` must not be written any more: it
 /// was never sent; nor one that the router, asked at the write, does not let through. `CallOff` takes back
 /// what was not written whole, and the rest only where `written` says so. `LetGo` closes the connections to a
-/// member that idle.
+/// member that idle. `Forget`: the module knows the member no more, unless it has been told of it since.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     Dispatch { command: Id, node: Id, limit: Tenths, until: Tenths },
@@ -102,5 +102,6 @@
     CallOff { command: Id, dispatch: u32, written: bool },
     Probe { node: Id },
     LetGo { node: Id },
+    Forget { node: Id },
     WatchList,
 }
