--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -6,8 +6,8 @@
 const NOW: Tenths = 1_000_000;
 const KINDS: [&str; 5] = ["any", "bounded", "session", "fresh", "write"];
 
-/// A router with one set of three members, `a` the listed primary, and a command group for each access.
-fn router(extra: &[(&str, &str)]) -> Router {
+/// Settings with a command group for each access; what is `extra` is told besides, or instead.
+fn told(extra: &[(&str, &str)]) -> Told {
     let mut told = Told::new();
     let mut tell = |name: &str, value: &str| _ = told.insert(name.to_owned(), value.to_owned());
     tell("request_classes.count", "5");
@@ -28,7 +28,12 @@
     for (name, value) in extra {
         tell(name, value);
     }
-    let mut router = Router::start(told, 7, NOW - SECOND).expect("complete settings");
+    told
+}
+
+/// A router with one set of three members, `a` the listed primary, and a command group for each access.
+fn router(extra: &[(&str, &str)]) -> Router {
+    let mut router = Router::start(told(extra), 7, NOW - SECOND).expect("complete settings");
     let entries: Vec<Entry> = ["a", "b", "c"].iter().map(|id| entry(id, Phase::Up, 0)).collect();
     router.members_changed(NOW - SECOND, true, &entries);
     router
@@ -73,7 +78,7 @@
             r.members[1].credit
         })
         .collect();
-    assert!(credits.iter().all(|c| *c < r.groups[0].target as f64), "{credits:?}");
+    assert!(credits.iter().all(|c| *c < r.groups.places[0].target as f64), "{credits:?}");
 }
 
 #[rstest]
@@ -429,6 +434,54 @@
     assert_eq!((r.knows("b"), r.sets[&1].nodes.contains(&1)), (known, known));
 }
 
+#[rstest]
+#[case::gone("b", Phase::Removed, &["b"])]
+#[case::never_known("x", Phase::Removed, &["x"])]
+#[case::draining("b", Phase::Draining, &[])]
+#[case::new("x", Phase::Up, &[])]
+fn the_host_is_told_whom_to_forget(#[case] id: &str, #[case] phase: Phase, #[case] forgotten: &[&str]) {
+    let mut r = router(&[]);
+    r.members_changed(NOW, false, &[entry(id, phase, 0)]);
+    let told =
+        r.ready.iter().filter_map(|d| if let Decision::Forget { node } = d { Some(&**node) } else { None });
+    assert_eq!(told.collect::<Vec<&str>>(), forgotten);
+}
+
+/// Besides the set of three, one of two: `d` and `e`.
+#[rstest]
+#[case::a_row(false, &[("b", 1, Phase::Draining)], &[1])]
+#[case::a_new_member(false, &[("x", 2, Phase::Up)], &[2])]
+#[case::a_member_gone(false, &[("d", 2, Phase::Removed)], &[2])]
+#[case::rows_of_both(false, &[("b", 1, Phase::Up), ("d", 2, Phase::Up)], &[1, 2])]
+#[case::nothing(false, &[], &[])]
+#[case::one_absent(true, &[("a", 1, Phase::Up), ("b", 1, Phase::Up), ("d", 2, Phase::Up), ("e", 2, Phase::Up)], &[1, 2])]
+#[case::a_set_absent(true, &[("a", 1, Phase::Up)], &[1, 2])]
+fn a_change_of_the_list_touches_the_sets_that_it_names(
+    #[case] whole: bool,
+    #[case] rows: &[(&str, i64, Phase)],
+    #[case] touched: &[i64],
+) {
+    let entries = |rows: &[(&str, i64, Phase)]| -> Vec<Entry> {
+        rows.iter().map(|(id, set, phase)| Entry { set: *set, ..entry(id, *phase, 0) }).collect()
+    };
+    let mut r = router(&[]);
+    r.members_changed(NOW, false, &entries(&[("d", 2, Phase::Up), ("e", 2, Phase::Up)]));
+    r.dirty.clear();
+    r.members_changed(NOW, whole, &entries(rows));
+    assert_eq!(r.dirty.into_iter().collect::<Vec<i64>>(), touched);
+}
+
+#[rstest]
+#[case::joined(&["a", "b", "c", "d"], &[1, 2, 3, 0])]
+#[case::one_less(&["b", "c"], &[1, 0])]
+fn ties_follow_the_sets_members(#[case] listed: &[&str], #[case] ties: &[usize]) {
+    let mut r = router(&[("me", "3")]);
+    let entries: Vec<Entry> = listed.iter().map(|id| entry(id, Phase::Up, 0)).collect();
+    r.members_changed(NOW, true, &entries);
+    let tie = |id: &&str| r.members[r.nodes[*id]].tie;
+    assert_eq!(listed.iter().map(tie).collect::<Vec<usize>>(), ties);
+}
+
 #[rstest]
 fn a_member_that_comes_back_under_its_id_is_known_again() {
     let mut r = router(&[]);
@@ -618,6 +671,69 @@
     assert!((NOW + least..NOW + 2 * least).contains(&r.members[1].retry_at));
 }
 
+/// With a probe that is lost just before they are back, all within the 4 s that a router may idle for.
+#[rstest]
+#[case::never_met(false, 0)]
+#[case::for_long(true, 9)]
+fn while_no_member_works_one_is_asked_within_a_while(#[case] met: bool, #[case] fails: u32) {
+    let mut r = router(&[]);
+    for node in 0..3 {
+        (r.members[node].met, r.members[node].fails) = (met, fails);
+        r.break_member(NOW, node);
+    }
+    open(&mut r, "any");
+    let at = NOW + 5 * SECOND / 2;
+    assert_eq!(r.pick_reader(at, 1, 0), None);
+    r.seek(at, 1);
+    assert!(r.ready.iter().any(|d| matches!(d, Decision::Probe { .. })), "nobody is asked 2.5 s later");
+}
+
+#[rstest]
+#[case::beside_one_that_works(State::Unknown, NOW - 3 * SECOND, false)]
+#[case::beside_none(State::TransportError, NOW - 3 * SECOND, true)]
+#[case::asked_lately(State::TransportError, NOW - SECOND, false)]
+fn a_broken_member_rests_less_where_none_works(
+    #[case] others: State,
+    #[case] asked_at: Tenths,
+    #[case] rested: bool,
+) {
+    let mut r = router(&[]);
+    r.members.iter_mut().for_each(|m| m.state = others);
+    let m = &mut r.members[1];
+    (m.state, m.retry_at, m.asked_at) = (State::TransportError, NOW + 5 * SECOND, asked_at);
+    assert_eq!(r.rested(NOW, &r.members[1]), rested);
+}
+
+#[rstest]
+#[case::first_settled_later(NOW + 500)]
+#[case::first_settled_in_the_same_turn(NOW)]
+#[case::first_settled_before(NOW - 1)]
+fn a_command_that_comes_back_is_settled_once(#[case] before: Tenths) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.settle_at(before, 0);
+    r.settle_at(NOW, 0);
+    let settles: Vec<_> = r.agenda.iter().filter(|(_, task)| *task == Task::Settle(0)).collect();
+    assert_eq!(settles, [&(NOW, Task::Settle(0))]);
+}
+
+/// The miss of a write comes in the turn in which its own first settling is due, past its patience.
+#[rstest]
+fn a_write_that_was_missed_late_is_offered_to_the_known_primary() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.agenda.clear();
+    r.settle_at(NOW - 1, 0);
+    let cmd = r.open.get_mut(&0).expect("open");
+    (cmd.patience, cmd.dispatches) = (NOW - 10, 1);
+    cmd.out.insert(0, (1, NOW - 100));
+    r.members[0].state = State::Healthy;
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Miss, Some(false)));
+    r.open.get_mut(&0).expect("open").ends = NOW + 100;
+    let sent = r.next_decision(NOW);
+    assert!(matches!(&sent, Some(Decision::Dispatch { node, .. }) if &**node == "a"), "{sent:?}");
+}
+
 #[rstest]
 fn a_seeking_round_asks_each_in_turn() {
     let mut r = router(&[]);
@@ -970,6 +1086,7 @@
     r.used.insert(1);
     r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
     (r.agenda, r.dirty) = Default::default();
+    assert_eq!(r.next_decision(NOW), Some(Decision::Forget { node: "b".into() }));
     assert_eq!(r.next_decision(NOW), None);
 }
 
@@ -1111,3 +1228,98 @@
     let why = Router::start(told, 7, NOW).err().expect("not to be told apart");
     assert_eq!(why, "expected another name for request_classes.1, found 'a' at 0 too");
 }
+
+#[rstest]
+#[case::effect("request_classes.4.semantics", "pure")]
+#[case::access("family_info.class_read", "any,bounded,session,fresh,fresh")]
+#[case::target("request_classes.4.aim_ms", "50")]
+#[case::late_share("request_classes.4.late_value", "0")]
+#[case::benefit("request_classes.4.importance", "9")]
+#[case::attempts("permissions.max_attempts", "1")]
+#[case::hold_off("permissions.retry_after", "false")]
+#[case::name("request_classes.4.name", "other")]
+#[case::dropped("request_classes.count", "4")]
+fn a_command_in_hand_keeps_the_group_it_came_in_with(#[case] name: &str, #[case] value: &str) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let group = r.groups.places[4].clone();
+    r.reconfigure(told(&[(name, value)])).expect("settings that are whole");
+    assert_eq!(r.groups.places[r.open[&0].kind], group);
+    assert_ne!(r.groups.named.get("write"), Some(&4));
+    assert_eq!(r.order[0], 4, "it has its turn: {:?}", r.order);
+}
+
+#[rstest]
+#[case::effect("request_classes.4.semantics", "pure", |r: &Router, at: usize| r.groups.places[at].effect == Effect::Replayable)]
+#[case::target("request_classes.4.aim_ms", "50", |r: &Router, at: usize| r.groups.places[at].target == 500)]
+#[case::attempts("permissions.max_attempts", "1", |r: &Router, at: usize| r.groups.places[at].attempts == 1)]
+#[case::cheapest("request_classes.4.aim_ms", "50", |r: &Router, _: usize| r.cheap == 1_500)]
+#[case::tightest("family_info.lag_allowed_ms", "0,40,0,0,0", |r: &Router, _: usize| r.tightest == 400)]
+#[case::many_routers("balancers", "100", |r: &Router, _: usize| r.least < WINDOW_LEAST)]
+#[case::checks("family_info.server_checks", "wait", |r: &Router, _: usize| r.node_checks)]
+#[case::cancel("permissions.cancel", "false", |r: &Router, _: usize| !r.allows("permissions.cancel"))]
+fn new_settings_hold_for_what_comes(
+    #[case] name: &str,
+    #[case] value: &str,
+    #[case] holds: fn(&Router, usize) -> bool,
+) {
+    let mut r = router(&[]);
+    r.reconfigure(told(&[(name, value)])).expect("settings that are whole");
+    assert!(holds(&r, r.groups.named["write"]));
+}
+
+#[rstest]
+#[case::no_count("request_classes.count", "many")]
+#[case::no_name("request_classes.count", "6")]
+#[case::name_twice("request_classes.4.name", "any")]
+#[case::no_time("request_classes.4.hard_limit_ms", "soon")]
+#[case::no_number("rules.drain_grace_ms", "half a second")]
+#[case::less_than_nothing("rules.fall_ms", "-1")]
+#[case::endless("rules.warm_after_ms", "inf")]
+#[case::not_a_number("penalties.cross_zone", "NaN")]
+#[case::attempts("permissions.max_attempts", "1.5")]
+#[case::share("projects.count", "1")]
+fn wrong_settings_change_nothing(#[case] name: &str, #[case] value: &str) {
+    let mut r = router(&[]);
+    let before = (r.told.clone(), r.groups.places.clone(), r.groups.named.clone(), r.order.clone());
+    let wrong = r.reconfigure(told(&[("request_classes.0.aim_ms", "77"), (name, value)]));
+    assert!(wrong.is_err());
+    assert_eq!((r.told, r.groups.places, r.groups.named, r.order), before);
+}
+
+#[rstest]
+#[case::same(&[], 5)]
+#[case::other_target(&[("request_classes.0.aim_ms", "77")], 5)]
+#[case::renamed(&[("request_classes.0.name", "other")], 5)]
+fn places_of_command_groups_are_used_again(#[case] change: &[(&str, &str)], #[case] most: usize) {
+    let mut r = router(&[]);
+    (0..100)
+        .for_each(|i| r.reconfigure(told(if i % 2 == 0 { change } else { &[] })).expect("whole settings"));
+    assert!(r.groups.places.len() <= most, "{}", r.groups.places.len());
+}
+
+#[rstest]
+fn what_was_measured_goes_on_under_its_name() {
+    let share = |share| [("projects.count", "1"), ("projects.0.name", "acme"), ("projects.0.share", share)];
+    let mut r = router(&share("0.5"));
+    r.beyond_share(NOW, "acme");
+    r.groups.places[0].latency.add(NOW, USUAL_HALF, 900.0);
+    let (usual, counted) = (r.usual(NOW, 0), r.shares["acme"].1);
+    let (count, name, share) = ("projects.count", "projects.0.name", "projects.0.share");
+    let change = [(count, "1"), (name, "acme"), (share, "0.2"), ("request_classes.0.importance", "3")];
+    r.reconfigure(told(&change)).expect("settings that are whole");
+    assert_eq!((r.usual(NOW, r.groups.named["any"]), r.shares["acme"]), (usual, (0.2, counted)));
+}
+
+#[rstest]
+#[case::dearer("3")]
+#[case::cheaper("0.1")]
+fn commands_in_hand_leave_the_others_their_places_in_the_pace(#[case] benefit: &str) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    let change = told(&[("request_classes.4.importance", benefit)]);
+    let behind = |r: &Router| r.order.iter().rev().position(|place| *place == r.groups.named["any"]);
+    let alone = Router::start(change.clone(), 7, NOW).expect("settings that are whole");
+    r.reconfigure(change).expect("settings that are whole");
+    assert_eq!(behind(&r), behind(&alone));
+}
