--- a/docs/measured/slopes.hcl
+++ b/docs/measured/slopes.hcl
@@ -19,11 +19,11 @@
 slope "list.whole.read" {
   unit     = "seconds"
   per      = "member"
-  base     = -5.756033971560503e-4
-  value    = 4.429693054149434e-6
-  low      = 4.308738916956162e-6
-  high     = 4.57847194987593e-6
-  residual = 2.8924464571738606
+  base     = -1.817965501957567e-4
+  value    = 4.720605141659775e-6
+  low      = 4.073058886848635e-6
+  high     = 5.267705768899918e-6
+  residual = 0.7709523703004612
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -35,11 +35,11 @@
 slope "membership.bytes.instance" {
   unit     = "bytes a second"
   per      = "instance"
-  base     = 323.07037166666674
-  value    = -5.109444444462952e-5
-  low      = -3.3023333333318303e-4
-  high     = 3.3938333333333046e-4
-  residual = 9.575824577258219e-5
+  base     = 322.9890809259259
+  value    = 1.6818333333338842e-4
+  low      = -8.880000000010569e-5
+  high     = 4.3704999999999927e-4
+  residual = 2.7150732314675376e-4
   largest  = 500
   sizes    = [100, 200, 300, 400, 500]
   runs     = 3
@@ -51,11 +51,11 @@
 slope "membership.bytes.start.instance" {
   unit     = "bytes"
   per      = "instance"
-  base     = -19698.489366666705
-  value    = 956.4786576666667
-  low      = 955.37939
-  high     = 957.6807085
-  residual = 0.040059388790024
+  base     = -1143.9859833333467
+  value    = 501.70889450000004
+  low      = 500.22852
+  high     = 502.7378675
+  residual = 0.025698626253609143
   largest  = 500
   sizes    = [100, 200, 300, 400, 500]
   runs     = 3
@@ -67,11 +67,11 @@
 slope "membership.cpu.instance" {
   unit     = "seconds"
   per      = "instance"
-  base     = 3.7078979999999933e-6
-  value    = 1.3959627444444445e-7
-  low      = 1.3001430000000002e-7
-  high     = 1.5447711999999997e-7
-  residual = 0.15434793742457678
+  base     = 3.3659758888888766e-6
+  value    = 1.5546764000000004e-7
+  low      = 0.00000010959069
+  high     = 1.7976125333333336e-7
+  residual = 0.1180692381571874
   largest  = 500
   sizes    = [100, 200, 300, 400, 500]
   runs     = 3
@@ -83,11 +83,11 @@
 slope "membership.cpu.start.instance" {
   unit     = "seconds"
   per      = "instance"
-  base     = -0.00690480533833333
-  value    = 9.278130628333332e-5
-  low      = 8.773169395000001e-5
-  high     = 9.971819719999999e-5
-  residual = 0.3896015685749699
+  base     = -3.3043138199999964e-3
+  value    = 5.3665733766666665e-5
+  low      = 0.00005051507225
+  high     = 0.00005661663235
+  residual = 0.28818092361443703
   largest  = 500
   sizes    = [100, 200, 300, 400, 500]
   runs     = 3
@@ -99,11 +99,11 @@
 slope "membership.memory.instance" {
   unit     = "bytes"
   per      = "instance"
-  base     = 10953.920000000013
-  value    = 501.168
-  low      = 500.6288
-  high     = 501.552
-  residual = 0.019834460087466303
+  base     = 11134.82666666666
+  value    = 500.7285333333333
+  low      = 498.0304
+  high     = 505.8064
+  residual = 0.021627153167445085
   largest  = 500
   sizes    = [100, 200, 300, 400, 500]
   runs     = 3
@@ -115,11 +115,11 @@
 slope "module.list.change" {
   unit     = "seconds"
   per      = "member"
-  base     = 4.0870214881444734e-7
-  value    = 1.0454625668596637e-9
-  low      = 7.429178329197684e-10
-  high     = 1.2969588751033915e-9
-  residual = 0.08271801083874011
+  base     = 7.35710631237938e-7
+  value    = 1.0318688778604906e-9
+  low      = 9.771655500413564e-10
+  high     = 1.095632522746071e-9
+  residual = 0.30012204944329224
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -147,11 +147,11 @@
 slope "module.list.whole" {
   unit     = "seconds"
   per      = "member"
-  base     = -7.620923238213398e-5
-  value    = 4.773523172870141e-7
-  low      = 3.932376856906534e-7
-  high     = 5.371990124069479e-7
-  residual = 5.76471059884299
+  base     = -3.7144589214226586e-5
+  value    = 4.888835374689826e-7
+  low      = 4.5143395004135654e-7
+  high     = 5.081797564929694e-7
+  residual = 2.048979330060744
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -163,11 +163,11 @@
 slope "module.list.whole.pair" {
   unit     = "seconds"
   per      = "pair of members"
-  base     = 2.2661305938704928e-4
-  value    = 8.945923262640312e-11
-  low      = 7.233640917572757e-11
-  high     = 1.017546474168117e-10
-  residual = 19.649176242295617
+  base     = 2.7998709378133273e-4
+  value    = 9.051935431544855e-11
+  low      = 8.197420616133687e-11
+  high     = 9.483722283488758e-11
+  residual = 22.143977416053104
   largest  = 24010000
   sizes    = [2500, 250000, 1500625, 6002500, 24010000]
   runs     = 3
@@ -307,11 +307,11 @@
 slope "router.list.change" {
   unit     = "seconds"
   per      = "member"
-  base     = 8.891314770871243e-5
-  value    = 2.0245093653708302e-7
-  low      = 1.953886712820513e-7
-  high     = 2.1299285650951204e-7
-  residual = 0.06515765948360033
+  base     = 1.1328065829762888e-4
+  value    = 1.3579805133719325e-8
+  low      = 1.0153637882547563e-8
+  high     = 1.6404308806175904e-8
+  residual = 0.023322985535706806
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -336,6 +336,22 @@
   cores    = 8
 }
 
+slope "router.memory.client" {
+  unit     = "bytes"
+  per      = "client"
+  base     = 4118755.5555555555
+  value    = 685.0743512544802
+  low      = 680.5305806451613
+  high     = 691.6734623655914
+  residual = 0.008378538793876799
+  largest  = 4000
+  sizes    = [250, 500, 1000, 2000, 4000]
+  runs     = 3
+  kind     = "measured"
+  command  = "vetchkeel lab slopes --only router.memory.client"
+  cores    = 8
+}
+
 slope "router.memory.member" {
   unit     = "bytes"
   per      = "member"
@@ -384,78 +400,110 @@
   cores    = 8
 }
 
-slope "shared.counts.bytes.instance" {
+slope "shared.budgets.bytes.instance" {
   unit     = "bytes a second"
   per      = "instance"
-  base     = 9736.447729729729
-  value    = 0.08583807807808232
-  low      = 0.08474810810810791
-  high     = 0.08698306306306149
-  residual = 3.454353240169519e-4
+  base     = 4332.259558558559
+  value    = 0.45355123123122826
+  low      = 0.43955495495495694
+  high     = 0.4621585585585588
+  residual = 0.008200874509038876
   largest  = 300
   sizes    = [50, 100, 150, 200, 300]
   runs     = 3
   kind     = "simulated"
-  command  = "vetchkeel lab slopes --only shared.counts.bytes.instance"
+  command  = "vetchkeel lab slopes --only shared.budgets.bytes.instance"
   cores    = 8
 }
 
-slope "shared.counts.cpu.instance" {
+slope "shared.budgets.cpu.instance" {
   unit     = "seconds"
   per      = "instance"
-  base     = 7.991018761081078e-4
-  value    = 3.5813357554354365e-6
-  low      = 3.2046082317117115e-6
-  high     = 4.005989382702703e-6
-  residual = 0.19539739402663417
+  base     = 7.349308185135134e-4
+  value    = 1.4767102984984984e-5
+  low      = 1.2431098671711713e-5
+  high     = 1.615997317261261e-5
+  residual = 0.02870013379007378
   largest  = 300
   sizes    = [50, 100, 150, 200, 300]
   runs     = 3
   kind     = "simulated"
-  command  = "vetchkeel lab slopes --only shared.counts.cpu.instance"
+  command  = "vetchkeel lab slopes --only shared.budgets.cpu.instance"
   cores    = 8
 }
 
-slope "shared.judgements.bytes.instance" {
-  unit     = "bytes a second"
+slope "shared.budgets.cpu.lender.instance" {
+  unit     = "seconds"
   per      = "instance"
-  base     = 13860.719729729732
-  value    = 2.636829189189187
-  low      = 2.5771751351351364
-  high     = 2.7044151351351275
-  residual = 0.030906594796074854
+  base     = -0.01610768934882882
+  value    = 2.709979028468468e-4
+  low      = 2.3571744620540542e-4
+  high     = 2.897979748216216e-4
+  residual = 1.7897586670409813
   largest  = 300
   sizes    = [50, 100, 150, 200, 300]
   runs     = 3
   kind     = "simulated"
-  command  = "vetchkeel lab slopes --only shared.judgements.bytes.instance"
+  command  = "vetchkeel lab slopes --only shared.budgets.cpu.lender.instance"
   cores    = 8
 }
 
-slope "shared.judgements.cpu.instance" {
+slope "shared.budgets.cpu.lender.pair" {
   unit     = "seconds"
+  per      = "pair of instances"
+  base     = 2.1514058575141243e-3
+  value    = 7.6062331058038e-7
+  low      = 6.429101423790448e-7
+  high     = 8.272283864447869e-7
+  residual = 0.251415592344325
+  largest  = 90000
+  sizes    = [2500, 10000, 22500, 40000, 90000]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.budgets.cpu.lender.pair"
+  cores    = 8
+}
+
+slope "shared.counts.bytes.instance" {
+  unit     = "bytes a second"
   per      = "instance"
-  base     = 3.1494664321621627e-4
-  value    = 4.2955229908708705e-6
-  low      = 3.645752706666667e-6
-  high     = 4.877206714954954e-6
-  residual = 0.11589936233774932
-  largest  = 300
-  sizes    = [50, 100, 150, 200, 300]
+  base     = 9753.722942577602
+  value    = 0.007522926614648281
+  low      = 0.007472928826660585
+  high     = 0.007559471304601893
+  residual = 8.682423896131989e-4
+  largest  = 2100
+  sizes    = [100, 250, 500, 1000, 2100]
   runs     = 3
   kind     = "simulated"
-  command  = "vetchkeel lab slopes --only shared.judgements.cpu.instance"
+  command  = "vetchkeel lab slopes --only shared.counts.bytes.instance"
+  cores    = 8
+}
+
+slope "shared.counts.cpu.instance" {
+  unit     = "seconds"
+  per      = "instance"
+  base     = 0.001485677665375026
+  value    = 3.982105194537545e-7
+  low      = 3.231400939282796e-7
+  high     = 4.895977994509955e-7
+  residual = 0.26604233971518154
+  largest  = 2100
+  sizes    = [100, 250, 500, 1000, 2100]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.counts.cpu.instance"
   cores    = 8
 }
 
 slope "subset.cpu.router_member" {
   unit     = "seconds"
   per      = "router times member"
-  base     = 2.860670698923151e-4
-  value    = 1.9718737047655835e-8
-  low      = 1.917073528032662e-8
-  high     = 2.0778680966671425e-8
-  residual = 0.18620020915499122
+  base     = 0.002594527388297553
+  value    = 1.537394746349468e-8
+  low      = 1.414166251608934e-8
+  high     = 1.6787415098471342e-8
+  residual = 3.0979486283499162
   largest  = 10290000
   sizes    = [36000, 250000, 1000000, 3430000, 5145000, 10290000]
   runs     = 3
