--- a/docs/measured/slopes.hcl
+++ b/docs/measured/slopes.hcl
@@ -496,6 +496,38 @@
   cores    = 8
 }
 
+slope "shared.judgements.bytes.instance" {
+  unit     = "bytes a second"
+  per      = "instance"
+  base     = 14459.654366712242
+  value    = 1.6499348428500745e-3
+  low      = 1.5812372566180398e-3
+  high     = 1.7114624808576416e-3
+  residual = 3.351580118523551e-5
+  largest  = 2100
+  sizes    = [100, 250, 500, 1000, 2100]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.judgements.bytes.instance"
+  cores    = 8
+}
+
+slope "shared.judgements.cpu.instance" {
+  unit     = "seconds"
+  per      = "instance"
+  base     = 1.4347725532239655e-3
+  value    = 1.4816487685475217e-6
+  low      = 1.3842217313733316e-6
+  high     = 1.6167716716418722e-6
+  residual = 1.0223696579852102
+  largest  = 2100
+  sizes    = [100, 250, 500, 1000, 2100]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only shared.judgements.cpu.instance"
+  cores    = 8
+}
+
 slope "subset.cpu.router_member" {
   unit     = "seconds"
   per      = "router times member"
