--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -33,7 +33,7 @@
 struct Job {
     work: Work,
     statement: Rc<Statement>,
-    /// What stands in place of the statement's wait; set when writing begins.
+    /// What stands in place of the statement's wait; set when writing begins, and until it is written itself.
     wait: Option<String>,
     since: Tenths,
     /// How long its connection had idled; None for a new one.
@@ -144,13 +144,22 @@
         5 + self.statement.text.len() - self.statement.wait_at.len() + wait + 1
     }
 
+    /// Danger: a statement that is held before its wait is written would tell a time that has passed. Its head has
+    /// told how long it is, so the wait stays as wide as it was.
+    fn tell_wait(&mut self, now: Tenths) {
+        let at = &self.statement.wait_at;
+        let width = match &self.wait {
+            Some(_) if at.is_empty() || self.written > 5 + at.start => return,
+            before => before.as_ref().map_or(0, String::len),
+        };
+        let left = (self.limit_at - now).max(10) / 10;
+        self.wait = Some(if at.is_empty() { String::new() } else { format!("{left:0width$}") });
+    }
+
     /// Writes on; true once the last byte is written.
     fn write(&mut self, mut stream: &TcpStream, now: Tenths) -> io::Result<bool> {
+        self.tell_wait(now);
         let Statement { text, wait_at } = &*self.statement;
-        let left = || {
-            if wait_at.is_empty() { String::new() } else { ((self.limit_at - now).max(10) / 10).to_string() }
-        };
-        self.wait = self.wait.take().or_else(|| Some(left()));
         let size = self.size();
         let wait = self.wait.as_deref().unwrap_or_default();
         let head = pgwire::query_head(size - 6);
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -4,6 +4,8 @@
 // Each test file uses its part.
 #![allow(dead_code)]
 
+pub mod member;
+
 use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -112,6 +114,15 @@
     /// Answers probes as `role` with a position of now, and commands as `reply` says. A `mute` one never gets as
     /// far as that, a `deaf` one does not answer probes, an `early` one answers before it is asked.
     pub fn start(role: &'static str, reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> Node {
+        let deaf = role == "deaf";
+        Node::probed(role, move |statement| match statement {
+            "SHOW load" => deaf.then_some(Reply::Silence),
+            command => Some(reply(command)),
+        })
+    }
+
+    /// The same, with probes and commands answered as `reply` says; probes of which it says nothing as by `start`.
+    pub fn probed(role: &'static str, reply: impl Fn(&str) -> Option<Reply> + Send + Sync + 'static) -> Node {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
         let (tell, seen) = channel();
@@ -129,7 +140,7 @@
         mut stream: TcpStream,
         role: &str,
         tell: &Sender<Seen>,
-        reply: &(dyn Fn(&str) -> Reply + Send + Sync),
+        reply: &(dyn Fn(&str) -> Option<Reply> + Send + Sync),
     ) -> Option<()> {
         read_packet(&mut stream, true)?;
         if role == "mute" {
@@ -140,16 +151,14 @@
         let mut carried = false;
         while let Some((b'Q', body)) = read_packet(&mut stream, false) {
             let statement = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
-            let answer = if statement == "SHOW load" && role == "deaf" {
-                Reply::Silence
-            } else if statement == "SHOW load" {
-                let report = format!("x0={:.3},x1={}", unix_ms() as f64 / 1000.0, (role == "primary") as u8);
-                Reply::Send(row(&report))
-            } else {
+            if statement != "SHOW load" {
                 carried = true;
                 tell.send(Seen::Statement(statement.clone())).ok()?;
-                reply(&statement)
-            };
+            }
+            let answer = reply(&statement).unwrap_or_else(|| {
+                let report = format!("x0={:.3},x1={}", unix_ms() as f64 / 1000.0, (role == "primary") as u8);
+                Reply::Send(row(&report))
+            });
             match answer {
                 Reply::Send(bytes) => {
                     stream.write_all(&[parameter("role", role), bytes, ready()].concat()).ok()?;
@@ -327,6 +336,24 @@
     text.replace("\"hard_limit_ms\":60000.0", &format!("\"hard_limit_ms\":{longest_wait}"))
 }
 
+/// Commands are worth sending for as long as their client waits.
+pub const WORTH: (&str, &str) = ("\"aim_ms\":60000.0", "\"late_value\":1.0,\"aim_ms\":2000.0");
+/// With that, a member may take its time to connect, as stand-ins on a busy machine do.
+pub const PATIENT: [(&str, &str); 3] = [
+    WORTH,
+    ("\"dial_timeout_ms\":1000.0", "\"dial_timeout_ms\":60000.0"),
+    ("\"drain_grace_ms\":500.0", "\"drain_grace_ms\":60000.0"),
+];
+
+/// The configuration with these pieces in place of others.
+pub fn with_pieces(mut text: String, pieces: &[(&str, &str)]) -> String {
+    for (piece, other) in pieces {
+        assert!(text.contains(piece), "settings hold {piece}");
+        text = text.replace(piece, other);
+    }
+    text
+}
+
 /// The built program, with its log.
 pub struct Router {
     child: Child,
@@ -381,11 +408,7 @@
                 asked.send(&told);
             }
         });
-        let mut text = configuration(discovery.address, sockets, memory_mb, &known);
-        for (piece, other) in pieces {
-            assert!(text.contains(piece), "settings hold {piece}");
-            text = text.replace(piece, other);
-        }
+        let text = with_pieces(configuration(discovery.address, sockets, memory_mb, &known), pieces);
         Router::beside(discovery, &text, variable)
     }
 
@@ -431,6 +454,14 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
+    /// Returns once it has heard all that lay there before.
+    pub fn turn(&self) {
+        // SAFETY: a number is given and none is kept.
+        let sent = unsafe { libc::kill(self.child.id() as libc::pid_t, libc::SIGUSR1) };
+        assert_eq!(sent, 0, "a signal");
+        self.logged("counters commands:");
+    }
+
     /// How many descriptors the system lets it hold.
     pub fn limit_descriptors(&self, most: u32) {
         let [pid, most] = [format!("--pid={}", self.child.id()), format!("--nofile={most}:{most}")];
--- a/crates/router/tests/waits.rs
+++ b/crates/router/tests/waits.rs
@@ -3,176 +3,12 @@
 
 mod common;
 
+use common::member::*;
 use common::*;
 use rstest::rstest;
-use socket2::{Domain, SockRef, Socket, Type};
-use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
+use std::io::Write;
 use std::thread::{sleep, spawn};
-use std::time::{Duration, Instant};
-
-struct Member {
-    listener: TcpListener,
-    address: SocketAddr,
-}
-
-/// A connection of the router to a member.
-struct Link {
-    stream: TcpStream,
-}
-
-fn greeting() -> Vec<u8> {
-    [&b"R\0\0\0\x08\0\0\0\0"[..], &ready()].concat()
-}
-
-impl Member {
-    fn start() -> Member {
-        Member::listening(Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket"))
-    }
-
-    /// One that takes little at a time.
-    fn narrow() -> Member {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.set_recv_buffer_size(1).expect("a size");
-        // SAFETY: the system reads as many bytes as this number has.
-        let set = unsafe {
-            let size = std::ptr::from_ref(&536i32).cast();
-            libc::setsockopt(socket.as_raw_fd(), libc::IPPROTO_TCP, libc::TCP_MAXSEG, size, 4)
-        };
-        assert_eq!(set, 0, "a size of segments");
-        Member::listening(socket)
-    }
-
-    fn listening(socket: Socket) -> Member {
-        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        socket.bind(&any.into()).and_then(|()| socket.listen(64)).expect("a port");
-        // Accepting waits for that long as well.
-        socket.set_read_timeout(Some(WAIT)).expect("a time-out");
-        let listener = TcpListener::from(socket);
-        Member { address: listener.local_addr().expect("bound"), listener }
-    }
-
-    /// The router's next connection: it has opened it and is not greeted yet.
-    fn dialled(&self) -> Link {
-        let (mut stream, _) = self.listener.accept().expect("a connection");
-        stream.set_read_timeout(Some(WAIT)).expect("a time-out");
-        read_packet(&mut stream, true).expect("a startup packet");
-        Link { stream }
-    }
-
-    fn met(&self) -> Link {
-        let mut link = self.dialled();
-        link.greet();
-        link
-    }
-}
-
-impl Link {
-    fn say(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).expect("the router reads");
-        delivered(&self.stream);
-    }
-
-    fn greet(&mut self) {
-        self.say(&greeting());
-    }
-
-    /// The next statement, read whole; None at the connection's end.
-    fn asked(&mut self) -> Option<String> {
-        let (_, body) = read_packet(&mut self.stream, false)?;
-        Some(String::from_utf8_lossy(&body).into_owned())
-    }
-
-    fn answer(&mut self, value: &str) {
-        self.say(&[parameter("role", "primary"), row(value), ready()].concat());
-    }
-
-    /// Serves the next statement, which has to hold this.
-    fn serve(&mut self, text: &str, value: &str) {
-        let statement = self.asked().expect("a statement");
-        assert!(statement.contains(text), "{statement}");
-        self.answer(value);
-    }
-
-    /// Waits for the router to end it; how many bytes came before that.
-    fn ended(&mut self) -> usize {
-        let mut all = Vec::new();
-        match self.stream.read_to_end(&mut all) {
-            Err(e) if e.kind() != ErrorKind::ConnectionReset => panic!("not ended: {e}"),
-            _ => all.len(),
-        }
-    }
-
-    /// Ends it, with a reset or as one that has no more to say, and waits until that has come to the router.
-    fn end(self, reset: bool) {
-        if !reset {
-            self.stream.shutdown(Shutdown::Write).expect("open");
-            return delivered(&self.stream);
-        }
-        // A reset is not acknowledged, but the router's end then leaves the table; which is not read in one piece,
-        // and may leave one out.
-        let ends = [self.stream.peer_addr(), self.stream.local_addr()];
-        let ends = ends.map(|end| format!(":{:04X}", end.expect("connected").port()));
-        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("an option");
-        drop(self);
-        let open = |line: &str| {
-            let fields: Vec<&str> = line.split_whitespace().collect();
-            fields[1].ends_with(&ends[0]) && fields[2].ends_with(&ends[1]) && fields[3] == "01"
-        };
-        let (began, mut gone) = (Instant::now(), 0);
-        while gone < 3 && began.elapsed() < WAIT {
-            sleep(Duration::from_millis(100));
-            let table = std::fs::read_to_string("/proc/net/tcp").expect("readable");
-            gone = if table.lines().any(open) { 0 } else { gone + 1 };
-        }
-    }
-
-    /// All that the router has written and its system has not sent yet comes too.
-    fn take_all(&mut self) -> Vec<u8> {
-        let ends = [self.stream.peer_addr(), self.stream.local_addr()];
-        let ends = ends.map(|end| format!(":{:04X}", end.expect("connected").port()));
-        let sent = |line: &str| {
-            let fields: Vec<&str> = line.split_whitespace().collect();
-            let ours = fields[1].ends_with(&ends[0]) && fields[2].ends_with(&ends[1]);
-            ours && fields[4].starts_with("00000000:")
-        };
-        let (began, mut came) = (Instant::now(), Vec::new());
-        self.stream.set_nonblocking(true).expect("an option");
-        loop {
-            let table = std::fs::read_to_string("/proc/net/tcp").expect("readable");
-            let all = table.lines().any(sent);
-            assert!(began.elapsed() < WAIT, "the system still holds some");
-            let before = came.len();
-            _ = self.stream.read_to_end(&mut came);
-            if all && came.len() == before {
-                self.stream.set_nonblocking(false).expect("an option");
-                return came;
-            }
-        }
-    }
-
-    fn heard_nothing(&self) -> bool {
-        self.stream.set_nonblocking(true).expect("an option");
-        self.stream.peek(&mut [0]).map_or(true, |bytes| bytes == 0)
-    }
-}
-
-/// Without probes; a dial and a drain's grace last longer than any test.
-fn router(members: &[(&str, &Member)]) -> Router {
-    let entries: Vec<String> =
-        members.iter().map(|(id, m)| entry_at(id, m.address, "ready", "primary")).collect();
-    let known = list(41, true, &entries);
-    let discovery = Discovery::acting(move |_, asked| {
-        asked.begin();
-        asked.send(&known);
-    });
-    let text = configuration(discovery.address, 1024, 192, "null")
-        .replace(r#""may_probe":true"#, r#""may_probe":false"#)
-        .replace(r#""dial_timeout_ms":1000.0"#, r#""dial_timeout_ms":50000.0"#)
-        .replace(r#""drain_grace_ms":500.0"#, r#""drain_grace_ms":50000.0"#);
-    Router::beside(discovery, &text, None)
-}
+use std::time::Duration;
 
 fn error(code: &str) -> Answer {
     Answer::Error(code.to_owned(), None)
@@ -187,11 +23,13 @@
 /// A router, its one member's connection, which idles, and a client that was served.
 fn rests() -> (Member, Router, Link, Client) {
     let member = Member::start();
-    let router = router(&[("s-a", &member)]);
+    let router = without_probes(&[("s-a", &member)]);
     let mut client = ask(&router, "i0");
     let mut link = member.met();
     link.serve("id=i0", "r0");
     assert_eq!(client.answer(), Answer::Row("r0".into()));
+    // What follows at once goes to another connection: this one rests for 1 ms before it is used again.
+    sleep(Duration::from_millis(5));
     (member, router, link, client)
 }
 
@@ -231,7 +69,7 @@
 #[case::with_room_for_the_rest([row("spare"), ready()].concat(), true)]
 fn what_comes_before_a_statement_is_written_whole_is_no_answer(#[case] bytes: Vec<u8>, #[case] room: bool) {
     let member = Member::narrow();
-    let router = router(&[("s-a", &member)]);
+    let router = without_probes(&[("s-a", &member)]);
     let long = order("i1", 30_000).replace(r"\x01", &format!(r"\x{}", "01".repeat(64_000)));
     let mut client = Client::connect(&router);
     client.send(&query_bytes(&long));
@@ -259,7 +97,7 @@
 #[case::drip_behind_a_whole_one(53, 20, Answer::Row("r".into()))]
 fn an_answer_that_never_ends_is_ended(#[case] begun: usize, #[case] pause: u64, #[case] want: Answer) {
     let member = Member::start();
-    let router = router(&[("s-a", &member)]);
+    let router = without_probes(&[("s-a", &member)]);
     let mut client = ask(&router, "i1");
     let mut link = member.met();
     assert!(link.asked().is_some_and(|s| s.contains("id=i1")));
@@ -349,7 +187,7 @@
     #[values(true, false)] at_once: bool,
 ) {
     let (member, other) = (Member::start(), Member::start());
-    let router = router(&[("s-a", &member)]);
+    let router = without_probes(&[("s-a", &member)]);
     let mut watch = router.discovery.asked();
     let mut client = ask(&router, "i1");
     let mut link = member.dialled();
@@ -400,7 +238,7 @@
 #[rstest]
 fn what_waited_says_how_long_its_router_still_waits() {
     let member = Member::start();
-    let router = router(&[("s-a", &member)]);
+    let router = without_probes(&[("s-a", &member)]);
     let mut client = ask(&router, "i1");
     let mut link = member.dialled();
     sleep(Duration::from_millis(300));
@@ -411,3 +249,50 @@
     link.answer("r");
     assert_eq!(client.answer(), Answer::Row("r".into()));
 }
+
+/// The module looks at a command again one tick after it was sent. What ends in the turn of that look has its further
+/// attempt all the same, also where it has no time for a third.
+#[rstest]
+fn a_miss_that_comes_with_a_look_at_its_command_walks_on() {
+    let (first, second) = (Member::start(), Member::start());
+    let members = [("s-a", &first), ("s-b", &second)];
+    let router = without_probes_but(&members, &[(r#""tick_ms":5.0"#, r#""tick_ms":2000.0"#)]);
+    let mut client = ask(&router, "i1");
+    let mut link = first.met();
+    assert!(link.asked().is_some_and(|s| s.contains("id=i1")));
+    router.stop();
+    link.say(&[parameter("role", "replica"), code("25006"), ready()].concat());
+    sleep(Duration::from_millis(2_500));
+    router.signal("-CONT");
+    second.met().serve("id=i1", "own");
+    assert_eq!(client.answer(), Answer::Row("own".into()));
+}
+
+/// What may have run may be sent again inside its window alone, and that closes while the further attempt dials.
+#[rstest]
+fn a_keyed_command_is_not_written_once_its_window_has_closed_during_a_dial(
+    #[values(true, false)] at_once: bool,
+) {
+    let (member, second) = (Member::start(), Member::start());
+    let keyed = (r#""semantics":"side_effect""#, r#""semantics":"token","group":"all","window_ms":3000.0"#);
+    let router = without_probes_but(&[("s-a", &member), ("s-b", &second)], &[WORTH, keyed]);
+    let mut client = ask(&router, "i1");
+    let mut link = member.met();
+    assert!(link.asked().is_some_and(|s| s.contains("id=i1")));
+    link.say(&[code("XX000"), ready()].concat());
+    let mut further = second.dialled();
+    if at_once {
+        // It comes up in the turn in which its window has closed.
+        router.stop();
+        further.greet();
+        sleep(Duration::from_millis(3_300));
+        router.signal("-CONT");
+    }
+    let answer = client.answer();
+    assert!(matches!(answer, Answer::Error(..)), "{answer:?}");
+    if !at_once {
+        further.greet();
+    }
+    router.turn();
+    assert!(further.heard_nothing(), "written past its window");
+}
