--- a/crates/router/tests/leave.rs
+++ b/crates/router/tests/leave.rs
@@ -68,6 +68,12 @@
 
 impl Held {
     fn start(backlog: i32, cancel: bool) -> Held {
+        let permission = ("\"cancel\":true", if cancel { "\"cancel\":true" } else { "\"cancel\":false" });
+        Held::start_with(backlog, &[permission])
+    }
+
+    /// With these pieces of the settings' text in place of others as well.
+    fn start_with(backlog: i32, pieces: &[(&str, &str)]) -> Held {
         let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
         // Small pieces and buffers: the system takes a long statement in parts.
@@ -81,9 +87,8 @@
         listener.set_nonblocking(true).expect("a socket");
         listener.listen(backlog).expect("it listens");
         let address = listener.local_addr().expect("bound").as_socket().expect("an address");
-        let permission = ("\"cancel\":true", if cancel { "\"cancel\":true" } else { "\"cancel\":false" });
         let entries = [entry_at("s-a", address, "ready", "primary")];
-        let router = Router::with_settings(&entries, &[&ALONE[..], &[permission]].concat());
+        let router = Router::with_settings(&entries, &[&ALONE[..], pieces].concat());
         Held { listener, router }
     }
 
@@ -274,6 +279,45 @@
     assert_eq!(seen.filter(others).collect::<Vec<Seen>>(), []);
 }
 
+/// The attempts of some end so that further ones may follow, and more clients than the system tells of at once have left
+/// before those whose commands they are: their leaving is told in a later turn.
+#[rstest]
+fn many_that_leave_at_once_have_no_further_attempt_begun() {
+    const IN_HAND: usize = 4;
+    let held = Held::start_with(64, &[WORTH, ("\"sockets\":1024", "\"sockets\":6000")]);
+    let ask = |client: &mut Client, i: usize| client.send(&query_bytes(&look(&format!("i{i}"), 30_000)));
+    let crowd: Vec<Client> = (0..1_200).map(|_| Client::connect(&held.router)).collect();
+    let mut busy: Vec<Client> = (0..IN_HAND).map(|_| Client::connect(&held.router)).collect();
+    busy.iter_mut().enumerate().for_each(|(i, client)| ask(client, i));
+    let mut nodes: Vec<TcpStream> = (0..IN_HAND).map(|_| held.accept()).collect();
+    for node in &mut nodes {
+        greet(node);
+        let (kind, _) = read_packet(node, false).expect("a statement");
+        assert_eq!(kind, b'Q');
+    }
+    settle(&held.router);
+    held.router.stop();
+    for node in &mut nodes {
+        node.write_all(&[code("XX000"), ready()].concat()).expect("open");
+        delivered(node);
+    }
+    crowd.iter().chain(&busy).for_each(|c| c.stream.shutdown(Shutdown::Both).expect("open"));
+    held.router.signal("-CONT");
+    settle(&held.router);
+    wait_for(&held.router, "commands", "left", IN_HAND as u64);
+    // A further attempt would go out on a new connection, or on one of those that rest.
+    while let Ok((stream, _)) = held.listener.accept() {
+        stream.set_nonblocking(false).expect("open");
+        nodes.push(stream.into());
+    }
+    nodes[IN_HAND..].iter_mut().for_each(greet);
+    settle(&held.router);
+    drop(held);
+    let came: Vec<usize> = nodes.iter_mut().map(|node| rest(node, usize::MAX)).collect();
+    let startups = came[IN_HAND..].iter().filter(|bytes| **bytes > 0).count();
+    assert!(came[..IN_HAND].iter().all(|bytes| *bytes == 0) && startups == 0, "{came:?}");
+}
+
 /// An open client and its key data.
 fn keyed(router: &Router) -> (Client, Vec<u8>) {
     let mut client = Client::raw(router);
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -6,8 +6,9 @@
 use rstest::rstest;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 fn always(bytes: Vec<u8>) -> impl Fn(&str) -> Reply + Send + Sync {
@@ -143,7 +144,8 @@
 #[case::garbage(b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec())]
 #[case::row_and_error([row("a"), code("XX000")].concat())]
 fn what_is_no_answer_may_have_run(#[case] bytes: Vec<u8>) {
-    let (_node, router) = one(always(bytes));
+    let node = Node::start("primary", always(bytes));
+    let router = Router::with_settings(&[entry("s-a", &node, "ready", "primary")], &PATIENT);
     assert_eq!(Client::connect(&router).query(&order("i1", 5000)), error("40003"));
 }
 
@@ -346,37 +348,48 @@
 fn a_reload_moves_the_watch_and_keeps_commands_and_what_was_told() {
     let (go, going) = channel();
     let going = Mutex::new(going);
-    let (node, router) = one(move |s| {
+    let node = Node::start("primary", move |s| {
         if s.contains("id=i1") {
-            going.lock().expect("one at a time").recv_timeout(WAIT).expect("the test goes on");
+            going.lock().expect("one at a time").recv().expect("the test goes on");
         }
         Reply::Send(row("r"))
     });
+    let router = Router::with_settings(&[entry("s-a", &node, "ready", "primary")], &PATIENT);
     let mut old = router.discovery.asked();
     old.send(&list(42, false, &[entry("s-a", &node, "ready", "primary")]));
     let mut client = Client::connect(&router);
-    client.send(&query_bytes(&look("i1", 30_000)));
+    client.send(&query_bytes(&look("i1", 60_000)));
     assert!(node.statement().contains("id=i1"));
     // Half a file and one without discovery change nothing.
     for wrong in [r#"{"name":"n0","lis"#, r#"{"settings":{},"seed":"1","listen":"127.0.0.1:0"}"#] {
         router.reload(wrong);
         router.logged("reload: the configuration stays as it is");
     }
-    let new = Discovery::start();
+    // The new one tells its list once the test says so, however often it has been asked by then.
+    let second = Node::start("primary", always(row("second")));
+    let other = entry("s-b", &second, "ready", "primary");
+    let tells = Arc::new(AtomicBool::new(false));
+    let (told, whole) = (tells.clone(), list(7, true, std::slice::from_ref(&other)));
+    let new = Discovery::acting(move |_, asked| {
+        if told.load(Relaxed) {
+            asked.begin();
+            asked.send(&whole);
+        }
+    });
     router.reload(&configuration(new.address, 512, 192, "null"));
     router.logged("'limits' has changed");
-    let mut watch = new.asked();
+    let watch = new.asked();
     assert!(watch.path.contains("index=0"), "{}", watch.path);
     // The old one is heard until the new one has told its list, then ended, and never asked again.
-    let second = Node::start("primary", always(row("second")));
-    let other = entry("s-b", &second, "ready", "primary");
-    old.send(&list(43, false, &[entry("s-a", &node, "draining", "replica"), other.clone()]));
+    old.send(&list(43, false, &[entry("s-a", &node, "draining", "replica"), other]));
+    old.delivered();
     assert_eq!(Client::connect(&router).query(&order("i2", 9000)), Answer::Row("second".into()));
-    watch.send(&list(7, true, &[other]));
-    assert!(old.ended());
+    tells.store(true, Relaxed);
     drop(watch);
-    assert!(new.asked().path.contains("index=7"), "asked at the new address alone");
-    assert!(router.discovery.never_asked());
+    assert!(old.ended());
+    // Each watch is closed as it is let go: the one behind that list asks for what changed since.
+    while !new.asked().path.contains("index=7") {}
+    assert!(router.discovery.never_asked(), "asked at the new address alone");
     go.send(()).expect("the node waits");
     assert_eq!(client.answer(), Answer::Row("r".into()));
 }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -688,6 +688,25 @@
     assert!(r.ready.iter().any(|d| matches!(d, Decision::Probe { .. })), "nobody is asked 2.5 s later");
 }
 
+/// What was set before the command was sent is due when its dispatch ends. It has no time for a third offer.
+#[rstest]
+#[case::not_yet_due(NOW + 9)]
+#[case::due(NOW + 11)]
+fn a_further_attempt_is_offered_though_an_old_settling_is_due(#[case] ends: Tenths) {
+    let mut r = router(&[]);
+    while r.next_decision(NOW).is_some() {}
+    let (id, command_group) = ("cmd".into(), "write".into());
+    let (time_left, customer, token_age, session) = (1_000, None, None, None);
+    let command =
+        Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat: false };
+    r.command_arrived(NOW, command).expect("a known group");
+    let sent = std::iter::from_fn(|| r.next_decision(NOW)).any(|d| matches!(d, Decision::Dispatch { .. }));
+    assert!(sent, "a first dispatch");
+    r.dispatch_ended(ends, "cmd", ended(Ending::Miss, Some(false)));
+    let decided: Vec<Decision> = std::iter::from_fn(|| r.next_decision(ends)).collect();
+    assert!(decided.iter().any(|d| matches!(d, Decision::Dispatch { .. })), "{decided:?}");
+}
+
 #[rstest]
 #[case::beside_one_that_works(State::Unknown, NOW - 3 * SECOND, false)]
 #[case::beside_none(State::TransportError, NOW - 3 * SECOND, true)]
