--- /dev/null
+++ b/crates/configuration/src/whole.rs
@@ -0,0 +1,51 @@
+//! A whole document as bytes: compressed, with its version and digest. What a router keeps on its disk, and what is sent
+//! in parts where the log is gone.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Bad, DOCUMENT_MOST, Document, NAMES_MOST};
+use crate::{Tenths, Version};
+
+/// Level of compression: what is sent 2,100 times is packed once.
+const LEVEL: i32 = 9;
+/// Most bytes that are unpacked: a document at its bounds and its frame.
+const UNPACKED_MOST: u64 = (DOCUMENT_MOST + 8 * NAMES_MOST + 64) as u64;
+
+#[derive(Serialize, Deserialize)]
+struct Frame {
+    version: Version,
+    published: Tenths,
+    digest: u64,
+    names: BTreeMap<String, String>,
+}
+
+/// The document as bytes.
+pub fn pack(version: Version, published: Tenths, document: &Document) -> Vec<u8> {
+    let names = document.clone().into_map();
+    let frame = Frame { version, published, digest: document.digest(), names };
+    let plain = postcard::to_stdvec(&frame).unwrap_or_default();
+    zstd::encode_all(plain.as_slice(), LEVEL).unwrap_or_default()
+}
+
+/// The version, when it was published, and the document.
+///
+/// # Errors
+/// [`Bad`]: bytes that can't be read, a digest or a bound that does not fit.
+pub fn unpack(bytes: &[u8]) -> Result<(Version, Tenths, Document), Bad> {
+    // Danger: a few bytes that unpack to gigabytes.
+    let mut plain = Vec::new();
+    let unpacking = zstd::Decoder::new(bytes).map_err(|_| Bad::Copy)?;
+    unpacking.take(UNPACKED_MOST + 1).read_to_end(&mut plain).map_err(|_| Bad::Copy)?;
+    if plain.len() as u64 > UNPACKED_MOST {
+        return Err(Bad::Bytes(plain.len()));
+    }
+    let frame: Frame = postcard::from_bytes(&plain).map_err(|_| Bad::Copy)?;
+    let document = Document::from(frame.names)?;
+    match document.digest() {
+        found if found != frame.digest => Err(Bad::Digest { found, expected: frame.digest }),
+        _ => Ok((frame.version, frame.published, document)),
+    }
+}
