Configuration: routers' and machines' sides decide

A router asks, applies, tells and moves; a machine serves at a pace, votes, holds and writes, and reports who is at which version.

--- a/crates/configuration/src/ledger.rs
+++ b/crates/configuration/src/ledger.rs
@@ -88,10 +88,11 @@
         Taken::New
     }
 
-    /// Forgets those not served for so long.
-    pub(crate) fn forget(&mut self, now: Tenths, after: Tenths) -> usize {
+    /// Forgets those not served for so long. Who is served by this machine itself was heard now; of others their machines
+    /// speak again and again.
+    pub(crate) fn forget(&mut self, now: Tenths, me: &Name, after: Tenths) -> usize {
         let before = self.rows.len();
-        for row in self.rows.values_mut().filter(|row| row.entry.linked) {
+        for row in self.rows.values_mut().filter(|row| row.entry.linked && row.by == *me) {
             row.heard = now;
         }
         self.rows.retain(|_, row| now - row.heard < after);
@@ -119,6 +120,12 @@
         self.rows.values().all(|row| row.entry.version >= version)
     }
 
+    /// Those of whom this machine spoke last.
+    pub(crate) fn said_by(&self, machine: &Name) -> Vec<Name> {
+        let rows = self.rows.iter().filter(|(_, row)| row.by == *machine);
+        rows.map(|(name, _)| name.clone()).collect()
+    }
+
     fn make_room(&mut self) -> bool {
         let gone = self.rows.iter().filter(|(_, row)| !row.entry.linked);
         let Some(name) = gone.min_by_key(|(_, row)| row.heard).map(|(name, _)| name.clone()) else {
@@ -148,7 +155,9 @@
         if new < old {
             return if raised { Taken::Changed } else { Taken::Known };
         }
-        self.heard = now;
+        if entry.linked {
+            self.heard = now;
+        }
         let entry = Entry { version, ..entry };
         let changed = raised || entry != self.entry || *by != self.by;
         (self.entry, self.by) = (entry, by.clone());
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod message;
 mod name;
+mod parts;
 mod plan;
 mod replica;
 mod subscriber;
--- a/crates/configuration/src/log.rs
+++ b/crates/configuration/src/log.rs
@@ -64,7 +64,7 @@
     }
 
     /// All, oldest first.
-    pub fn iter(&self) -> impl Iterator<Item = &Change> {
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Change> {
         self.changes.iter()
     }
 
--- /dev/null
+++ b/crates/configuration/src/machine/vote.rs
@@ -0,0 +1,221 @@
+//! Keepers: who may write, in which epoch, and what is held.
+
+use std::collections::BTreeMap;
+
+use super::{Event, Machine, Role};
+use crate::kept::Record;
+use crate::{Change, Message, Name, Tenths, Version, replica};
+
+/// A keeper that asks to write.
+pub(super) struct Standing {
+    epoch: u32,
+    trial: bool,
+    founding: bool,
+    pub(super) until: Tenths,
+    answers: BTreeMap<Name, Answer>,
+}
+
+struct Answer {
+    granted: bool,
+    held: Version,
+    fresh: bool,
+}
+
+impl Machine {
+    /// Not before a writer had its time to speak; by chance, so that not all stand at once.
+    pub(super) fn put_off_standing(&mut self, now: Tenths) {
+        let wait = self.between(self.plan.stand, 2 * self.plan.stand);
+        self.stand_at = now + wait;
+    }
+
+    /// Stands when no writer was heard in time; gives up what led to nothing.
+    pub(super) fn stand(&mut self, now: Tenths) {
+        match &self.role {
+            Role::Follows if self.keeps() && now >= self.stand_at => {
+                // Danger: one that was cut off raises the epoch again and again, and unseats a good writer on its return.
+                // So it first asks whether it would be promised anything.
+                self.ask_votes(now, true, false);
+            }
+            Role::Stands(standing) if now >= standing.until => {
+                self.role = Role::Follows;
+                self.put_off_standing(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn ask_votes(&mut self, now: Tenths, trial: bool, founding: bool) {
+        let epoch = self.seen.max(self.kept.promised).saturating_add(1);
+        if !trial {
+            self.keep(Record::Promised(epoch));
+            self.seen = epoch;
+            if founding && self.kept.fresh {
+                self.settle();
+            }
+        }
+        let held = self.kept.held();
+        let own = Answer { granted: !self.kept.fresh, held, fresh: self.kept.fresh };
+        let answers = BTreeMap::from([(self.me.clone(), own)]);
+        let until = now + self.plan.patience / 3;
+        self.role = Role::Stands(Standing { epoch, trial, founding, until, answers });
+        for keeper in self.other_keepers() {
+            self.send(&keeper, Message::Prepare { epoch, held, trial, founding });
+        }
+        self.count_votes(now);
+    }
+
+    pub(super) fn settle(&mut self) {
+        self.keep(Record::Settled);
+        self.tell(Event::Settled);
+    }
+
+    /// Another one asks to write.
+    pub(super) fn prepare(
+        &mut self,
+        now: Tenths,
+        from: &Name,
+        epoch: u32,
+        held: Version,
+        trial: bool,
+        founding: bool,
+    ) {
+        if !self.keeps() || !self.keepers.contains(from) {
+            return;
+        }
+        self.seen = self.seen.max(epoch.min(self.seen.saturating_add(1_000)));
+        let own = self.kept.held();
+        let writes = matches!(self.role, Role::Writes(_));
+        let followed = writes
+            || self.heard.as_ref().is_some_and(|(name, _, at)| name != from && now - at < self.plan.stand);
+        // Danger: a keeper that lost its disk would promise against what it had promised before.
+        let counts = !self.kept.fresh || (founding && own == Version::NONE);
+        // Danger: a writer that does not hold what a majority holds would take it back.
+        let granted = epoch > self.kept.promised && held >= own && counts && !followed;
+        if granted && !trial {
+            self.keep(Record::Promised(epoch));
+            if self.kept.fresh {
+                self.settle();
+            }
+            self.role = Role::Follows;
+            self.put_off_standing(now);
+        }
+        let (promised, fresh) = (self.kept.promised, self.kept.fresh);
+        self.send(from, Message::Promised { epoch, trial, granted, promised, held: own, fresh });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn promised(
+        &mut self,
+        now: Tenths,
+        from: &Name,
+        (epoch, trial): (u32, bool),
+        granted: bool,
+        promised: u32,
+        held: Version,
+        fresh: bool,
+    ) {
+        self.seen = self.seen.max(promised);
+        if !self.keepers.contains(from) {
+            return;
+        }
+        let Role::Stands(standing) = &mut self.role else { return };
+        if (standing.epoch, standing.trial) == (epoch, trial) {
+            standing.answers.insert(from.clone(), Answer { granted, held, fresh });
+            self.count_votes(now);
+        }
+    }
+
+    fn count_votes(&mut self, now: Tenths) {
+        let Role::Stands(standing) = &self.role else { return };
+        let granted = standing.answers.values().filter(|answer| answer.granted && !answer.fresh).count();
+        let empty = standing.answers.values().filter(|answer| answer.held == Version::NONE).count();
+        let (trial, epoch, founding) = (standing.trial, standing.epoch, standing.founding);
+        // Danger: keepers that lost their disks would found a second fleet; so all of them have to be there and empty.
+        let founds = empty == self.keepers.len();
+        // Danger: one that lost its disk would write with less than it had said to hold.
+        let wins = granted >= self.majority() && !self.kept.fresh;
+        match trial {
+            true if wins => self.ask_votes(now, false, founding),
+            true if founds => self.ask_votes(now, false, true),
+            false if wins => self.begin_writing(now, epoch),
+            _ => {}
+        }
+    }
+
+    /// The writer speaks: its epoch, what is released, and what is to be held.
+    pub(super) fn accept(&mut self, now: Tenths, from: &Name, message: Message) {
+        let Message::Accept { epoch, round, released, tail, judged, mark, sure } = message else { return };
+        let known = self.heard.as_ref().map_or(0, |(_, epoch, _)| *epoch).max(self.kept.promised);
+        // Danger: an old writer that comes back, or one that was only delayed.
+        if epoch < known || self.writes().is_some_and(|own| epoch <= own) {
+            return self.answer(from, known.max(self.writes().unwrap_or(0)), round);
+        }
+        self.follow(now, from, epoch);
+        if self.keeps() && epoch > self.kept.promised {
+            self.keep(Record::Promised(epoch));
+        }
+        self.judged = self.judged.max(judged);
+        self.learn_released(now, released);
+        if self.keeps() {
+            self.hold(released, tail);
+        }
+        self.sure_of(now, mark, sure, released);
+        self.answer(from, epoch, round);
+    }
+
+    fn answer(&mut self, to: &Name, epoch: u32, round: u64) {
+        let (held, released, fresh) = (self.kept.held(), self.kept.version(), self.kept.fresh);
+        self.send(to, Message::Accepted { epoch, round, held, released, fresh });
+    }
+
+    fn follow(&mut self, now: Tenths, from: &Name, epoch: u32) {
+        if self.writes().is_some() {
+            self.stop_writing(now);
+        }
+        self.role = Role::Follows;
+        self.seen = self.seen.max(epoch);
+        if self.heard.as_ref().is_none_or(|(name, old, _)| (name, *old) != (from, epoch)) {
+            self.reports.afresh(now);
+        }
+        self.heard = Some((from.clone(), epoch, now));
+        if std::mem::take(&mut self.apart_told) {
+            self.tell(Event::Joined(from.clone()));
+        }
+        if self.keeps() {
+            self.put_off_standing(now);
+        }
+    }
+
+    /// What it holds itself up to there is released now; what it does not hold it has to fetch.
+    fn learn_released(&mut self, now: Tenths, released: Version) {
+        if let Some(at) = self.kept.tail.iter().position(|change| change.version == released) {
+            let changes = self.kept.tail[..=at].to_vec();
+            self.release(now, Record::Released(changes));
+        }
+        self.catch.wanted = self.catch.wanted.max(released);
+    }
+
+    /// Takes what follows the released version, as a keeper. The writer may know less to be released than this keeper does.
+    fn hold(&mut self, released: Version, mut tail: Vec<Change>) {
+        if self.kept.version() != released {
+            let known = tail.iter().position(|change| change.version == self.kept.version());
+            let Some(at) = known else { return };
+            tail.drain(..=at);
+        }
+        // Danger: an accept that was overtaken is shorter, and would take back what this keeper said to hold.
+        let own = &self.kept.tail;
+        let same = own.iter().zip(&tail).take_while(|(own, new)| own.version == new.version).count();
+        if same == tail.len() {
+            return;
+        }
+        let mut version = self.kept.version();
+        let mut document = self.kept.document().clone();
+        for change in &tail {
+            match replica::after(version, &document, change) {
+                Ok(next) => (version, document) = (change.version, next),
+                Err(bad) => return self.tell(Event::Broken(change.version, bad)),
+            }
+        }
+        self.keep(Record::Held(tail));
+    }
+}
--- a/crates/configuration/src/message.rs
+++ b/crates/configuration/src/message.rs
@@ -147,11 +147,24 @@
         /// As in [`Message::Promised`].
         fresh: bool,
     },
-    /// Machine to writer: what changed in its part of the ledger.
+    /// Machine to writer, and to the other keepers: what changed in its part of the ledger.
     Report {
-        /// Grows with each one.
+        /// Grows with each one; 0 to a keeper that does not write.
         mark: u64,
         /// At most [`crate::wire::ENTRIES_MOST`].
         entries: Vec<Entry>,
     },
+    /// Machine to router: a part of changes that are too long for one message.
+    Long {
+        /// As in the ask that it answers.
+        turn: u32,
+        /// That the last of them leads to.
+        version: Version,
+        /// Which part, from 0.
+        part: u16,
+        /// Of so many.
+        of: u16,
+        /// A part of the changes, compressed.
+        bytes: Vec<u8>,
+    },
 }
--- /dev/null
+++ b/crates/configuration/src/parts.rs
@@ -0,0 +1,88 @@
+//! What comes in parts, until it is whole.
+
+use std::collections::BTreeMap;
+
+use crate::document::{Bad, DOCUMENT_MOST};
+use crate::{Tenths, Version};
+
+/// Bytes of one part: five a second fit what a router has for control.
+pub(crate) const PART: usize = 1_024;
+/// Most bytes of all parts together, compressed.
+const PARTS_MOST: usize = 2 * DOCUMENT_MOST;
+
+/// What the parts are of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Of {
+    Whole,
+    Changes,
+}
+
+/// Something packed, sent in parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Packed {
+    pub(crate) of: Of,
+    /// That it leads to.
+    pub(crate) version: Version,
+    pub(crate) published: Tenths,
+    pub(crate) bytes: Vec<u8>,
+}
+
+impl Packed {
+    pub(crate) fn parts(&self) -> u16 {
+        self.bytes.len().div_ceil(PART).max(1) as u16
+    }
+
+    pub(crate) fn part(&self, number: u16) -> Vec<u8> {
+        let from = usize::from(number) * PART;
+        self.bytes.get(from..self.bytes.len().min(from + PART)).unwrap_or_default().to_vec()
+    }
+}
+
+/// One part, as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Part {
+    pub(crate) kind: Of,
+    pub(crate) version: Version,
+    pub(crate) part: u16,
+    pub(crate) of: u16,
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// Parts of one thing, the last begun.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Parts {
+    of: Option<(Of, Version, u16)>,
+    came: BTreeMap<u16, Vec<u8>>,
+    bytes: usize,
+}
+
+impl Parts {
+    /// Takes one; all bytes in order when it was the last one missing.
+    ///
+    /// # Errors
+    /// [`Bad::Bytes`] if they are too many; all are forgotten.
+    pub(crate) fn take(&mut self, part: Part) -> Result<Option<Vec<u8>>, Bad> {
+        let of = (part.kind, part.version, part.of);
+        if part.part >= part.of {
+            return Ok(None);
+        }
+        if self.of != Some(of) {
+            *self = Parts { of: Some(of), ..Parts::default() };
+        }
+        if !self.came.contains_key(&part.part) {
+            self.bytes += part.bytes.len();
+            self.came.insert(part.part, part.bytes);
+        }
+        if self.bytes > PARTS_MOST {
+            let bytes = self.bytes;
+            *self = Parts::default();
+            return Err(Bad::Bytes(bytes));
+        }
+        if self.came.len() < usize::from(part.of) {
+            return Ok(None);
+        }
+        let bytes = self.came.values().flatten().copied().collect();
+        *self = Parts::default();
+        Ok(Some(bytes))
+    }
+}
--- a/crates/configuration/src/replica.rs
+++ b/crates/configuration/src/replica.rs
@@ -1,33 +1,15 @@
 //! A version and its document, taken on by changes and whole copies: forward only, all of it or nothing.
 
-use std::collections::BTreeMap;
+use crate::document::{Bad, Document};
+use crate::parts::{Of, Part, Parts};
+use crate::{Change, Version, whole};
 
-use crate::document::{Bad, DOCUMENT_MOST, Document};
-use crate::{Change, Tenths, Version, whole};
-
-/// What is held, and a whole copy under way.
+/// What is held, and what comes in parts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Replica {
     pub(crate) version: Version,
     pub(crate) document: Document,
-    parts: Option<Parts>,
-}
-
-/// Parts of a whole copy: at most as many bytes as a document has.
-#[derive(Clone, Debug)]
-struct Parts {
-    version: Version,
-    of: u16,
-    came: BTreeMap<u16, Vec<u8>>,
-    bytes: usize,
-}
-
-/// One part, as it came.
-pub(crate) struct Part {
-    pub(crate) version: Version,
-    pub(crate) part: u16,
-    pub(crate) of: u16,
-    pub(crate) bytes: Vec<u8>,
+    parts: Parts,
 }
 
 /// The document after a change made for this version.
@@ -52,7 +34,7 @@
 
 impl Replica {
     pub(crate) fn new(version: Version, document: Document) -> Replica {
-        Replica { version, document, parts: None }
+        Replica { version, document, parts: Parts::default() }
     }
 
     /// Takes changes in order; those at or below what is held are passed over.
@@ -60,57 +42,39 @@
     /// # Errors
     /// The first one that does not fit, and why; those before it are taken.
     pub(crate) fn take(&mut self, changes: &[Change]) -> Result<(), (Version, Bad)> {
-        for change in changes.iter().filter(|change| change.version > self.version).collect::<Vec<_>>() {
+        for change in changes {
+            // Danger: one that came twice, or late, would lead back.
+            if change.version <= self.version {
+                continue;
+            }
             let next = after(self.version, &self.document, change).map_err(|bad| (change.version, bad))?;
             (self.version, self.document) = (change.version, next);
         }
         Ok(())
     }
 
-    /// Takes a part. When it was the last one missing, of a later version: when it was published.
+    /// Takes a part, and all of it when it was the last one missing.
     ///
     /// # Errors
-    /// The copy can't be used; its parts are forgotten.
-    pub(crate) fn part(&mut self, part: Part) -> Result<Option<Tenths>, (Version, Bad)> {
+    /// What it is part of does not fit; nothing of it is taken, or of changes those before the first that does not.
+    pub(crate) fn part(&mut self, part: Part) -> Result<(), (Version, Bad)> {
         // Danger: a copy that would lead back.
-        if part.version <= self.version || part.part >= part.of {
-            return Ok(None);
-        }
-        let fits = |parts: &&mut Parts| parts.version == part.version && parts.of == part.of;
-        if self.parts.as_mut().filter(fits).is_none() {
-            self.parts = Some(Parts { version: part.version, of: part.of, came: BTreeMap::new(), bytes: 0 });
+        if part.version <= self.version {
+            return Ok(());
         }
-        let Some(parts) = &mut self.parts else { return Ok(None) };
-        if !parts.came.contains_key(&part.part) {
-            parts.bytes += part.bytes.len();
-            parts.came.insert(part.part, part.bytes);
-        }
-        if parts.bytes > DOCUMENT_MOST {
-            self.parts = None;
-            return Err((part.version, Bad::Bytes(DOCUMENT_MOST + 1)));
-        }
-        if parts.came.len() < usize::from(parts.of) {
-            return Ok(None);
-        }
-        let bytes: Vec<u8> = parts.came.values().flatten().copied().collect();
-        self.parts = None;
-        match whole::unpack(&bytes) {
-            Ok((version, published, document)) if version == part.version => {
+        let (kind, version) = (part.kind, part.version);
+        let named = |bad| (version, bad);
+        let Some(bytes) = self.parts.take(part).map_err(named)? else { return Ok(()) };
+        match kind {
+            Of::Changes => self.take(&whole::unpack_changes(&bytes).map_err(named)?),
+            Of::Whole => {
+                let (found, _, document) = whole::unpack(&bytes).map_err(named)?;
+                if found != version {
+                    return Err(named(Bad::Copy));
+                }
                 (self.version, self.document) = (version, document);
-                Ok(Some(published))
+                Ok(())
             }
-            Ok(_) => Err((part.version, Bad::Copy)),
-            Err(bad) => Err((part.version, bad)),
         }
     }
-
-    /// Is a whole copy under way?
-    pub(crate) fn copying(&self) -> bool {
-        self.parts.is_some()
-    }
-
-    /// Forgets a copy under way.
-    pub(crate) fn drop_parts(&mut self) {
-        self.parts = None;
-    }
 }
--- /dev/null
+++ b/crates/configuration/src/subscriber/feed.rs
@@ -0,0 +1,59 @@
+//! What a router takes of what it is sent.
+
+use super::Subscriber;
+use crate::document::Bad;
+use crate::parts::Part;
+use crate::replica::Replica;
+use crate::{Tenths, Version};
+
+impl Subscriber {
+    /// Takes changes on.
+    pub(super) fn take(&mut self, now: Tenths, of: impl FnOnce(&mut Replica) -> Result<(), (Version, Bad)>) {
+        let before = self.replica.version;
+        let taken = of(&mut self.replica);
+        self.fed(now, before);
+        match taken {
+            Ok(()) => {}
+            Err((version, Bad::Base { .. })) if version > self.replica.version => self.ask_again(now),
+            // A change that does not fit: the whole once, for it may be the change alone that is damaged.
+            Err((version, _)) if version > self.spoilt => {
+                self.whole = true;
+                self.ask_again(now);
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Takes a part of a whole copy on.
+    pub(super) fn take_whole(&mut self, now: Tenths, part: Part) {
+        let before = self.replica.version;
+        let taken = self.replica.part(part);
+        self.fed(now, before);
+        if let Err((version, bad)) = taken
+            && version > self.spoilt
+        {
+            // Danger: asking for a broken copy again and again.
+            self.spoilt = version;
+            self.whole = false;
+            self.refuse(now, version, bad.to_string());
+        }
+    }
+
+    fn fed(&mut self, now: Tenths, before: Version) {
+        let Some(link) = &mut self.link else { return };
+        link.fed = now;
+        if self.replica.version > before {
+            link.gaps = 0;
+            link.again = None;
+            self.whole = false;
+        }
+    }
+
+    fn ask_again(&mut self, now: Tenths) {
+        let Some(link) = &mut self.link else { return };
+        if link.again.is_none() {
+            link.again = Some(now + (self.plan.beat / 20 << link.gaps.min(8)).min(self.plan.pause));
+            link.gaps += 1;
+        }
+    }
+}
--- a/crates/configuration/src/whole.rs
+++ b/crates/configuration/src/whole.rs
@@ -7,12 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::{Bad, DOCUMENT_MOST, Document, NAMES_MOST};
-use crate::{Tenths, Version};
+use crate::{Change, Tenths, Version};
 
 /// Level of compression: what is sent 2,100 times is packed once.
 const LEVEL: i32 = 9;
-/// Most bytes that are unpacked: a document at its bounds and its frame.
-const UNPACKED_MOST: u64 = (DOCUMENT_MOST + 8 * NAMES_MOST + 64) as u64;
+/// Most bytes that are unpacked: twice a document at its bounds, for changes have frames of their own.
+const UNPACKED_MOST: u64 = (2 * DOCUMENT_MOST + 8 * NAMES_MOST + 64) as u64;
 
 #[derive(Serialize, Deserialize)]
 struct Frame {
@@ -35,13 +35,7 @@
 /// # Errors
 /// [`Bad`]: bytes that can't be read, a digest or a bound that does not fit.
 pub fn unpack(bytes: &[u8]) -> Result<(Version, Tenths, Document), Bad> {
-    // Danger: a few bytes that unpack to gigabytes.
-    let mut plain = Vec::new();
-    let unpacking = zstd::Decoder::new(bytes).map_err(|_| Bad::Copy)?;
-    unpacking.take(UNPACKED_MOST + 1).read_to_end(&mut plain).map_err(|_| Bad::Copy)?;
-    if plain.len() as u64 > UNPACKED_MOST {
-        return Err(Bad::Bytes(plain.len()));
-    }
+    let plain = unpacked(bytes)?;
     let frame: Frame = postcard::from_bytes(&plain).map_err(|_| Bad::Copy)?;
     let document = Document::from(frame.names)?;
     match document.digest() {
@@ -49,3 +43,23 @@
         _ => Ok((frame.version, frame.published, document)),
     }
 }
+
+/// Changes as bytes.
+pub(crate) fn pack_changes(changes: &[Change]) -> Vec<u8> {
+    let plain = postcard::to_stdvec(changes).unwrap_or_default();
+    zstd::encode_all(plain.as_slice(), LEVEL).unwrap_or_default()
+}
+
+/// # Errors
+/// [`Bad`]: bytes that can't be read, or too many.
+pub(crate) fn unpack_changes(bytes: &[u8]) -> Result<Vec<Change>, Bad> {
+    postcard::from_bytes(&unpacked(bytes)?).map_err(|_| Bad::Copy)
+}
+
+fn unpacked(bytes: &[u8]) -> Result<Vec<u8>, Bad> {
+    // Danger: a few bytes that unpack to gigabytes.
+    let mut plain = Vec::new();
+    let unpacking = zstd::Decoder::new(bytes).map_err(|_| Bad::Copy)?;
+    unpacking.take(UNPACKED_MOST + 1).read_to_end(&mut plain).map_err(|_| Bad::Copy)?;
+    if plain.len() as u64 > UNPACKED_MOST { Err(Bad::Bytes(plain.len())) } else { Ok(plain) }
+}
