--- a/crates/configuration/src/kept.rs
+++ b/crates/configuration/src/kept.rs
@@ -75,6 +75,12 @@
         self.tail.last().map_or(self.version, |change| change.version)
     }
 
+    /// Does it hold this version: released and still in the log, or not released yet?
+    pub fn holds(&self, version: Version) -> bool {
+        let known = |change: &Change| change.version == version;
+        self.version == version || self.log.iter().any(known) || self.tail.iter().any(known)
+    }
+
     /// The document under the newest held version.
     ///
     /// # Errors
