Configuration: the fleet under loss, cuts, stops, kills and restarts; a ledger that outlives its writer

Reports now go to all keepers, which keep the names on disk and tell a new writer what they know of others' routers. A whole copy asked for by name is the newest, not the log from the beginning; parts are 512 bytes, so that no second holds more than a router's bytes. 32 tests pass.

--- a/crates/configuration/src/kept.rs
+++ b/crates/configuration/src/kept.rs
@@ -1,11 +1,13 @@
 //! What a control machine keeps over a restart.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::document::{Bad, Document};
 use crate::log::Log;
-use crate::{Change, Plan, Tenths, Version, replica};
+use crate::{Change, Name, Plan, Tenths, Version, replica};
 
 /// All that a control machine has to find again when it starts. The host writes it (`to_bytes`) before it carries out any
 /// order behind an [`crate::Order::Keep`], either whole or as the records of these orders, which [`Kept::take`] plays again.
@@ -21,6 +23,8 @@
     pub(crate) log: Log,
     /// Held as a keeper, not known to be released.
     pub(crate) tail: Vec<Change>,
+    /// Routers in the ledger of a keeper: a verdict names also those that are not heard after a restart.
+    pub(crate) routers: BTreeSet<Name>,
 }
 
 /// One thing to keep.
@@ -34,6 +38,10 @@
     Held(Vec<Change>),
     /// These are released.
     Released(Vec<Change>),
+    /// These routers are in the ledger.
+    Known(Vec<Name>),
+    /// These are not any more.
+    Forgotten(Vec<Name>),
     /// This whole copy is released.
     Whole {
         /// Its version.
@@ -55,6 +63,7 @@
             document: Document::default(),
             log: Log::default(),
             tail: Vec::new(),
+            routers: BTreeSet::new(),
         }
     }
 }
@@ -100,6 +109,11 @@
             Record::Promised(epoch) => self.promised = self.promised.max(*epoch),
             Record::Settled => self.fresh = false,
             Record::Held(tail) => self.tail = tail.clone(),
+            Record::Known(names) => {
+                let room = (2 * plan.names).saturating_sub(self.routers.len());
+                self.routers.extend(names.iter().take(room).cloned());
+            }
+            Record::Forgotten(names) => self.routers.retain(|name| !names.contains(name)),
             Record::Released(changes) => {
                 for change in changes {
                     let Ok(next) = replica::after(self.version, &self.document, change) else { continue };
--- a/crates/configuration/src/ledger.rs
+++ b/crates/configuration/src/ledger.rs
@@ -1,6 +1,6 @@
 //! Which router is at which version, and the verdict on each release.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -76,10 +76,10 @@
         self.rows.get(name).map(|row| &row.entry)
     }
 
-    /// Takes what a machine says. True if it changed what is known; false also for one that there is no room for.
-    pub(crate) fn take(&mut self, now: Tenths, by: &Name, entry: Entry, most: usize) -> Taken {
+    /// Takes what a machine says of a router of its own, or, relayed, what another knows of such a one.
+    pub(crate) fn take(&mut self, now: Tenths, by: &Name, entry: Entry, relayed: bool, most: usize) -> Taken {
         if let Some(row) = self.rows.get_mut(&entry.name) {
-            return row.take(now, by, entry);
+            return row.take(now, by, entry, relayed);
         }
         if self.rows.len() >= most && !self.make_room() {
             return Taken::NoRoom;
@@ -90,13 +90,14 @@
 
     /// Forgets those not served for so long. Who is served by this machine itself was heard now; of others their machines
     /// speak again and again.
-    pub(crate) fn forget(&mut self, now: Tenths, me: &Name, after: Tenths) -> usize {
-        let before = self.rows.len();
+    pub(crate) fn forget(&mut self, now: Tenths, me: &Name, after: Tenths) -> Vec<Name> {
         for row in self.rows.values_mut().filter(|row| row.entry.linked && row.by == *me) {
             row.heard = now;
         }
-        self.rows.retain(|_, row| now - row.heard < after);
-        before - self.rows.len()
+        let gone = self.rows.iter().filter(|(_, row)| now - row.heard >= after);
+        let gone: Vec<Name> = gone.map(|(name, _)| name.clone()).collect();
+        gone.iter().for_each(|name| drop(self.rows.remove(name)));
+        gone
     }
 
     /// The verdict as it stands now; `hears` says which machines the writer hears.
@@ -126,6 +127,11 @@
         rows.map(|(name, _)| name.clone()).collect()
     }
 
+    /// All machines of whose routers something is known.
+    pub(crate) fn machines(&self) -> BTreeSet<Name> {
+        self.rows.values().map(|row| row.by.clone()).collect()
+    }
+
     fn make_room(&mut self) -> bool {
         let gone = self.rows.iter().filter(|(_, row)| !row.entry.linked);
         let Some(name) = gone.min_by_key(|(_, row)| row.heard).map(|(name, _)| name.clone()) else {
@@ -145,14 +151,14 @@
 }
 
 impl Row {
-    fn take(&mut self, now: Tenths, by: &Name, entry: Entry) -> Taken {
+    fn take(&mut self, now: Tenths, by: &Name, entry: Entry, relayed: bool) -> Taken {
         let (old, new) = ((self.entry.start, self.entry.turn), (entry.start, entry.turn));
         // What was told counts over starts and machines: it never goes back.
         let version = self.entry.version.max(entry.version);
         let raised = version > self.entry.version;
         self.entry.version = version;
         // Danger: a machine that the router has left, and that speaks late, would call it silent.
-        if new < old {
+        if new < old || (relayed && new == old) {
             return if raised { Taken::Changed } else { Taken::Known };
         }
         if entry.linked {
--- a/crates/configuration/src/machine.rs
+++ b/crates/configuration/src/machine.rs
@@ -187,6 +187,7 @@
             ledger: Ledger::default(),
             reports,
         };
+        machine.remember_routers(now);
         machine.put_off_standing(now);
         Ok(machine)
     }
@@ -223,7 +224,7 @@
             Message::Accepted { epoch, round, held, fresh, .. } => {
                 self.accepted(now, from, epoch, round, held, fresh);
             }
-            Message::Report { mark, entries } => self.reported(now, from, mark, entries),
+            Message::Report { mark, by, entries } => self.reported(now, from, mark, &by, entries),
             answer => self.caught(now, from, answer),
         }
     }
@@ -246,10 +247,7 @@
             self.catch_up(now);
             self.report(now);
             self.judge(now);
-            if self.orders.is_empty() {
-                self.serve(now);
-            }
-            if self.orders.is_empty() {
+            if self.orders.is_empty() && !self.serve(now) {
                 return None;
             }
         }
--- a/crates/configuration/src/machine/report.rs
+++ b/crates/configuration/src/machine/report.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{Event, Machine};
+use crate::kept::Record;
 use crate::ledger::{Entry, Taken};
 use crate::wire::ENTRIES_MOST;
 use crate::{Message, Name, Tenths, Version};
@@ -17,6 +18,8 @@
     last: u64,
     /// A mark is asked for that no report has carried.
     wanted: bool,
+    /// Another writer is heard: as a keeper it tells that one what it knows of others' routers.
+    relay: bool,
     under_way: Option<(u64, Tenths, Vec<Name>)>,
     next: Tenths,
     refresh: Tenths,
@@ -35,6 +38,7 @@
             dirty: BTreeSet::new(),
             last: u64::from(start) << 32,
             wanted: false,
+            relay: false,
             under_way: None,
             next: now,
             refresh: now + REFRESH,
@@ -56,6 +60,7 @@
         self.under_way = None;
         self.refresh = now;
         self.wanted = true;
+        self.relay = true;
         self.next = now;
     }
 }
@@ -64,7 +69,11 @@
     /// Something is known of a router that is served here.
     pub(super) fn note(&mut self, now: Tenths, entry: Entry) {
         let name = entry.name.clone();
-        match self.ledger.take(now, &self.me, entry, self.plan.names) {
+        let taken = self.ledger.take(now, &self.me, entry, false, self.plan.names);
+        if taken == Taken::New && self.keeps() {
+            self.keep(Record::Known(vec![name.clone()]));
+        }
+        match taken {
             Taken::New | Taken::Changed => {
                 self.reports.dirty.insert(name);
                 self.look_again(now);
@@ -74,6 +83,15 @@
         }
     }
 
+    /// Routers that were in the ledger before the start: not heard until someone says so.
+    pub(super) fn remember_routers(&mut self, now: Tenths) {
+        for name in self.kept.routers.clone() {
+            let version = Version::NONE;
+            let entry = Entry { name, start: 0, turn: 0, version, refused: None, linked: false };
+            self.ledger.take(now, &self.me, entry, false, self.plan.names);
+        }
+    }
+
     pub(super) fn report_at(&self) -> Option<Tenths> {
         let reports = &self.reports;
         let news = reports.wanted || !reports.dirty.is_empty();
@@ -115,14 +133,30 @@
             self.mark(&writer, mark);
         } else {
             self.reports.under_way = Some((mark, now, names));
-            self.send(&writer, Message::Report { mark, entries: entries.clone() });
+            let by = self.me.clone();
+            self.send(&writer, Message::Report { mark, by, entries: entries.clone() });
+            if std::mem::take(&mut self.reports.relay) && self.keeps() {
+                self.relay(&writer);
+            }
         }
         if entries.is_empty() {
             return;
         }
         // Danger: a new writer that knows of no routers beyond a cut would call a version in force everywhere.
         for keeper in self.other_keepers().into_iter().filter(|keeper| *keeper != writer) {
-            self.send(&keeper, Message::Report { mark: 0, entries: entries.clone() });
+            let by = self.me.clone();
+            self.send(&keeper, Message::Report { mark: 0, by, entries: entries.clone() });
+        }
+    }
+
+    /// Tells a new writer what it knows of others' routers: their machines may be gone.
+    fn relay(&mut self, writer: &Name) {
+        let others = self.ledger.machines().into_iter().filter(|by| by != writer && *by != self.me);
+        for by in others.collect::<Vec<_>>() {
+            for names in self.ledger.said_by(&by).chunks(ENTRIES_MOST) {
+                let entries = names.iter().filter_map(|name| self.ledger.get(name).cloned()).collect();
+                self.send(writer, Message::Report { mark: 0, by: by.clone(), entries });
+            }
         }
     }
 
@@ -142,19 +176,25 @@
     }
 
     /// At the writer, and without a mark at all keepers: a machine's report.
-    pub(super) fn reported(&mut self, now: Tenths, from: &Name, mark: u64, entries: Vec<Entry>) {
+    pub(super) fn reported(&mut self, now: Tenths, from: &Name, mark: u64, by: &Name, entries: Vec<Entry>) {
         if entries.len() > ENTRIES_MOST {
             return;
         }
         if mark != 0 {
             self.mark(from, mark);
         }
+        let mut new = Vec::new();
         for entry in entries {
             let name = entry.name.clone();
-            if self.ledger.take(now, from, entry, self.plan.names) == Taken::NoRoom {
-                self.tell(Event::Uncounted(name));
+            match self.ledger.take(now, by, entry, by != from, self.plan.names) {
+                Taken::New => new.push(name),
+                Taken::NoRoom => self.tell(Event::Uncounted(name)),
+                Taken::Changed | Taken::Known => {}
             }
         }
+        if !new.is_empty() && self.keeps() {
+            self.keep(Record::Known(new));
+        }
         self.look_again(now);
     }
 
@@ -162,8 +202,13 @@
     fn refresh(&mut self, now: Tenths) {
         self.reports.refresh = now + REFRESH;
         let gone = self.ledger.forget(now, &self.me, self.plan.forget);
-        if gone > 0 {
-            self.tell(Event::Forgotten(gone));
+        if !gone.is_empty() {
+            self.tell(Event::Forgotten(gone.len()));
+        }
+        let gone = self.kept.routers.iter().filter(|name| self.ledger.get(name).is_none());
+        let gone: Vec<Name> = gone.cloned().collect();
+        if !gone.is_empty() {
+            self.keep(Record::Forgotten(gone));
         }
         let own = self.ledger.said_by(&self.me);
         self.reports.dirty.extend(own);
--- a/crates/configuration/src/machine/serve.rs
+++ b/crates/configuration/src/machine/serve.rs
@@ -8,7 +8,7 @@
 use crate::log::Since;
 use crate::parts::{Of, PART, Packed};
 use crate::wire::{WHY_MOST, length};
-use crate::{Message, Name, Outcome, Tenths, Version, whole};
+use crate::{Document, Message, Name, Outcome, Tenths, Version, whole};
 
 /// Bytes counted for each message beside its own: headers of IP, TCP and the link.
 const FRAME: usize = 60;
@@ -25,6 +25,8 @@
     turn: u32,
     /// All up to this one is sent.
     sent: Version,
+    /// The log will not do: the whole, and of the newest version.
+    whole: bool,
     /// Packed, and the next part of it.
     packed: Option<(Arc<Packed>, u16)>,
     /// No change and no part before then.
@@ -71,6 +73,7 @@
         }
         // Danger: a document that is not the one under its version can't be changed, it has to be replaced.
         let other = self.kept.log.digest(holds).is_some_and(|known| known != digest);
+        let whole = other || (holds == Version::NONE && digest != Document::default().digest());
         let told = self.ledger.get(from).map_or(Version::NONE, |entry| entry.version);
         let floor = match holds == Version::NONE && !machine {
             // Danger: a router that lost what it kept can't know what it had been told, and by whom.
@@ -81,6 +84,7 @@
             start,
             turn,
             sent: if other { Version::NONE } else { holds },
+            whole,
             packed: None,
             pace: before.map_or(now, |(.., pace)| pace),
             beat: now,
@@ -172,20 +176,23 @@
         }
     }
 
-    /// Serves the first that is due.
-    pub(super) fn serve(&mut self, now: Tenths) {
-        let Some((at, name)) = self.due.first().cloned().filter(|(at, _)| *at <= now) else { return };
+    /// Serves the first that is due. False if nobody is.
+    pub(super) fn serve(&mut self, now: Tenths) -> bool {
+        let Some((at, name)) = self.due.first().cloned().filter(|(at, _)| *at <= now) else {
+            return false;
+        };
         self.due.remove(&(at, name.clone()));
-        let Some(mut session) = self.sessions.remove(&name) else { return };
+        let Some(mut session) = self.sessions.remove(&name) else { return true };
         if now - session.heard >= 3 * self.plan.say {
             self.sessions.insert(name.clone(), session);
-            return self.drop_session(now, &name);
+            self.drop_session(now, &name);
+            return true;
         }
         let fed = now >= session.pace && self.feed(now, &name, &mut session);
         if !fed && now >= session.beat {
             self.beat(now, &name, &mut session);
             if session.machine && session.sent >= self.kept.version() {
-                return;
+                return true;
             }
         }
         let waits = session.packed.is_some() || session.sent < self.kept.version();
@@ -196,6 +203,7 @@
         }
         self.due.insert((session.due, name.clone()));
         self.sessions.insert(name, session);
+        true
     }
 
     fn beat(&mut self, now: Tenths, to: &Name, session: &mut Session) {
@@ -216,8 +224,9 @@
                 return false;
             }
             match self.kept.log.since(session.sent) {
+                _ if std::mem::take(&mut session.whole) => session.packed = Some((self.pack_whole(true), 0)),
                 Since::Nothing => return false,
-                Since::Whole => session.packed = Some((self.pack_whole(), 0)),
+                Since::Whole => session.packed = Some((self.pack_whole(false), 0)),
                 Since::Changes(changes) => {
                     let mut bytes = 0;
                     let within = changes.iter().take_while(|change| {
@@ -255,18 +264,18 @@
     fn send_paced(&mut self, now: Tenths, to: &Name, session: &mut Session, message: Message) {
         let bytes = (length(&message) + FRAME) as i64;
         let more = if session.machine { MACHINES } else { 1 };
-        // A tenth is left for beats.
-        let rate = i64::from(self.plan.bytes_a_second) * 9 / 10 * i64::from(more);
+        // The rest is for one message more in a second than its pace allows on average, for beats and for what comes back.
+        let rate = i64::from(self.plan.bytes_a_second) * 84 / 100 * i64::from(more);
         session.pace = now + bytes * 10_000 / rate + 1;
         self.send(to, message);
     }
 
-    /// A whole copy: the last one packed as long as the log leads on from there.
-    fn pack_whole(&mut self) -> Arc<Packed> {
+    /// A whole copy: the last one packed as long as the log leads on from there, unless it has to be the newest.
+    fn pack_whole(&mut self, newest: bool) -> Arc<Packed> {
         let known = self.cache.0.iter().find(|(_, packed)| {
             packed.of == Of::Whole
                 && (packed.version == self.kept.version
-                    || matches!(self.kept.log.since(packed.version), Since::Changes(_)))
+                    || !newest && matches!(self.kept.log.since(packed.version), Since::Changes(_)))
         });
         if let Some((_, packed)) = known {
             return packed.clone();
--- a/crates/configuration/src/message.rs
+++ b/crates/configuration/src/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ledger::Entry;
-use crate::{Change, Tenths, Version};
+use crate::{Change, Name, Tenths, Version};
 
 /// What became of a version at a router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,6 +151,8 @@
     Report {
         /// Grows with each one; 0 to a keeper that does not write.
         mark: u64,
+        /// Whose routers: the sender's, or what a keeper knows of another machine's.
+        by: Name,
         /// At most [`crate::wire::ENTRIES_MOST`].
         entries: Vec<Entry>,
     },
--- a/crates/configuration/src/parts.rs
+++ b/crates/configuration/src/parts.rs
@@ -5,8 +5,8 @@
 use crate::document::{Bad, DOCUMENT_MOST};
 use crate::{Tenths, Version};
 
-/// Bytes of one part: five a second fit what a router has for control.
-pub(crate) const PART: usize = 1_024;
+/// Bytes of one part: eight a second fit what a router has for control.
+pub(crate) const PART: usize = 512;
 /// Most bytes of all parts together, compressed.
 const PARTS_MOST: usize = 2 * DOCUMENT_MOST;
 
