--- a/crates/configuration/src/subscriber/feed.rs
+++ b/crates/configuration/src/subscriber/feed.rs
@@ -52,7 +52,7 @@
     fn ask_again(&mut self, now: Tenths) {
         let Some(link) = &mut self.link else { return };
         if link.again.is_none() {
-            link.again = Some(now + (self.plan.beat / 20 << link.gaps.min(8)).min(self.plan.pause));
+            link.again = Some(now + ((self.plan.beat / 20) << link.gaps.min(8)).min(self.plan.pause));
             link.gaps += 1;
         }
     }
--- a/crates/configuration/src/subscriber/link.rs
+++ b/crates/configuration/src/subscriber/link.rs
@@ -79,7 +79,7 @@
         }
         match apart {
             true if link.roam.is_none() => {
-                let least = 2 * self.plan.beat << self.roams.min(5);
+                let least = (2 * self.plan.beat) << self.roams.min(5);
                 link.roam = Some(now + between(&mut self.chance, least, 2 * least));
             }
             true => {}
@@ -109,7 +109,7 @@
         }
         // Danger: all routers at once at the machines that are left, again and again.
         let rounds = self.fails.saturating_sub(self.machines.len() as u32).min(10);
-        let pause = (self.plan.pause / 100 << rounds).min(self.plan.pause);
+        let pause = ((self.plan.pause / 100) << rounds).min(self.plan.pause);
         self.fails = self.fails.saturating_add(1);
         self.next_ask = now + between(&mut self.chance, pause / 2, pause);
     }
