--- a/crates/configuration/src/whole.rs
+++ b/crates/configuration/src/whole.rs
@@ -27,7 +27,7 @@
     let names = document.clone().into_map();
     let frame = Frame { version, published, digest: document.digest(), names };
     let plain = postcard::to_stdvec(&frame).unwrap_or_default();
-    zstd::encode_all(plain.as_slice(), LEVEL).unwrap_or_default()
+    zstd::bulk::compress(&plain, LEVEL).unwrap_or_default()
 }
 
 /// The version, when it was published, and the document.
@@ -47,7 +47,7 @@
 /// Changes as bytes.
 pub(crate) fn pack_changes(changes: &[Change]) -> Vec<u8> {
     let plain = postcard::to_stdvec(changes).unwrap_or_default();
-    zstd::encode_all(plain.as_slice(), LEVEL).unwrap_or_default()
+    zstd::bulk::compress(&plain, LEVEL).unwrap_or_default()
 }
 
 /// # Errors
