Configuration: a router that lost its file asks for its floor until it is told

Fault: sent changes by a machine that was behind and then cut off from it, it asked the next one as if it had kept them, got that one's own floor, and served below what it had told before. The schedule also wipes one keeper's disk again and again.

--- a/crates/configuration/src/machine.rs
+++ b/crates/configuration/src/machine.rs
@@ -205,8 +205,8 @@
     pub fn heard(&mut self, now: Tenths, from: &Name, message: Message) {
         let machine = self.others.contains(from);
         match message {
-            Message::Ask { start, turn, holds, digest } => {
-                self.asked(now, from, (start, turn), holds, digest, machine);
+            Message::Ask { start, turn, holds, digest, lost } => {
+                self.asked(now, from, (start, turn), holds, digest, lost && !machine);
             }
             // Danger: a router under a machine's name, or the other way round.
             Message::Told { start, turn, in_force, version, outcome } if !machine => {
--- a/crates/configuration/src/machine/follow.rs
+++ b/crates/configuration/src/machine/follow.rs
@@ -70,7 +70,7 @@
             true => (Version::NONE, 0),
             false => (self.kept.version(), self.kept.document().digest()),
         };
-        self.send(&to, Message::Ask { start: 0, turn: self.catch.turn, holds, digest });
+        self.send(&to, Message::Ask { start: 0, turn: self.catch.turn, holds, digest, lost: false });
     }
 
     /// Another machine answers.
--- a/crates/configuration/src/machine/serve.rs
+++ b/crates/configuration/src/machine/serve.rs
@@ -59,8 +59,9 @@
         (start, turn): (u64, u32),
         holds: Version,
         digest: u64,
-        machine: bool,
+        lost: bool,
     ) {
+        let machine = self.others.contains(from);
         let before = self.sessions.get(from).map(|session| (session.start, session.turn, session.pace));
         // Danger: an ask that was overtaken would start over what a later one began.
         if !machine && before.is_some_and(|(old, last, _)| (start, turn) <= (old, last)) {
@@ -75,7 +76,7 @@
         let other = self.kept.log.digest(holds).is_some_and(|known| known != digest);
         let whole = other || (holds == Version::NONE && digest != Document::default().digest());
         let told = self.ledger.get(from).map_or(Version::NONE, |entry| entry.version);
-        let floor = match holds == Version::NONE && !machine {
+        let floor = match lost {
             // Danger: a router that lost what it kept can't know what it had been told, and by whom.
             true => Floor::After(self.reports.mark(now)),
             false => Floor::Known(told),
--- a/crates/configuration/src/message.rs
+++ b/crates/configuration/src/message.rs
@@ -28,8 +28,10 @@
         turn: u32,
         /// What it holds; [`Version::NONE`] for nothing, or for the whole to be sent.
         holds: Version,
-        /// Of the document that it holds.
+        /// Of the document that it holds; with nothing held, another one than the empty document's asks for the whole.
         digest: u64,
+        /// It started with nothing kept, and no machine has told its floor.
+        lost: bool,
     },
     /// Router to machine: what became of a version. Said again and again, also as a sign of life.
     Told {
--- a/crates/configuration/src/subscriber/link.rs
+++ b/crates/configuration/src/subscriber/link.rs
@@ -53,7 +53,9 @@
             false => (self.replica.version, self.replica.document.digest()),
         };
         let to = self.link.as_ref()?.machine.clone();
-        Some((to, Message::Ask { start: self.start, turn: self.turn, holds, digest }))
+        // Danger: what it was sent since its start is not what it had been told before.
+        let lost = !self.kept && self.floor.is_none();
+        Some((to, Message::Ask { start: self.start, turn: self.turn, holds, digest, lost }))
     }
 
     /// Says what is in force, as news and as a sign of life.
--- a/crates/configuration/tests/fleet.rs
+++ b/crates/configuration/tests/fleet.rs
@@ -46,10 +46,15 @@
 }
 
 #[rstest]
-fn all_are_at_one_version_after_any_schedule(#[values(0, 100, 200, 300, 400, 500)] base: u64) {
+fn all_are_at_one_version_after_any_schedule(#[values(0, 100, 200, 300, 400, 500, 1_000)] base: u64) {
     for seed in base..base + 8 {
         let mut world = World::whole(9, 5, 20, seed);
         (world.lost, world.doubled) = (3, 3);
+        // Half of the routers keep nothing.
+        for router in world.routers().step_by(2) {
+            world.places[router].keeps = false;
+            world.places[router].file = None;
+        }
         let mut value = 0;
         for _ in 0..14 {
             let at = world.chance.generate_range(0..29usize);
@@ -60,6 +65,8 @@
                 2 => world.part(|node| node % world::REGIONS),
                 3 => world.part(|node| usize::from(node < 3)),
                 4 => world.stop(at, 10 * SECOND),
+                // One of the keepers loses its disk whenever it is killed.
+                5 if other == 4 => world.wipe(other),
                 5 => world.kill(other),
                 6 => {
                     world.kill(at);
@@ -87,8 +94,8 @@
         world.heal();
         let took = world.run_until(HEALED, World::agreed);
         assert!(took.is_some(), "seed {seed}: not at one version");
-        assert!(publish(&mut world, "limit", "0", SECOND).is_some(), "seed {seed}: nobody writes");
         let mut known = world.events.len();
+        assert!(publish(&mut world, "limit", "0", SECOND).is_some(), "seed {seed}: nobody writes");
         let from = world.now;
         while !world.everywhere("limit", "0") {
             assert!(world.now - from < IN_FORCE, "seed {seed}: the last change is not everywhere");
--- a/crates/configuration/tests/one.rs
+++ b/crates/configuration/tests/one.rs
@@ -194,6 +194,21 @@
     decisions.filter_map(version).collect()
 }
 
+#[test]
+fn machines_of_its_own_zone_are_asked_first() {
+    for near in names() {
+        let router = Subscriber::new(Plan::default(), name("r1"), 1, None, names(), 0, 1);
+        let mut router = router.expect("a good plan");
+        router.prefer(std::slice::from_ref(&near));
+        let now = Plan::default().spread;
+        let asked = std::iter::from_fn(|| router.next_decision(now)).find_map(|decision| match decision {
+            Decision::Send { to, message: Message::Ask { .. } } => Some(to),
+            _ => None,
+        });
+        assert_eq!(asked, Some(near));
+    }
+}
+
 #[test]
 fn an_older_whole_copy_does_not_lead_back() {
     let (_, newer) = edited("8");
@@ -244,3 +259,27 @@
     router.heard(30_000, &name("m9"), Message::Changes { turn, changes: vec![first("7")] });
     assert_eq!(router.holds(), Version::NONE);
 }
+
+#[test]
+fn one_that_kept_nothing_says_so_until_it_is_told_its_floor() {
+    let (mut router, machine, turn) = asking(None);
+    router.heard(30_000, &machine, Message::Changes { turn, changes: vec![first("7")] });
+    assert_eq!(applies(&mut router, 30_000), vec![at(1, 1)]);
+    router.applied(30_000, at(1, 1));
+    // What it was sent since its start is not what it had been told before.
+    let mut ask_again = |now: Tenths, from: &Name| {
+        router.broken(now, from);
+        let asked =
+            std::iter::from_fn(|| router.next_decision(now + 2_000)).find_map(|decision| match decision {
+                Decision::Send { to, message: Message::Ask { lost, turn, .. } } => Some((to, lost, turn)),
+                _ => None,
+            });
+        let (to, lost, turn) = asked.expect("it asks another one");
+        let beat = Message::Beat { turn, version: at(1, 1), floor: Some(at(1, 1)), apart: false };
+        router.heard(now + 2_100, &to, beat);
+        (to, lost)
+    };
+    let (second, lost) = ask_again(30_000, &machine);
+    assert!(lost, "it asks like one that kept a file");
+    assert!(!ask_again(40_000, &second).1, "its floor is known");
+}
