--- a/crates/configuration/tests/one.rs
+++ b/crates/configuration/tests/one.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use vetchkeel_configuration::{
-    Change, Decision, Document, Edit, Kept, Machine, Message, Name, Order, Plan, Record, Subscriber, Tenths,
-    Version, whole,
+    Change, Decision, Document, Edit, Entry, Kept, Machine, Message, Name, Order, Plan, Record, Subscriber,
+    Tenths, Version, whole,
 };
 
 fn name(text: &str) -> Name {
@@ -283,3 +283,46 @@
     assert!(lost, "it asks like one that kept a file");
     assert!(!ask_again(40_000, &second).1, "its floor is known");
 }
+
+fn report(machine: &mut Machine, from: &str, turn: u32, linked: bool) -> Vec<Order> {
+    let entry = Entry { name: name("r1"), start: 1, turn, version: at(1, 1), refused: None, linked };
+    machine.heard(10, &name(from), Message::Report { mark: 0, by: name(from), entries: vec![entry] });
+    orders(machine, 10)
+}
+
+#[test]
+fn a_machine_that_the_router_has_left_makes_it_not_silent() {
+    let mut machine = keeper(Some(settled()));
+    report(&mut machine, "m1", 2, true);
+    report(&mut machine, "m2", 1, false);
+    assert!(machine.ledger().get(&name("r1")).is_some_and(|entry| entry.linked));
+}
+
+#[test]
+fn a_keeper_knows_its_routers_by_name_after_a_restart() {
+    let mut machine = keeper(Some(settled()));
+    let mut kept = settled();
+    for order in report(&mut machine, "m1", 1, true) {
+        if let Order::Keep(record) = order {
+            kept.take(&record, &Plan::default());
+        }
+    }
+    let again = keeper(Some(kept));
+    assert!(again.ledger().get(&name("r1")).is_some_and(|entry| !entry.linked));
+}
+
+#[test]
+fn a_keeper_tells_a_new_writer_of_routers_of_other_machines() {
+    let mut machine = keeper(Some(settled()));
+    report(&mut machine, "m2", 1, true);
+    let (released, tail) = (Version::NONE, Vec::new());
+    let message = Message::Accept { epoch: 2, round: 1, released, tail, judged: released, mark: 0, sure: 0 };
+    machine.heard(20, &name("m1"), message);
+    let told = orders(&mut machine, 10_000).into_iter().any(|order| match order {
+        Order::Send { to, message: Message::Report { by, entries, .. } } => {
+            to == name("m1") && by == name("m2") && entries.len() == 1
+        }
+        _ => false,
+    });
+    assert!(told);
+}
