Router: changed settings are in force at SIGHUP, without a start

Change: Program::take_settings checks new settings (lists that can be told apart, then the module) and puts them in force between two turns of the loop, whole or not at all. What the host derived follows: names of command groups and customers, sessions, dial time, how long connections are kept, probe, report fields (a job in hand keeps those it began with), the longest wait. A file or settings that can't be used change nothing, the watch neither. Flattening and the check move to the package vetchkeel-settings, so that others than the router can use them.

--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -61,13 +61,26 @@
 
 impl Commands {
     pub fn start(told: &Told, seed: u64, now: Tenths) -> Result<Commands, String> {
-        let names = |list| crate::startup::names(told, list).cloned().collect();
-        let (groups, customers) = (names("request_classes"), names("projects"));
-        let sessions =
-            told.get("family_info.class_read").is_some_and(|r| r.split(',').any(|r| r == "session"));
         let (taken, by_id) = (SlotMap::with_key(), BTreeMap::new());
         let router = Router::start(told.clone(), seed, now)?;
-        Ok(Commands { router, taken, by_id, groups, customers, sessions })
+        let (groups, customers, sessions) = (BTreeSet::new(), BTreeSet::new(), false);
+        let mut commands = Commands { router, taken, by_id, groups, customers, sessions };
+        commands.read(told);
+        Ok(commands)
+    }
+
+    /// New settings for what comes in from now on. An error leaves all as it was.
+    pub fn reconfigure(&mut self, told: &Told) -> Result<(), String> {
+        self.router.reconfigure(told.clone())?;
+        self.read(told);
+        Ok(())
+    }
+
+    fn read(&mut self, told: &Told) {
+        let names = |list| vetchkeel_settings::names(told, list).cloned().collect();
+        (self.groups, self.customers) = (names("request_classes"), names("projects"));
+        let reads = told.get("family_info.class_read");
+        self.sessions = reads.is_some_and(|r| r.split(',').any(|r| r == "session"));
     }
 
     /// Who waits for a command's answer.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -91,6 +91,8 @@
     stopping: Option<Tenths>,
     /// The longest that a client may wait, by the settings.
     longest_wait: Tenths,
+    /// The settings in force.
+    told: Told,
     /// What the configuration said at the start and can't change.
     fixed: BTreeMap<&'static str, serde_json::Value>,
 }
@@ -118,11 +120,6 @@
         let clock = Clock::new();
         let now = clock.now();
         let told = &start.told;
-        let dial_limit = tenths(told, "permissions.dial_timeout_ms", 250.0);
-        let keep = tenths(told, "permissions.conn_idle_ms", 10_000.0) / 2;
-        let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
-        let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
-        let nodes = Nodes::new(dial_limit, keep, probe, text("report.fields"));
         let fleet = Fleet::open(&start.name, start.seed, &handle)?;
         let mut program = Program {
             clock,
@@ -130,7 +127,7 @@
             handle,
             commands: Commands::start(told, start.seed, now)?,
             clients: Clients::new(start.seed),
-            nodes,
+            nodes: Nodes::new(told),
             watch: Watch::new(start.discovery, start.known, now),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
@@ -141,6 +138,7 @@
             scratch: vec![0; 64 * 1024].into(),
             stopping: None,
             longest_wait: longest_wait(told),
+            told: start.told,
             fixed: start.fixed,
         };
         program.start_watch();
@@ -232,6 +230,12 @@
             Ok(start) => start,
             Err(why) => return log!("reload: the configuration stays as it is: {why}"),
         };
+        if start.told != self.told {
+            match self.take_settings(start.told) {
+                Ok(()) => log!("reload: the settings have changed and are in force"),
+                Err(why) => return log!("reload: the configuration stays as it is: {why}"),
+            }
+        }
         self.counters.reloads += 1;
         for (name, _) in start.fixed.iter().filter(|(name, value)| self.fixed.get(*name) != Some(*value)) {
             log!("reload: '{name}' has changed, which takes effect at the next start");
@@ -239,6 +243,18 @@
         self.move_watch(start.discovery);
     }
 
+    /// New settings, between two turns of the loop: in force from now on, whole or not at all. The error is one line that
+    /// says what was expected. What is in hand ends under what it came in with.
+    pub fn take_settings(&mut self, told: Told) -> Result<(), String> {
+        vetchkeel_settings::check(&told)?;
+        let refused = |why| format!("expected settings that a router can serve under: {why}");
+        self.commands.reconfigure(&told).map_err(refused)?;
+        self.nodes.reconfigure(&told);
+        self.longest_wait = longest_wait(&told);
+        self.told = told;
+        Ok(())
+    }
+
     fn print_counters(&mut self) {
         self.counters.open = self.open_commands();
         eprintln!("{}", self.counters);
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -3,12 +3,12 @@
 
 mod answer;
 
-use crate::Program;
 use crate::commands::News;
 use crate::deadlines::Due;
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
 use crate::keys::{CommandKey, ConnKey, Statement, Work};
 use crate::log;
+use crate::{Program, tenths};
 use answer::{Answer, believed};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -18,7 +18,7 @@
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use vetchkeel::{Ending, Id, Tenths};
+use vetchkeel::{Ending, Id, Tenths, Told};
 use vetchkeel_pgwire as pgwire;
 
 /// What a node sends behind its answer, or the end, comes within this time. Both are written one after the
@@ -41,6 +41,8 @@
     limit_at: Tenths,
     /// Until when its last byte may be written.
     until: Tenths,
+    /// What a report's fields were called when it began.
+    fields: Rc<[String]>,
     written: usize,
     answer: Answer,
 }
@@ -85,16 +87,30 @@
     keep: Tenths,
     idle_most: Tenths,
     probe: Rc<Statement>,
-    report_fields: Vec<String>,
+    report_fields: Rc<[String]>,
 }
 
 impl Nodes {
-    pub fn new(dial_limit: Tenths, keep: Tenths, probe: &str, report_fields: &str) -> Nodes {
-        let text = probe.as_bytes().to_vec();
-        let probe = Rc::new(Statement { wait_at: text.len()..text.len(), text });
-        let report_fields = report_fields.split(',').map(str::to_owned).collect();
+    pub fn new(told: &Told) -> Nodes {
         let (members, conns, writable) = (BTreeMap::new(), SlotMap::with_key(), Vec::new());
-        Nodes { members, conns, writable, dial_limit, keep, idle_most: keep, probe, report_fields }
+        let (dial_limit, keep, idle_most) = (0, 0, Tenths::MAX);
+        let probe = Rc::new(Statement { wait_at: 0..0, text: Vec::new() });
+        let report_fields = Rc::new([]);
+        let mut nodes = Nodes { members, conns, writable, dial_limit, keep, idle_most, probe, report_fields };
+        nodes.reconfigure(told);
+        nodes
+    }
+
+    /// For what begins from now on. A kept connection that has idled for too long by now is found so when it is wanted.
+    pub fn reconfigure(&mut self, told: &Told) {
+        let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
+        let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
+        let statement = probe.as_bytes().to_vec();
+        self.probe = Rc::new(Statement { wait_at: statement.len()..statement.len(), text: statement });
+        self.report_fields = text("report.fields").split(',').map(str::to_owned).collect();
+        self.dial_limit = tenths(told, "permissions.dial_timeout_ms", 250.0);
+        self.keep = tenths(told, "permissions.conn_idle_ms", 10_000.0) / 2;
+        self.idle_most = self.idle_most.min(self.keep);
     }
 
     pub fn limit_idle(&mut self, learned: Option<Tenths>) {
@@ -193,7 +209,8 @@
         until: Tenths,
     ) {
         let (since, wait, answer) = (self.now, None, Answer::default());
-        let job = Job { work, statement, wait, since, idled: None, limit_at, until, written: 0, answer };
+        let (idled, written, fields) = (None, 0, self.nodes.report_fields.clone());
+        let job = Job { work, statement, wait, since, idled, limit_at, until, fields, written, answer };
         while let Some(key) = self.rested(node) {
             self.deadlines.clear(Due::Idle(key));
             let Some(conn) = self.nodes.conns.get_mut(key) else { continue };
@@ -393,7 +410,7 @@
             at += message.size;
             done = match (conn.stage, &mut conn.job) {
                 (Stage::Open, Some(job)) => {
-                    let over = job.answer.take(message.kind, message.body, whole, &self.nodes.report_fields);
+                    let over = job.answer.take(message.kind, message.body, whole, &job.fields);
                     over.then(|| job.answer.verdict())
                 }
                 (Stage::Open, None) => Some(Err(Cause::Garbled)),
@@ -489,7 +506,7 @@
         let Answer { raw, value, mut note, mut report, .. } = job.answer;
         if job.work == Work::Probe && result.is_ok() && report.position.is_none() {
             let text = std::str::from_utf8(&raw[value]).unwrap_or_default();
-            report = answer::report(text, &self.nodes.report_fields);
+            report = answer::report(text, &job.fields);
         }
         (note, report) = believed(&result, note, report, self.now);
         let outcome = match result {
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -1,12 +1,10 @@
-//! What the program is told at its start: the environment and the configuration, flattened to the names of
-//! settings that the simulator's wire has. Names that the settings give stay as they are.
+//! What the program is told at its start, and again at each reload: the environment and the configuration.
 
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use vetchkeel::Told;
 use vetchkeel_discovery::{Sheet, sheet_of};
-use vetchkeel_pgwire::said;
 
 pub struct Start {
     pub name: String,
@@ -42,9 +40,8 @@
         found.parse().map_err(|_| format!("expected an address and port for '{name}', found '{found}'"))
     };
     let settings = config["settings"].as_object().ok_or("expected an object under 'settings'")?;
-    let mut told = Told::new();
-    settings.iter().for_each(|(name, value)| flatten(name, value, &mut told));
-    ["request_classes", "projects"].into_iter().try_for_each(|list| told_apart(list, &told))?;
+    let told = vetchkeel_settings::flattened(settings);
+    vetchkeel_settings::check(&told)?;
     let seed = match &config["seed"] {
         Value::String(s) => {
             u64::from_str_radix(s, 16).map_err(|_| format!("expected a hex 'seed', found '{s}'"))?
@@ -55,8 +52,7 @@
         Value::Null => None,
         list => Some(sheet_of(list).map_err(|why| format!("expected a list under 'known': {why}"))?),
     };
-    let fixed =
-        ["name", "listen", "limits", "settings"].into_iter().map(|n| (n, config[n].clone())).collect();
+    let fixed = ["name", "listen", "limits"].into_iter().map(|n| (n, config[n].clone())).collect();
     Ok(Start {
         fixed,
         name: text("name", "NODE_NAME").unwrap_or_else(|| "router".to_owned()),
@@ -70,53 +66,5 @@
     })
 }
 
-/// The names of the command groups or customers in this list.
-pub fn names<'a>(told: &'a Told, list: &str) -> impl Iterator<Item = &'a String> {
-    (0..).map_while(move |i| told.get(&format!("{list}.{i}.name")))
-}
-
-/// Danger: a command gets the effect, deadline or share of another's. Each entry has a name of its own, one
-/// that clients can word.
-fn told_apart(list: &str, told: &Told) -> Result<(), String> {
-    let mut places = BTreeMap::new();
-    for (at, name) in names(told, list).enumerate() {
-        if let Some(first) = places.insert(name, at) {
-            return Err(format!(
-                "expected another name for each of '{list}', found {name:?} at {first} and {at}"
-            ));
-        }
-        let statement = format!("/*id=i,d=1,c={name},t={name}*/");
-        let read = said(statement.as_bytes()).map(|s| (s.group, s.customer));
-        if read != Ok((name, Some(name))) {
-            let expected = "a name that reads the same in a statement's comment";
-            return Err(format!("expected {expected} for each of '{list}', found {name:?} at {at}"));
-        }
-    }
-    Ok(())
-}
-
-fn plain(value: &Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
-}
-
-fn flatten(name: &str, value: &Value, told: &mut Told) {
-    match value {
-        Value::Null => {}
-        Value::Object(parts) => parts.iter().for_each(|(n, v)| flatten(&format!("{name}.{n}"), v, told)),
-        Value::Array(items) if items.iter().any(Value::is_object) => {
-            told.insert(format!("{name}.count"), items.len().to_string());
-            items.iter().enumerate().for_each(|(i, v)| flatten(&format!("{name}.{i}"), v, told));
-        }
-        Value::Array(items) => {
-            // Danger: these are read by their places. An entry with a comma would count as two.
-            let entry = |item| plain(item).replace(',', "_");
-            told.insert(name.to_owned(), items.iter().map(entry).collect::<Vec<_>>().join(","));
-        }
-        other => {
-            told.insert(name.to_owned(), plain(other));
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+use rstest::rstest;
+
+fn object(text: &str) -> Told {
+    flattened(serde_json::from_str::<Value>(text).expect("JSON").as_object().expect("an object"))
+}
+
+#[rstest]
+fn settings_are_flattened_and_names_stay_as_they_are() {
+    let told = object(
+        r#"{"me":2,"zone":"big hall","kinds":["std-4","big one","x,y"],
+        "permissions":{"cancel":true,"dial_timeout_ms":250.0},
+        "request_classes":[{"name":"map view, old","aim_ms":600.0}]}"#,
+    );
+    let want = [
+        ("kinds", "std-4,big one,x_y"),
+        ("me", "2"),
+        ("permissions.cancel", "true"),
+        ("permissions.dial_timeout_ms", "250.0"),
+        ("request_classes.0.aim_ms", "600.0"),
+        ("request_classes.0.name", "map view, old"),
+        ("request_classes.count", "1"),
+        ("zone", "big hall"),
+    ];
+    let told: Vec<(&str, &str)> = told.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    assert_eq!(told, want);
+}
+
+#[rstest]
+#[case::twice(r#"{"request_classes":[{"name":"a"},{"name":"a"}]}"#, "found \"a\" at 0 and 1")]
+#[case::no_word(r#"{"projects":[{"name":"a*/"}]}"#, "'projects', found \"a*/\" at 0")]
+fn names_that_cannot_be_told_apart_are_refused(#[case] text: &str, #[case] found: &str) {
+    let why = check(&object(text)).expect_err("refused");
+    assert!(why.starts_with("expected ") && why.contains(found), "{why}");
+}
