--- a/src/decide.rs
+++ b/src/decide.rs
@@ -107,14 +107,9 @@
 impl Router {
     pub fn start(told: Told, seed: u64, now: Tenths) -> Result<Router, String> {
         let watch = (!is(&told, "membership_mode", "automatic")).then_some((now, Task::Watch));
-        let mut router = Router {
-            rng: Chance::from(seed),
-            agenda: watch.into_iter().collect(),
-            pace: PACE_MOST,
-            paced_at: now,
-            began: now,
-            ..Router::default()
-        };
+        let mut router = Router { rng: Chance::from(seed), pace: PACE_MOST, ..Router::default() };
+        (router.paced_at, router.began) = (now, now);
+        router.agenda.extend(watch);
         router.reconfigure(told)?;
         Ok(router)
     }
@@ -167,8 +162,7 @@
     // ---- what the host tells: what is known is brought up to date, nothing is decided ----
 
     pub fn command_arrived(&mut self, now: Tenths, command: Command) -> Result<(), String> {
-        let kind = self.groups.named.get(&command.command_group).copied();
-        let kind = kind.ok_or("command of a group not in the settings")?;
+        let kind = *self.groups.named.get(&command.command_group).ok_or("no such command group")?;
         let group = &self.groups.places[kind];
         let (timeout, target) = (now + command.time_left, now + group.target);
         // Without late benefit nothing is spent past the response target, nor ended past it.
@@ -198,7 +192,7 @@
         let patience = now + command.time_left / 2 - 2 * self.tick;
         self.open
             .insert(key, Open { id, kind, set, rank, ends, patience, needs, session, ..Open::default() });
-        self.agenda.insert((now, Task::Settle(key)));
+        self.settle_at(now, key);
         self.agenda.insert((ends, Task::GiveUp(key)));
         Ok(())
     }
@@ -240,7 +234,7 @@
         match (over, cmd.closed) {
             (true, _) => self.close(key),
             (_, true) => self.forget(key),
-            _ => _ = self.agenda.insert((now, Task::Settle(key))),
+            _ => self.settle_at(now, key),
         }
         let tells = answered || matches!(ending, Ending::TimedOut | Ending::Full);
         if let (true, Some(set)) = (tells, self.sets.get_mut(&number)) {
@@ -328,24 +322,27 @@
             self.used.extend(self.nodes.values());
         }
         let m = &mut self.members[node];
-        if m.state == State::TransportError {
-            self.recover(now, node);
-            report.primary.into_iter().for_each(|primary| self.learn_role(now, node, primary));
-        } else {
+        if m.state != State::TransportError {
             (m.fails, m.broke) = (0, false);
+            return;
         }
+        self.recover(now, node);
+        report.primary.into_iter().for_each(|primary| self.learn_role(now, node, primary));
     }
 
     pub fn members_changed(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
         self.list_fails = 0;
         let (removal_binds, met) = (!self.allows("rules.soft_removal"), self.members.is_empty());
-        for m in self.members.iter_mut().filter(|m| whole && !entries.iter().any(|e| e.node == m.id)) {
+        let named: BTreeSet<&Id> = entries.iter().filter(|_| whole).map(|e| &e.node).collect();
+        for m in self.members.iter_mut().filter(|m| whole && !named.contains(&m.id)) {
             (m.gone, m.shut) = (true, m.shut || removal_binds);
+            self.dirty.insert(m.set);
         }
         for e in entries {
             let (held, count) = (self.nodes.get(&e.node).copied(), self.members.len());
             let fresh = held.is_none();
             if fresh && e.phase == Phase::Removed {
+                self.ready.push_back(Decision::Forget { node: e.node.clone() });
                 continue;
             }
             let node = held.or_else(|| self.vacant.pop()).unwrap_or(count);
@@ -357,6 +354,7 @@
                 self.sets.entry(e.set).or_default().nodes.push(node);
             }
             let m = &mut self.members[node];
+            self.dirty.insert(m.set);
             (m.listed_primary, m.gone) = (e.primary, e.phase == Phase::Removed);
             m.been_primary |= e.primary;
             m.shut = match e.phase {
@@ -366,9 +364,7 @@
                 Phase::Removed => removal_binds || m.shut,
             };
             if fresh || e.started > m.started {
-                if m.heard < e.started {
-                    m.state = State::Unknown;
-                }
+                m.state = if m.heard < e.started { State::Unknown } else { m.state };
                 self.restarted(now, e.started, node);
                 // Danger: every router that starts, or meets a new member, asks it at once; hundreds started
                 // together are a herd of dials and probes. Where routers are more than ten (the fleet's least
@@ -379,8 +375,9 @@
         }
         self.forget_gone();
         let me: usize = pick(&self.told, "me", 0).unwrap_or(0);
-        for (&number, set) in &mut self.sets {
-            self.dirty.insert(number);
+        // Danger: lists of thousands, of which a row changes now and then. A change costs what it touches.
+        for number in &self.dirty {
+            let Some(set) = self.sets.get_mut(number) else { continue };
             set.nodes.sort_by(|a, b| self.members[*a].id.cmp(&self.members[*b].id));
             let count = set.nodes.len();
             for (i, &node) in set.nodes.iter().enumerate() {
@@ -398,7 +395,9 @@
         for (node, m) in self.members.iter_mut().enumerate().filter(|(n, m)| m.gone && !held.contains(n)) {
             let works = soft && m.state != State::TransportError;
             if !works && self.nodes.remove(&m.id).is_some() {
+                self.ready.push_back(Decision::Forget { node: m.id.clone() });
                 self.sets.get_mut(&m.set).into_iter().for_each(|set| set.nodes.retain(|n| *n != node));
+                self.dirty.insert(m.set);
                 // Danger: connections of a place that nobody holds any more are let go, without a name.
                 self.used.remove(&node);
                 self.vacant.push(node);
@@ -460,8 +459,7 @@
     fn refused(&mut self, now: Tenths, node: Node) {
         let m = &mut self.members[node];
         m.refused += 1;
-        let pause = (PAUSE / 8) << m.refused.min(5);
-        m.shy_until = now + pause + self.rng.below(pause);
+        m.shy_until = now + self.rng.jittered((PAUSE / 8) << m.refused.min(5));
         m.refused.is_power_of_two().then(|| self.agenda.insert((now, Task::Ask(node))));
     }
 
@@ -470,8 +468,7 @@
         let m = &mut self.members[node];
         // Danger: the list names members that do not exist. One that was never met is not asked again soon.
         let doublings = if m.met { m.fails.saturating_sub(1).min(6) } else { 6 };
-        let backoff = (PAUSE << doublings).min(BACKOFF_MAX);
-        let at = now + self.rng.jittered(backoff);
+        let at = now + self.rng.jittered((PAUSE << doublings).min(BACKOFF_MAX));
         (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
     }
 
@@ -565,7 +562,14 @@
             return self.give_up(now, key);
         }
         self.dirty.insert(cmd.set);
-        self.agenda.insert((late.max(now + self.tick), Task::Settle(key)));
+        self.settle_at(late.max(now + self.tick), key);
+    }
+
+    /// Danger: settled twice in one turn, a command that came back to wait is given up before it is offered.
+    fn settle_at(&mut self, at: Tenths, key: u64) {
+        let Some(cmd) = self.open.get_mut(&key) else { return };
+        self.agenda.remove(&(std::mem::replace(&mut cmd.settles, at), Task::Settle(key)));
+        self.agenda.insert((at, Task::Settle(key)));
     }
 
     /// The final answer of a command that is given up: throttled where a repeat is harmless, else failed.
@@ -662,12 +666,10 @@
             State::TopologyReject => !can_probe || m.noted_at + 5 * PAUSE < now,
             _ => true,
         };
-        let walk = set.nodes.iter().copied().filter(|n| {
-            let m = &self.members[*n];
+        let walk = set.nodes.iter().map(|n| (&self.members[*n], *n)).filter(|(m, n)| {
             !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < most.div_ceil(2)
         });
-        let ranked =
-            walk.map(|n| (&self.members[n], n)).map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
+        let ranked = walk.map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
         if let Some((.., node)) = ranked.min() {
             cmd.tried.push(node);
             set.scout = Some(key);
@@ -687,9 +689,9 @@
     fn seek(&mut self, now: Tenths, number: i64) {
         let Some(set) = self.sets.get_mut(&number).filter(|s| s.seek_at <= now) else { return };
         set.seek_at = now + PAUSE;
-        let open = set.nodes.iter().copied().filter(|n| {
+        let open = self.sets[&number].nodes.iter().copied().filter(|n| {
             let m = &self.members[*n];
-            !m.shut && !m.probing && (m.state != State::TransportError || m.retry_at <= now)
+            !m.shut && !m.probing && (m.state != State::TransportError || self.rested(now, m))
         });
         // Danger: one that never answers is asked for ever. A probe without an answer counts too.
         let last = |m: &Member| m.asked_at.max(m.checked_at);
@@ -714,7 +716,15 @@
     fn ask_due(&self, now: Tenths, m: &Member) -> bool {
         let behind = (m.checked_at - m.position - self.tightest).clamp(0, 2 * SECOND);
         let rest = if m.position == 0 { PAUSE } else { PAUSE.max(self.tightest / 2).max(behind / 4) };
-        if m.state == State::TransportError { m.retry_at <= now } else { m.checked_at + rest <= now }
+        if m.state == State::TransportError { self.rested(now, m) } else { m.checked_at + rest <= now }
+    }
+
+    /// Danger: a set whose members were all out of reach is turned away until the longest rest is over, 10 s
+    /// after they are back. While none of it works, each is asked again after two seconds.
+    fn rested(&self, now: Tenths, m: &Member) -> bool {
+        let works = |n: &Node| !self.members[*n].shut && self.members[*n].state != State::TransportError;
+        let none = |set: &MemberSet| !set.nodes.iter().any(works);
+        m.retry_at <= now || (m.asked_at + 2 * SECOND <= now && self.sets.get(&m.set).is_some_and(none))
     }
 
     /// Danger: a primary that is slow, not crowded, is spared until it idles; nobody else takes its writes.
@@ -753,13 +763,10 @@
                 (count, first) = (count + 1.0, first.or(Some(node)));
             }
             if m.state == State::TransportError || strange || self.fresh_for(now, cmd, m) <= 0 {
-                let first = if strange { &mut meet } else { &mut ask };
-                if !m.probing
-                    && self.ask_due(now, m)
-                    && first.is_none_or(|a: (f64, usize, Node)| (m.turn, m.tie) < (a.0, a.1))
-                {
-                    *first = Some((m.turn, m.tie, node));
-                }
+                let first: &mut Option<(f64, usize, Node)> = if strange { &mut meet } else { &mut ask };
+                let sooner = first.is_none_or(|a| (m.turn, m.tie) < (a.0, a.1));
+                let due = !m.probing && sooner && self.ask_due(now, m);
+                *first = if due { Some((m.turn, m.tie, node)) } else { *first };
                 continue;
             }
             let sooner = best.is_none_or(|b| (m.turn, m.tie) < (b.0, b.1));
@@ -793,11 +800,9 @@
         let wait = (self.usual(now, self.open[&key].kind) / 2.0) as Tenths;
         let checked = |n: &Node| {
             let m = &self.members[*n];
-            let works = m.probing && !matches!(m.state, State::Healthy | State::TransportError);
-            works
-                && (m.met || !known)
-                && now < m.asked_at + wait
-                && self.fresh_for(now, &self.open[&key], m) <= 0
+            let works = !matches!(m.state, State::Healthy | State::TransportError) && (m.met || !known);
+            let asked = m.probing && now < m.asked_at + wait;
+            works && asked && self.fresh_for(now, &self.open[&key], m) <= 0
         };
         if self.sets[&number].nodes.iter().any(checked) {
             return None;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -434,6 +434,54 @@
     assert_eq!((r.knows("b"), r.sets[&1].nodes.contains(&1)), (known, known));
 }
 
+#[rstest]
+#[case::gone("b", Phase::Removed, &["b"])]
+#[case::never_known("x", Phase::Removed, &["x"])]
+#[case::draining("b", Phase::Draining, &[])]
+#[case::new("x", Phase::Up, &[])]
+fn the_host_is_told_whom_to_forget(#[case] id: &str, #[case] phase: Phase, #[case] forgotten: &[&str]) {
+    let mut r = router(&[]);
+    r.members_changed(NOW, false, &[entry(id, phase, 0)]);
+    let told =
+        r.ready.iter().filter_map(|d| if let Decision::Forget { node } = d { Some(&**node) } else { None });
+    assert_eq!(told.collect::<Vec<&str>>(), forgotten);
+}
+
+/// Besides the set of three, one of two: `d` and `e`.
+#[rstest]
+#[case::a_row(false, &[("b", 1, Phase::Draining)], &[1])]
+#[case::a_new_member(false, &[("x", 2, Phase::Up)], &[2])]
+#[case::a_member_gone(false, &[("d", 2, Phase::Removed)], &[2])]
+#[case::rows_of_both(false, &[("b", 1, Phase::Up), ("d", 2, Phase::Up)], &[1, 2])]
+#[case::nothing(false, &[], &[])]
+#[case::one_absent(true, &[("a", 1, Phase::Up), ("b", 1, Phase::Up), ("d", 2, Phase::Up), ("e", 2, Phase::Up)], &[1, 2])]
+#[case::a_set_absent(true, &[("a", 1, Phase::Up)], &[1, 2])]
+fn a_change_of_the_list_touches_the_sets_that_it_names(
+    #[case] whole: bool,
+    #[case] rows: &[(&str, i64, Phase)],
+    #[case] touched: &[i64],
+) {
+    let entries = |rows: &[(&str, i64, Phase)]| -> Vec<Entry> {
+        rows.iter().map(|(id, set, phase)| Entry { set: *set, ..entry(id, *phase, 0) }).collect()
+    };
+    let mut r = router(&[]);
+    r.members_changed(NOW, false, &entries(&[("d", 2, Phase::Up), ("e", 2, Phase::Up)]));
+    r.dirty.clear();
+    r.members_changed(NOW, whole, &entries(rows));
+    assert_eq!(r.dirty.into_iter().collect::<Vec<i64>>(), touched);
+}
+
+#[rstest]
+#[case::joined(&["a", "b", "c", "d"], &[1, 2, 3, 0])]
+#[case::one_less(&["b", "c"], &[1, 0])]
+fn ties_follow_the_sets_members(#[case] listed: &[&str], #[case] ties: &[usize]) {
+    let mut r = router(&[("me", "3")]);
+    let entries: Vec<Entry> = listed.iter().map(|id| entry(id, Phase::Up, 0)).collect();
+    r.members_changed(NOW, true, &entries);
+    let tie = |id: &&str| r.members[r.nodes[*id]].tie;
+    assert_eq!(listed.iter().map(tie).collect::<Vec<usize>>(), ties);
+}
+
 #[rstest]
 fn a_member_that_comes_back_under_its_id_is_known_again() {
     let mut r = router(&[]);
@@ -623,6 +671,69 @@
     assert!((NOW + least..NOW + 2 * least).contains(&r.members[1].retry_at));
 }
 
+/// With a probe that is lost just before they are back, all within the 4 s that a router may idle for.
+#[rstest]
+#[case::never_met(false, 0)]
+#[case::for_long(true, 9)]
+fn while_no_member_works_one_is_asked_within_a_while(#[case] met: bool, #[case] fails: u32) {
+    let mut r = router(&[]);
+    for node in 0..3 {
+        (r.members[node].met, r.members[node].fails) = (met, fails);
+        r.break_member(NOW, node);
+    }
+    open(&mut r, "any");
+    let at = NOW + 5 * SECOND / 2;
+    assert_eq!(r.pick_reader(at, 1, 0), None);
+    r.seek(at, 1);
+    assert!(r.ready.iter().any(|d| matches!(d, Decision::Probe { .. })), "nobody is asked 2.5 s later");
+}
+
+#[rstest]
+#[case::beside_one_that_works(State::Unknown, NOW - 3 * SECOND, false)]
+#[case::beside_none(State::TransportError, NOW - 3 * SECOND, true)]
+#[case::asked_lately(State::TransportError, NOW - SECOND, false)]
+fn a_broken_member_rests_less_where_none_works(
+    #[case] others: State,
+    #[case] asked_at: Tenths,
+    #[case] rested: bool,
+) {
+    let mut r = router(&[]);
+    r.members.iter_mut().for_each(|m| m.state = others);
+    let m = &mut r.members[1];
+    (m.state, m.retry_at, m.asked_at) = (State::TransportError, NOW + 5 * SECOND, asked_at);
+    assert_eq!(r.rested(NOW, &r.members[1]), rested);
+}
+
+#[rstest]
+#[case::first_settled_later(NOW + 500)]
+#[case::first_settled_in_the_same_turn(NOW)]
+#[case::first_settled_before(NOW - 1)]
+fn a_command_that_comes_back_is_settled_once(#[case] before: Tenths) {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.settle_at(before, 0);
+    r.settle_at(NOW, 0);
+    let settles: Vec<_> = r.agenda.iter().filter(|(_, task)| *task == Task::Settle(0)).collect();
+    assert_eq!(settles, [&(NOW, Task::Settle(0))]);
+}
+
+/// The miss of a write comes in the turn in which its own first settling is due, past its patience.
+#[rstest]
+fn a_write_that_was_missed_late_is_offered_to_the_known_primary() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.agenda.clear();
+    r.settle_at(NOW - 1, 0);
+    let cmd = r.open.get_mut(&0).expect("open");
+    (cmd.patience, cmd.dispatches) = (NOW - 10, 1);
+    cmd.out.insert(0, (1, NOW - 100));
+    r.members[0].state = State::Healthy;
+    r.dispatch_ended(NOW, "cmd", ended(Ending::Miss, Some(false)));
+    r.open.get_mut(&0).expect("open").ends = NOW + 100;
+    let sent = r.next_decision(NOW);
+    assert!(matches!(&sent, Some(Decision::Dispatch { node, .. }) if &**node == "a"), "{sent:?}");
+}
+
 #[rstest]
 fn a_seeking_round_asks_each_in_turn() {
     let mut r = router(&[]);
@@ -975,6 +1086,7 @@
     r.used.insert(1);
     r.members_changed(NOW, false, &[entry("b", Phase::Removed, 0)]);
     (r.agenda, r.dirty) = Default::default();
+    assert_eq!(r.next_decision(NOW), Some(Decision::Forget { node: "b".into() }));
     assert_eq!(r.next_decision(NOW), None);
 }
 
