Router and control machine: the configuration in force without a start

Change: with the feature fleet, and an operator file under VETCHKEEL_CONFIGURATION, a thread of its own runs the Subscriber over the link's streams; the loop puts each version in force between two turns and answers; version and document are on the disk (fsync, rename, check sum) before the version is said to be in force. No client is let in before may_serve. vetchkeel-control is a stand-in for a control machine: Machine on the same carrier, its document file published at SIGHUP, checked by Router::start.

--- /dev/null
+++ b/crates/control/src/program/file/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+use rstest::rstest;
+
+const GOOD: &str = r#"control {
+  name = "c1"
+  address = "127.0.0.1:7600"
+  document = "settings.json"
+  keep = "c1.kept"
+  keepers = ["c1", "c2", "c3"]
+  machine "c2" { address = "127.0.0.2:7600" }
+  machine "c3" { address = "127.0.0.3:7600" }
+  plan { beat = "250ms" }
+}"#;
+
+fn parsed(text: &str) -> Result<Control, Wrong> {
+    control(&OperatorFile::parse("c.hcl", text)?)
+}
+
+#[rstest]
+fn a_file_is_read() {
+    let control = parsed(GOOD).expect("readable");
+    assert_eq!((control.others.len(), control.keepers.len(), control.plan.beat), (2, 3, 2_500));
+}
+
+#[rstest]
+#[case::a_name(r#""c1""#, r#""c 1""#, 2)]
+#[case::any_address("127.0.0.1:7600", "0.0.0.0:7600", 3)]
+#[case::even_keepers(r#""c1", "c2", "c3""#, r#""c1", "c2""#, 6)]
+#[case::unknown_keeper(r#""c1", "c2", "c3""#, r#""c1", "c2", "c9""#, 6)]
+#[case::a_beat("250ms", "1us", 9)]
+#[case::no_such_value("keep =", "kept =", 1)]
+fn what_was_expected_is_said_with_its_line(#[case] piece: &str, #[case] other: &str, #[case] line: usize) {
+    let wrong = parsed(&GOOD.replacen(piece, other, 1)).expect_err("refused");
+    assert_eq!(wrong.line, line, "{wrong}");
+}
--- a/crates/router/src/clients/crowd.rs
+++ b/crates/router/src/clients/crowd.rs
@@ -33,8 +33,9 @@
     /// Takes in all that want to connect, as far as there is room.
     pub fn accept(&mut self) {
         let Some((listener, _)) = &self.clients.listener else { return };
-        // The system holds them meanwhile, and knows when their bytes came.
-        if self.watch.is_starting() {
+        // The system holds them meanwhile, and knows when their bytes came. Danger: served under settings older than those
+        // that this router had been told before its start.
+        if self.watch.is_starting() || !self.configuration.may_serve() {
             return;
         }
         let listener = listener.clone();
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -1,6 +1,9 @@
-//! The fleet: which other routers are there. Built in only with the feature `fleet`, and then on only where an operator
-//! file asks for it. No decision about commands depends on it yet: what changes is counted and told in the log.
+//! The fleet: which other routers are there, and the configuration that control machines hold for all of them. Built in
+//! only with the feature `fleet`, and then each on only where an operator file asks for it. No decision about commands
+//! depends on the other routers yet: what changes is counted and told in the log.
 
+#[cfg(feature = "fleet")]
+mod configuration;
 #[cfg(feature = "fleet")]
 mod duty;
 #[cfg(feature = "fleet")]
@@ -10,11 +13,13 @@
 #[cfg(feature = "fleet")]
 mod view;
 
+#[cfg(feature = "fleet")]
+pub use configuration::Configuration;
 #[cfg(feature = "fleet")]
 pub use on::Fleet;
 
 #[cfg(not(feature = "fleet"))]
-pub use off::Fleet;
+pub use off::{Configuration, Fleet};
 
 /// A name that both the membership and the link take.
 #[cfg(feature = "fleet")]
@@ -28,6 +33,35 @@
     use crate::Program;
     use calloop::LoopHandle;
 
+    /// The file's settings alone.
+    pub struct Configuration;
+
+    impl Configuration {
+        pub fn open(
+            _name: &str,
+            _seed: u64,
+            _handle: &LoopHandle<'static, Program>,
+        ) -> Result<Configuration, String> {
+            if std::env::var_os("VETCHKEEL_CONFIGURATION").is_some() {
+                return Err(
+                    "expected no VETCHKEEL_CONFIGURATION: this program was built without the feature fleet"
+                        .into(),
+                );
+            }
+            Ok(Configuration)
+        }
+
+        pub fn is_held_elsewhere(&self) -> bool {
+            false
+        }
+
+        pub fn may_serve(&self) -> bool {
+            true
+        }
+
+        pub fn print(&self) {}
+    }
+
     pub struct Fleet;
 
     impl Fleet {
--- /dev/null
+++ b/crates/router/src/fleet/configuration/file/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+use rstest::rstest;
+
+const GOOD: &str = r#"configuration {
+  address = "127.0.0.1:7500"
+  keep = "r1.kept"
+  near = ["c1"]
+  machine "c1" { address = "127.0.0.2:7600" }
+  plan { beat = "250ms" }
+}"#;
+
+fn parsed(text: &str) -> Result<Held, Wrong> {
+    held(&OperatorFile::parse("c.hcl", text)?)
+}
+
+#[rstest]
+fn a_file_is_read() {
+    let held = parsed(GOOD).expect("readable");
+    assert_eq!((held.machines.len(), held.near.len(), held.plan.beat), (1, 1, 2_500));
+}
+
+#[rstest]
+#[case::any_address("127.0.0.1:7500", "0.0.0.0:7500", 2)]
+#[case::no_keep("keep =", "kept =", 1)]
+#[case::a_name(r#"machine "c1""#, r#"machine "c 1""#, 5)]
+#[case::no_machine(r#"machine "c1" { address = "127.0.0.2:7600" }"#, "", 1)]
+#[case::a_beat("250ms", "1us", 6)]
+fn what_was_expected_is_said_with_its_line(#[case] piece: &str, #[case] other: &str, #[case] line: usize) {
+    let wrong = parsed(&GOOD.replacen(piece, other, 1)).expect_err("refused");
+    assert_eq!(wrong.line, line, "{wrong}");
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -26,7 +26,7 @@
 use counters::Counters;
 use deadlines::{Deadlines, Due};
 use ending::Cause;
-use fleet::Fleet;
+use fleet::{Configuration, Fleet};
 use limits::Limits;
 use nodes::Nodes;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -83,6 +83,7 @@
     counters: Counters,
     capture: Capture,
     fleet: Fleet,
+    configuration: Configuration,
     limits: Limits,
     /// What has ended since the module last heard.
     news: VecDeque<News>,
@@ -121,6 +122,7 @@
         let now = clock.now();
         let told = &start.told;
         let fleet = Fleet::open(&start.name, start.seed, &handle)?;
+        let configuration = Configuration::open(&start.name, start.seed, &handle)?;
         let mut program = Program {
             clock,
             now,
@@ -133,6 +135,7 @@
             counters: Counters::default(),
             capture: Capture::open(&start.name)?,
             fleet,
+            configuration,
             limits: Limits::new(start.sockets, start.memory),
             news: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
@@ -230,7 +233,11 @@
             Ok(start) => start,
             Err(why) => return log!("reload: the configuration stays as it is: {why}"),
         };
-        if start.told != self.told {
+        if self.configuration.is_held_elsewhere() {
+            log!(
+                "reload: control machines hold the settings; those of the file stand only until these are heard"
+            );
+        } else if start.told != self.told {
             match self.take_settings(start.told) {
                 Ok(()) => log!("reload: the settings have changed and are in force"),
                 Err(why) => return log!("reload: the configuration stays as it is: {why}"),
@@ -259,6 +266,7 @@
         self.counters.open = self.open_commands();
         eprintln!("{}", self.counters);
         self.fleet.print();
+        self.configuration.print();
     }
 
     /// How long a command may take from now on that would wait for `wait`: a process that is told to stop must
--- a/crates/router/tests/reload.rs
+++ b/crates/router/tests/reload.rs
@@ -11,6 +11,8 @@
 use serde_json::{Value, json};
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::Duration;
 
 /// A router before one primary, and its configuration to be changed.
 struct Running {
@@ -202,7 +204,8 @@
     assert!(running.node.statement().contains("id=i1"));
     running.router.signal("-TERM");
     running.router.logged("stopping: 1 commands open");
-    // In the same turn it would be told that it has failed.
+    // By the shorter one it would be told after 0.66 s that it has failed; by the longer one after 3.56 s.
+    sleep(Duration::from_millis(1_300));
     let_go.send(()).expect("the member waits");
     assert_eq!(client.answer(), value());
     drop(client);
