--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,4 +9,4 @@
 pub use carrier::{Came, Carrier, Traffic};
 pub use disk::{found, keep};
 pub use plan::{address, machines, name, plan};
-pub use program::program;
+pub use program::{Check, check, program};
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    vetchkeel_control::program()
+    vetchkeel_control::program(vetchkeel_control::check)
 }
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -6,6 +6,7 @@
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
 use file::Control;
+pub use host::{Check, check};
 use host::{Host, Order};
 use std::path::Path;
 use std::process::ExitCode;
@@ -24,14 +25,14 @@
     }
 }
 
-fn run() -> Result<(), String> {
+fn run(check: Check) -> Result<(), String> {
     let arguments: Vec<_> = std::env::args_os().skip(1).collect();
     let [path] = &arguments[..] else { return Err(USE.into()) };
     let control: Control = file::read(Path::new(path))?;
     // Before any thread is there: signals are kept from each.
     let heeded = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
     let signals = Signals::new(&heeded).map_err(|e| e.to_string())?;
-    let host = Host::start(control)?;
+    let host = Host::start(control, check)?;
     let (orders, taken) = channel();
     let waker = host.waker();
     let thread = std::thread::Builder::new().name("machine".into()).spawn(move || host.run(&taken));
@@ -48,9 +49,9 @@
     thread.join().unwrap_or_else(|_| Err("the machine panicked".into()))
 }
 
-/// Until SIGTERM. Exit code 2 and one line: wrong input, or what must be kept can't be.
-pub fn program() -> ExitCode {
-    match run() {
+/// Until SIGTERM, with this check at the source. Exit code 2 and one line: wrong input, or what must be kept can't be.
+pub fn program(check: Check) -> ExitCode {
+    match run(check) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("vetchkeel-control: {why}");
--- a/crates/control/src/program/host.rs
+++ b/crates/control/src/program/host.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// Whether a document may be published. The error is one line.
+pub type Check = fn(&Document) -> Result<(), String>;
+
 pub struct Host {
     clock: Clock,
     control: Control,
@@ -42,8 +45,8 @@
     machine: Machine,
 }
 
-/// The check at the source: what a router itself would check.
-fn check(document: &Document) -> Result<(), String> {
+/// The check at the source: what a router itself would check. The error is one line that says what was expected.
+pub fn check(document: &Document) -> Result<(), String> {
     let told = document.clone().into_map();
     settings::check(&told)?;
     let refused = |why| format!("expected settings that a router can serve under: {why}");
@@ -65,7 +68,7 @@
 
 impl Host {
     /// The error is one line.
-    pub fn start(control: Control) -> Result<Host, String> {
+    pub fn start(control: Control, check: Check) -> Result<Host, String> {
         let clock = Clock::new();
         let (now, me) = (clock.now(), control.name.clone());
         // Differs from start to start.
--- a/crates/router/src/fleet/configuration/host.rs
+++ b/crates/router/src/fleet/configuration/host.rs
@@ -53,6 +53,8 @@
     keep_at: Option<Tenths>,
     serves: bool,
     seen: Seen,
+    /// What of it was told last.
+    told: Seen,
     /// What the ring had no room for, in order.
     words: VecDeque<Word>,
 }
@@ -88,8 +90,8 @@
         subscriber.prefer(&held.near);
         let carrier = Carrier::bind(&me, start, held.address, held.machines, now, seed)?;
         let (applying, keep_at, serves) = (None, None, false);
-        let (seen, words) = (Seen::default(), VecDeque::new());
-        Ok(Host { clock, carrier, subscriber, file: held.keep, applying, keep_at, serves, seen, words })
+        let (seen, told, words) = (Seen::default(), Seen::default(), VecDeque::new());
+        Ok(Host { clock, carrier, subscriber, file: held.keep, applying, keep_at, serves, seen, told, words })
     }
 
     pub fn waker(&self) -> Waker {
@@ -218,16 +220,13 @@
 
     /// True if the loop is to look.
     fn tell(&mut self, inside: &mut Inside<Word, Answer>) -> bool {
-        let seen = Seen {
-            holds: self.subscriber.holds(),
-            machine: self.subscriber.served_by().cloned(),
-            silent_since: self.subscriber.silent_since(),
-            ..self.seen.clone()
-        };
-        if seen != self.seen {
-            self.seen = seen.clone();
+        self.seen.holds = self.subscriber.holds();
+        self.seen.machine = self.subscriber.served_by().cloned();
+        self.seen.silent_since = self.subscriber.silent_since();
+        if self.seen != self.told {
+            self.told = self.seen.clone();
             self.words.retain(|word| !matches!(word, Word::Seen(_)));
-            self.words.push_back(Word::Seen(seen));
+            self.words.push_back(Word::Seen(self.seen.clone()));
         }
         let mut told = false;
         while let Some(word) = self.words.pop_front() {
--- a/crates/router/tests/configuration.rs
+++ b/crates/router/tests/configuration.rs
@@ -73,6 +73,11 @@
 
 impl Six {
     fn start() -> Six {
+        Six::with_machines(&[])
+    }
+
+    /// Control machines with these variables.
+    fn with_machines(variables: &'static [&'static str]) -> Six {
         let node = Node::start("primary", |_| Reply::Send(row("value")));
         let known = list(41, true, &[entry("s-a", &node, "ready", "primary")]);
         let told = known.clone();
@@ -89,7 +94,8 @@
             let (json, hcl) = (path("json"), path("hcl"));
             if MACHINES.contains(&place.name.as_str()) {
                 std::fs::write(&hcl, control_file(place, &files)).expect("a file");
-                return vec![env!("CARGO_BIN_EXE_control-machine").to_owned(), hcl.display().to_string()];
+                let program = [env!("CARGO_BIN_EXE_control-machine").to_owned(), hcl.display().to_string()];
+                return variables.iter().map(|v| (*v).to_owned()).chain(program).collect();
             }
             std::fs::write(&json, text.replace("\"n0\"", &format!("\"{}\"", place.name))).expect("a file");
             std::fs::write(&hcl, router_file(place, &files)).expect("a file");
@@ -260,6 +266,28 @@
     });
 }
 
+/// The machines take what no router can use.
+#[rstest]
+fn what_routers_refuse_is_named_and_the_last_good_one_stays() {
+    let six = Six::with_machines(&["UNCHECKED=1"]);
+    six.publish(&six.with(&["one"]), "control: published: ");
+    six.all_serve("one");
+    let good = six.counters("r1")["in_force"].clone();
+    six.publish(&six.with(&["spoilt", "spoilt"]), "control: published: ");
+    let why = "expected another name for each of 'request_classes'";
+    six.until("all have refused", || {
+        ROUTERS.iter().all(|r| six.log(r).contains(&format!("is refused, the one before stays: {why}")))
+    });
+    ROUTERS.iter().for_each(|r| assert!(six.serves(r, "one"), "{r}"));
+    let counters = six.counters("r1");
+    assert_eq!((&counters["in_force"], counters["refused"].as_str()), (&good, "1"));
+    six.until("known by name", || {
+        MACHINES.iter().any(|m| ROUTERS.iter().all(|r| six.log(m).contains(&format!("{r} ({why}"))))
+    });
+    six.publish(&six.with(&["one", "two"]), "control: published: ");
+    six.all_serve("two");
+}
+
 #[rstest]
 fn changes_go_on_with_a_control_machine_killed_and_one_stopped() {
     let six = Six::start();
