--- a/crates/router/src/fleet/configuration/file/tests.rs
+++ b/crates/router/src/fleet/configuration/file/tests.rs
@@ -29,3 +29,10 @@
     let wrong = parsed(&GOOD.replacen(piece, other, 1)).expect_err("refused");
     assert_eq!(wrong.line, line, "{wrong}");
 }
+
+#[rstest]
+fn the_file_beside_the_program_is_one() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/configuration.hcl");
+    let held = read(&path).expect("readable");
+    assert_eq!((held.machines.len(), held.plan), (3, Plan::default()));
+}
