--- /dev/null
+++ b/crates/capacity/src/constants.rs
@@ -0,0 +1,438 @@
+//! Constants of the program that the size meets: what each one bears, and what it ought to follow from. They are limits by a
+//! number, which only have to be raised, apart from mechanisms that cost too much.
+
+use crate::{Scaled, Work};
+
+/// How a constant is held against the size.
+#[derive(Clone, Copy)]
+pub enum Held {
+    /// It bounds something that grows: how much of it there is.
+    Bound(fn(&mut Work<'_>) -> f64),
+    /// A period, window or pace that bounds nothing: what it does at the size.
+    Told(fn(&Scaled<'_>) -> String),
+}
+
+pub struct Constant {
+    pub name: &'static str,
+    pub value: f64,
+    pub unit: &'static str,
+    /// From the root of the repository.
+    pub file: &'static str,
+    /// As it stands there.
+    pub text: &'static str,
+    pub held: Held,
+    /// What it ought to follow from.
+    pub follows: &'static str,
+}
+
+/// Of a zone: members that go at once.
+fn zone(w: &mut Work<'_>) -> f64 {
+    w.at.members_a_zone()
+}
+
+fn routers(w: &mut Work<'_>) -> f64 {
+    w.at.routers()
+}
+
+fn clients(w: &mut Work<'_>) -> f64 {
+    w.at.clients()
+}
+
+fn whole_list(w: &mut Work<'_>) -> f64 {
+    w.line("list.whole.bytes", w.at.members())
+}
+
+/// Seconds that a whole list takes inside the control's bytes a second.
+fn whole_list_seconds(w: &mut Work<'_>) -> f64 {
+    whole_list(w) / w.at.control.bytes
+}
+
+const fn bound(
+    name: &'static str,
+    value: f64,
+    unit: &'static str,
+    place: (&'static str, &'static str),
+    need: fn(&mut Work<'_>) -> f64,
+    follows: &'static str,
+) -> Constant {
+    Constant { name, value, unit, file: place.0, text: place.1, held: Held::Bound(need), follows }
+}
+
+const fn told(
+    name: &'static str,
+    value: f64,
+    unit: &'static str,
+    place: (&'static str, &'static str),
+    does: fn(&Scaled<'_>) -> String,
+    follows: &'static str,
+) -> Constant {
+    Constant { name, value, unit, file: place.0, text: place.1, held: Held::Told(does), follows }
+}
+
+const FLEET_SIZE: &str = "the size told in the fleet's plan, bounded by its memory an instance";
+
+pub const CONSTANTS: [Constant; 43] = [
+    bound(
+        "membership MOST",
+        1_024.0,
+        "instances",
+        ("crates/membership/src/plan.rs", "pub const MOST: usize = 1_024;"),
+        routers,
+        FLEET_SIZE,
+    ),
+    bound(
+        "membership MOST_CHANGES",
+        4_096.0,
+        "changes not pulled",
+        ("crates/membership/src/membership.rs", "const MOST_CHANGES: usize = 4_096;"),
+        routers,
+        "twice the instances known: all may change at once",
+    ),
+    told(
+        "membership MOST_WAITING",
+        4_096.0,
+        "messages not pulled",
+        ("crates/membership/src/membership.rs", "const MOST_WAITING: usize = 4_096;"),
+        |a| format!("a view of {:.0} instances paged through", a.routers()),
+        "instances known",
+    ),
+    told(
+        "membership Plan.period, patience, slack",
+        0.5,
+        "s a probe",
+        ("crates/membership/src/plan.rs", "period: 5_000,"),
+        |a| {
+            let least = 2.0 * a.routers().log10().max(1.0);
+            format!(
+                "4 periods for each tenfold, up to 3 times: {least:.1} to {:.1} s until one is held dead",
+                3.0 * least
+            )
+        },
+        "what a lost router may cost; the logarithm is right",
+    ),
+    bound(
+        "membership Plan.forget",
+        3_600.0,
+        "s",
+        ("crates/membership/src/plan.rs", "forget: 36_000_000,"),
+        |w| w.at.apart,
+        "twice the longest time that regions may be apart",
+    ),
+    told(
+        "membership NEWS_EVERY, NEWS_TO",
+        0.2,
+        "s a round",
+        ("crates/membership/src/membership/rounds.rs", "const NEWS_EVERY: Tenths = 2_000;"),
+        |a| {
+            let ratio = 3.0 * 1_200.0 / 0.2 / a.control.bytes;
+            format!(
+                "three others each 0.2 s, 1,200 bytes: up to {ratio:.1} times the control bytes while news goes round"
+            )
+        },
+        "control bytes a second told",
+    ),
+    told(
+        "membership Plan.compare",
+        10.0,
+        "s",
+        ("crates/membership/src/plan.rs", "compare: 100_000,"),
+        |a| format!("where two views differ they page through all {:.0} instances", a.routers()),
+        "bytes of a view over control bytes a second",
+    ),
+    bound(
+        "subsets ROUTERS_MOST",
+        1_024.0,
+        "routers",
+        ("crates/subsets/src/told.rs", "pub const ROUTERS_MOST: usize = 1024;"),
+        routers,
+        "time that a subset may take over its time a router and member",
+    ),
+    bound(
+        "subsets MEMBERS_MOST",
+        1_024.0,
+        "members",
+        ("crates/subsets/src/told.rs", "pub const MEMBERS_MOST: usize = 1024;"),
+        |w| w.at.members(),
+        "the same",
+    ),
+    bound(
+        "subsets SET_MOST",
+        128.0,
+        "members a set",
+        ("crates/subsets/src/told.rs", "pub const SET_MOST: usize = 128;"),
+        |w| w.at.members_a_set(),
+        "time of mending, which is with the square of it",
+    ),
+    bound(
+        "shared MOST_SEATS",
+        1_024.0,
+        "seats",
+        ("crates/shared/src/budgets/terms.rs", "pub const MOST_SEATS: usize = 1_024;"),
+        routers,
+        FLEET_SIZE,
+    ),
+    bound(
+        "shared MOST_BORROWERS",
+        1_024.0,
+        "borrowers a lender",
+        ("crates/shared/src/budgets/lender.rs", "pub const MOST_BORROWERS: usize = 1_024;"),
+        routers,
+        "seats of the terms",
+    ),
+    bound(
+        "shared counts MOST",
+        16_384.0,
+        "tallies",
+        ("crates/shared/src/counts.rs", "pub const MOST: usize = 16_384;"),
+        |w| w.at.routers() * w.at.topics(),
+        "routers times topics told",
+    ),
+    bound(
+        "shared judgements MOST",
+        65_536.0,
+        "judgements",
+        ("crates/shared/src/judgements.rs", "pub const MOST: usize = 65_536;"),
+        |w| w.at.routers() * w.at.members_a_zone(),
+        "routers times the members of a zone; better, one voice a group of routers",
+    ),
+    bound(
+        "shared judgements MOST_MEMBERS",
+        4_096.0,
+        "members",
+        ("crates/shared/src/judgements.rs", "pub const MOST_MEMBERS: usize = 4_096;"),
+        |w| w.at.members(),
+        "members listed",
+    ),
+    bound(
+        "shared turns MOST",
+        4_096.0,
+        "turns open",
+        ("crates/shared/src/turns.rs", "pub const MOST: usize = 4_096;"),
+        zone,
+        "members of a zone times kinds of turns",
+    ),
+    bound(
+        "link Bounds.peers",
+        1_024.0,
+        "peers",
+        ("crates/link/src/talk.rs", "peers: 1_024,"),
+        routers,
+        FLEET_SIZE,
+    ),
+    bound(
+        "link Bounds.calls",
+        2_048.0,
+        "connections from others",
+        ("crates/link/src/talk.rs", "calls: 2_048,"),
+        routers,
+        "peers, where streams are used",
+    ),
+    told(
+        "link Bounds.peer_bytes",
+        4_194_304.0,
+        "bytes a peer",
+        ("crates/link/src/talk.rs", "peer_bytes: 4 * 1_024 * 1_024,"),
+        |a| format!("{:.0} slow peers fill the control memory", a.control.memory / 4_194_304.0),
+        "control memory over peers",
+    ),
+    bound(
+        "fleet view MOST",
+        2_048.0,
+        "names in the loop's view",
+        ("crates/router/src/fleet/view.rs", "const MOST: usize = 2_048;"),
+        routers,
+        "instances that membership knows",
+    ),
+    bound(
+        "fleet ADDRESSES",
+        4_096.0,
+        "addresses with names",
+        ("crates/router/src/fleet/host.rs", "const ADDRESSES: usize = 4_096;"),
+        routers,
+        "instances that membership knows",
+    ),
+    bound(
+        "fleet EVENTS",
+        4_096.0,
+        "datagrams before decisions",
+        ("crates/router/src/fleet/host.rs", "const EVENTS: usize = 4_096;"),
+        routers,
+        "instances: all may speak at once",
+    ),
+    bound(
+        "fleet TOLD",
+        256.0,
+        "changes in the ring",
+        ("crates/router/src/fleet.rs", "const TOLD: usize = 256;"),
+        |w| w.at.routers() / w.at.zones,
+        "routers of a zone; beyond it the view is told whole, and nothing is lost",
+    ),
+    bound(
+        "router ASKED_PART of sockets",
+        0.25,
+        "of the descriptors",
+        ("crates/router/src/limits.rs", "const ASKED_PART: f64 = 0.75 / 3.0;"),
+        |w| w.at.clients() / w.at.router.descriptors,
+        "descriptors left by members' connections, as counted",
+    ),
+    bound(
+        "router CLIENTS_PART of sockets",
+        0.45,
+        "of the descriptors",
+        ("crates/router/src/limits.rs", "const CLIENTS_PART: f64 = 0.45;"),
+        |w| w.at.clients() / w.at.router.descriptors,
+        "descriptors left by members' connections, as counted",
+    ),
+    bound(
+        "router BACKLOG",
+        1_024.0,
+        "connections not accepted yet",
+        ("crates/router/src/main.rs", "const BACKLOG: i32 = 1024;"),
+        clients,
+        "clients of a router that comes back; net.core.somaxconn bounds it too",
+    ),
+    told(
+        "router ACCEPTED_MOST",
+        64.0,
+        "connections a turn",
+        ("crates/router/src/clients/crowd.rs", "const ACCEPTED_MOST: usize = 64;"),
+        |a| {
+            format!("{:.0} clients that come back take {:.0} turns", a.clients(), (a.clients() / 64.0).ceil())
+        },
+        "time of a turn that commands in hand may wait",
+    ),
+    told(
+        "router PATIENCE, SILENT_LEAST",
+        10.0,
+        "s",
+        ("crates/router/src/clients.rs", "const PATIENCE: Tenths = 100_000;"),
+        |a| format!("at the limit all {:.0} clients are looked through for each that comes", a.clients()),
+        "client timeout",
+    ),
+    told(
+        "watch SILENCE_MOST",
+        3.0,
+        "s",
+        ("crates/router/src/watch.rs", "const SILENCE_MOST: Tenths = 30_000;"),
+        |a| format!("a silent agent is asked for all {:.0} members again each 3.1 s and more", a.members()),
+        "bytes of what is asked for again over control bytes a second; resume from the version held",
+    ),
+    bound(
+        "watch FIRST_MOST",
+        1.0,
+        "s for the whole list",
+        ("crates/router/src/watch.rs", "const FIRST_MOST: Tenths = 10_000;"),
+        whole_list_seconds,
+        "bytes of the list over control bytes a second",
+    ),
+    bound(
+        "watch START_MOST",
+        1.0,
+        "s for the whole list at a start",
+        ("crates/router/src/watch.rs", "const START_MOST: Tenths = 10_000;"),
+        whole_list_seconds,
+        "the same; a start serves by the list kept, and takes only what changed",
+    ),
+    bound(
+        "watch UNTOLD_MOST",
+        5.0,
+        "s without a list at a start",
+        ("crates/router/src/watch.rs", "const UNTOLD_MOST: Tenths = 50_000;"),
+        whole_list_seconds,
+        "the same",
+    ),
+    bound(
+        "discovery LONGEST_VALUE",
+        4_194_304.0,
+        "bytes of a list",
+        ("crates/discovery/src/values.rs", "const LONGEST_VALUE: usize = 4 * 1024 * 1024;"),
+        whole_list,
+        "members times bytes a row",
+    ),
+    told(
+        "decide PAUSE, BACKOFF_MAX",
+        5.0,
+        "s at most",
+        ("src/decide.rs", "const BACKOFF_MAX: Tenths = 5 * SECOND;"),
+        |a| format!("{:.0} routers ask again at least each 5 s", a.routers()),
+        "bytes asked for over control bytes a second",
+    ),
+    told(
+        "decide USUAL_HALF, SLOW_HALF, SET_HALF, SHARE_HALF",
+        2.0,
+        "s, the shortest half-life",
+        ("src/decide.rs", "const SLOW_HALF: Tenths = 2 * SECOND;"),
+        |a| {
+            let rate = a.statements() / a.members();
+            format!(
+                "one router sends {rate:.2} statements a second to a member: {:.1} answers in 2 s",
+                2.0 * rate
+            )
+        },
+        "answers seen, not seconds",
+    ),
+    told(
+        "decide SESSION_KEPT, SESSIONS_LEAST",
+        60.0,
+        "s of last writes",
+        ("src/decide.rs", "const SESSION_KEPT: Tenths = 60 * SECOND;"),
+        |a| format!("up to {:.0} sessions, by time alone", 60.0 * a.statements()),
+        "client connections held, and the memory told",
+    ),
+    told(
+        "router LINES_A_SECOND",
+        5.0,
+        "lines a place",
+        ("crates/router/src/log.rs", "const LINES_A_SECOND: u32 = 5;"),
+        |a| format!("a lost zone's {:.0} members are five lines and a count", a.members_a_zone()),
+        "nothing: counters tell the rest",
+    ),
+    bound(
+        "capture frames",
+        16_384.0,
+        "commands a second waited for",
+        ("crates/capture/src/recorder.rs", "RecorderLimits { frame: 2_048, waiting: 8 }"),
+        |w| w.at.statements(),
+        "seconds that a disk may stall times statements",
+    ),
+    bound(
+        "feeds Terms.room",
+        20_000.0,
+        "subscriptions a gateway",
+        ("crates/feeds/src/terms.rs", "room: 20_000,"),
+        |w| w.at.subscriptions(),
+        "memory over bytes a subscription",
+    ),
+    bound(
+        "feeds Terms.pushes",
+        200_000.0,
+        "pushes a second",
+        ("crates/feeds/src/terms.rs", "pushes: 200_000,"),
+        |w| w.at.pushes(),
+        "cores over processor time a push",
+    ),
+    bound(
+        "feeds Terms.admissions",
+        2_000.0,
+        "desks a second",
+        ("crates/feeds/src/terms.rs", "admissions: 2_000,"),
+        |w| w.at.subscriptions() / w.at.over.machine,
+        "subscriptions of a lost gateway over the time they may be without one",
+    ),
+    bound(
+        "store LOGS",
+        4_096.0,
+        "logs",
+        ("crates/store/src/batch.rs", "pub const LOGS: usize = 4_096;"),
+        |w| w.at.sets(),
+        "feeds",
+    ),
+    told(
+        "embargo BATCH, REQUESTS",
+        16.0,
+        "schedules a reply",
+        ("crates/embargo/src/words.rs", "pub const BATCH: usize = 16;"),
+        |a| format!("{:.0} replies after a start", (a.bulletins() / 16.0).ceil()),
+        "bytes of a reply over bytes of a schedule",
+    ),
+];
