Capacity: vetchkeel plan capacity prints the page's tables, smallest share first

Change: `vetchkeel plan capacity FILE [--slopes TABLE] [--with|--without configuration]`; wrong input ends with 2 and its place.

--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -1,5 +1,6 @@
-//! `vetchkeel plan`: fit, limit, size, lose-zone, restart.
+//! `vetchkeel plan`: capacity, fit, limit, size, lose-zone, restart.
 
+mod capacity;
 mod fit;
 mod limit;
 mod lose;
@@ -18,6 +19,11 @@
 
 #[derive(Subcommand)]
 pub enum Plan {
+    /// What each role and event asks at the size to design for, and the share of it at which each gives way.
+    Capacity {
+        #[command(flatten)]
+        asked: capacity::Asked,
+    },
     /// Estimates work by command group from a capture, and writes a fleet file with it.
     Fit {
         capture: PathBuf,
@@ -275,6 +281,7 @@
 
 pub fn run(plan: Plan, json: bool) -> Result<(), Failed> {
     match plan {
+        Plan::Capacity { asked } => capacity::run(&asked, json),
         Plan::Fit { capture, fleet, out } => fit::run(&capture, &fleet, out.as_deref(), json),
         Plan::Limit { asked } => limit::run(&asked.question()?, json),
         Plan::Size { asked, keep_sets, most } => size::run(&asked.question()?, !keep_sets, most, json),
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -165,3 +165,147 @@
         "{limit:?}"
     );
 }
+
+/// Two slopes: 2,000 bytes and 20 microseconds a member.
+const SLOPES: &str = r#"
+slope "module.list.memory" {
+  unit = "bytes"
+  per = "member"
+  base = 0
+  value = 2000
+  low = 1900
+  high = 2200
+  residual = 0.02
+  largest = 2450
+  sizes = [50, 500, 1000, 1225, 2450]
+  runs = 3
+  kind = "measured"
+  command = "by hand"
+  cores = 8
+}
+slope "router.cpu.idle.member" {
+  unit = "seconds"
+  per = "member"
+  base = 0.001
+  value = 0.00002
+  low = 0.00002
+  high = 0.00002
+  residual = 0.01
+  largest = 4900
+  sizes = [50, 500, 1225, 2450, 4900]
+  means = [0.002, 0.011, 0.0255, 0.05, 0.099]
+  runs = 3
+  kind = "simulated"
+  command = "by hand"
+  cores = 8
+}
+"#;
+
+const CAPACITY: &str = "plan capacity e.hcl --slopes s.hcl";
+const TABLES: &str = "module's tables of the list";
+
+/// A size and the two slopes.
+fn sized(from: &str, to: &str) -> Place {
+    let size = include_str!("size.hcl");
+    assert!(size.contains(from), "{from}");
+    let place = Place::new(&size.replacen(from, to, 1));
+    std::fs::write(place.0.join("s.hcl"), SLOPES).expect("a file");
+    place
+}
+
+fn line<'a>(out: &'a str, words: &str) -> &'a str {
+    out.lines().find(|l| l.contains(words)).unwrap_or_else(|| panic!("expected {words} in {out}"))
+}
+
+#[rstest]
+fn the_size_to_design_for_is_told_smallest_share_first() {
+    let (code, out, _) = sized("", "").call(CAPACITY);
+    let rows: Vec<&str> = out.lines().filter(|l| l.starts_with("| ") && !l.starts_with("| ---")).collect();
+    assert!(
+        code == 0 && rows[1].starts_with("| 0.000 |") && rows[1].contains("without a start"),
+        "{code} {out}"
+    );
+    // 9.8 MB of 256 MB, played up to half of it; 9.9% of a core where 2.3% are allowed.
+    let tables = line(&out, TABLES);
+    assert!(
+        tables.starts_with("| 26.122 |")
+            && tables.contains("| 9.80 MB | 256 MB | 0.0383 (0.0364 to 0.0421) |"),
+        "{tables}"
+    );
+    assert!(tables.contains("extrapolated 2.00 times"), "{tables}");
+    let idle = line(&out, "nothing asked, all members listed");
+    assert!(idle.starts_with("| 0.224 |") && idle.contains("measured, simulated"), "{idle}");
+    let probes = line(&out, "bytes, probes of members");
+    assert!(probes.starts_with("| ? |") && probes.contains("| not measured |  |  | no slope"), "{probes}");
+    assert!(line(&out, "| membership MOST |").starts_with("| "), "{out}");
+    assert!(line(&out, "| the whole fleet started at once |").contains("not measured"), "{out}");
+}
+
+#[rstest]
+fn another_size_gives_other_answers() {
+    let (_, out, _) = sized("members = 4900", "members = 9800").call(CAPACITY);
+    assert!(line(&out, TABLES).starts_with("| 13.061 |"), "{out}");
+    let (_, out, _) = sized("memory_mb = 256", "memory_mb = 128").call(CAPACITY);
+    assert!(line(&out, TABLES).starts_with("| 13.061 |"), "{out}");
+}
+
+#[rstest]
+fn the_page_is_one_document() {
+    let (code, out, _) = sized("", "").call(&format!("{CAPACITY} --json"));
+    let page: serde_json::Value = serde_json::from_str(&out).expect("one JSON document");
+    let rows = page["rows"].as_array().expect("rows");
+    let found =
+        rows.iter().find(|r| r["what"] == "memory, the module's tables of the list").expect("the row");
+    assert!(code == 0 && found["outcome"]["figure"]["need"] == 9.8e6 && found["unit"] == "bytes", "{found}");
+    assert!(found["outcome"]["figure"]["used"][0]["beyond"] == 2.0, "{found}");
+    assert!(rows[0]["outcome"]["impossible"].is_string(), "{}", rows[0]);
+    let missing = rows.iter().filter(|r| r["outcome"]["not_measured"].is_array()).count();
+    assert_eq!(missing + 3, rows.len(), "one can't be done, two are measured");
+    let laws: Vec<bool> =
+        page["slopes"].as_array().expect("slopes").iter().map(|s| s["universal"].is_object()).collect();
+    assert_eq!(laws, [false, true]);
+    assert!(page["constants"].as_array().is_some_and(|c| c.iter().any(|c| c["does"].is_string())));
+    assert!(page["events"].as_array().is_some_and(|e| e.iter().any(|e| e["event"] == "wave")));
+}
+
+/// Before and after a mechanism, from one program.
+#[rstest]
+fn a_mechanism_can_be_looked_at_as_there_and_not_there() {
+    let place = sized("", "");
+    let without = place.call(&format!("{CAPACITY} --without configuration")).1;
+    let with = place.call(&format!("{CAPACITY} --with configuration")).1;
+    assert!(line(&without, "without a start").starts_with("| 0.000 |"), "{without}");
+    assert!(line(&with, "without a start").starts_with("| ? |"), "{with}");
+}
+
+#[rstest]
+#[case::a_size_left_out("members = 4900\n", "", "e.hcl:1:1: expected a value for members, found none")]
+#[case::more_sets_than_members(
+    "sets = 1225",
+    "sets = 5000",
+    "e.hcl:3:8: expected at most the 4900 of members"
+)]
+#[case::no_hcl("sets = 1225", "sets = = 1225", "e.hcl:3:8: expected HCL")]
+fn a_wrong_size_is_wrong_input(#[case] from: &str, #[case] to: &str, #[case] why: &str) {
+    let (code, out, log) = sized(from, to).call(CAPACITY);
+    assert!(code == 2 && out.is_empty() && log.contains(why), "{code} {out} {log}");
+}
+
+#[rstest]
+#[case::slope("runs = 3", "runs = 1", "s.hcl:12:10: expected a whole number from 3")]
+#[case::unknown("cores = 8", "cores = 8\n  age = 1", "s.hcl:16:3: expected one of base,")]
+fn a_wrong_slope_is_wrong_input(#[case] from: &str, #[case] to: &str, #[case] why: &str) {
+    let place = sized("", "");
+    std::fs::write(place.0.join("s.hcl"), SLOPES.replacen(from, to, 1)).expect("a file");
+    let (code, out, log) = place.call(CAPACITY);
+    assert!(code == 2 && out.is_empty() && log.contains(why), "{code} {out} {log}");
+}
+
+#[rstest]
+fn a_table_of_slopes_that_is_not_there_is_wrong_input() {
+    let (code, _, log) = sized("", "").call("plan capacity e.hcl");
+    assert!(
+        code == 2 && log.contains("docs/measured/slopes.hcl:1:1: expected a readable file"),
+        "{code} {log}"
+    );
+}
