Capacity: constants as raised, whole lists by their bytes, and a line that lies far off says so

Cause: the bounds of membership, subsets, shared, link and view were raised to what 2,100 routers and 4,900 members need, and clients that stay follow from the descriptors told: the page holds the new ones against the size. A fit whose residual is over 0.15 is told with it where a row rests on it.

--- a/crates/capacity/src/constants.rs
+++ b/crates/capacity/src/constants.rs
@@ -69,22 +69,26 @@
     Constant { name, value, unit, file: place.0, text: place.1, held: Held::Told(does), follows }
 }
 
+/// Bytes a client that stays, and places left to newcomers, as `crates/router/src/limits.rs` has them.
+const STAYING_COST: f64 = 2_048.0;
+const NEWCOMERS: f64 = 85.0;
+
 const FLEET_SIZE: &str = "the size told in the fleet's plan, bounded by its memory an instance";
 
 pub const CONSTANTS: [Constant; 43] = [
     bound(
-        "membership MOST",
-        1_024.0,
+        "membership MOST_INSTANCES",
+        4_096.0,
         "instances",
-        ("crates/membership/src/plan.rs", "pub const MOST: usize = 1_024;"),
+        ("crates/membership/src/plan.rs", "pub const MOST_INSTANCES: usize = 4_096;"),
         routers,
         FLEET_SIZE,
     ),
     bound(
         "membership MOST_CHANGES",
-        4_096.0,
+        8_192.0,
         "changes not pulled",
-        ("crates/membership/src/membership.rs", "const MOST_CHANGES: usize = 4_096;"),
+        ("crates/membership/src/membership.rs", "const MOST_CHANGES: usize = 2 * MOST_INSTANCES;"),
         routers,
         "twice the instances known: all may change at once",
     ),
@@ -141,17 +145,17 @@
     ),
     bound(
         "subsets ROUTERS_MOST",
-        1_024.0,
+        8_192.0,
         "routers",
-        ("crates/subsets/src/told.rs", "pub const ROUTERS_MOST: usize = 1024;"),
+        ("crates/subsets/src/told.rs", "pub const ROUTERS_MOST: usize = 8_192;"),
         routers,
         "time that a subset may take over its time a router and member",
     ),
     bound(
         "subsets MEMBERS_MOST",
-        1_024.0,
+        8_192.0,
         "members",
-        ("crates/subsets/src/told.rs", "pub const MEMBERS_MOST: usize = 1024;"),
+        ("crates/subsets/src/told.rs", "pub const MEMBERS_MOST: usize = 8_192;"),
         |w| w.at.members(),
         "the same",
     ),
@@ -165,17 +169,17 @@
     ),
     bound(
         "shared MOST_SEATS",
-        1_024.0,
+        4_096.0,
         "seats",
-        ("crates/shared/src/budgets/terms.rs", "pub const MOST_SEATS: usize = 1_024;"),
+        ("crates/shared/src/budgets/terms.rs", "pub const MOST_SEATS: usize = MOST_INSTANCES;"),
         routers,
         FLEET_SIZE,
     ),
     bound(
         "shared MOST_BORROWERS",
-        1_024.0,
+        4_096.0,
         "borrowers a lender",
-        ("crates/shared/src/budgets/lender.rs", "pub const MOST_BORROWERS: usize = 1_024;"),
+        ("crates/shared/src/budgets/lender.rs", "pub const MOST_BORROWERS: usize = MOST_INSTANCES;"),
         routers,
         "seats of the terms",
     ),
@@ -197,9 +201,9 @@
     ),
     bound(
         "shared judgements MOST_MEMBERS",
-        4_096.0,
+        8_192.0,
         "members",
-        ("crates/shared/src/judgements.rs", "pub const MOST_MEMBERS: usize = 4_096;"),
+        ("crates/shared/src/judgements.rs", "pub const MOST_MEMBERS: usize = 8_192;"),
         |w| w.at.members(),
         "members listed",
     ),
@@ -213,9 +217,9 @@
     ),
     bound(
         "link Bounds.peers",
-        1_024.0,
+        8_192.0,
         "peers",
-        ("crates/link/src/talk.rs", "peers: 1_024,"),
+        ("crates/link/src/talk.rs", "peers: 8_192,"),
         routers,
         FLEET_SIZE,
     ),
@@ -237,17 +241,17 @@
     ),
     bound(
         "fleet view MOST",
-        2_048.0,
+        8_192.0,
         "names in the loop's view",
-        ("crates/router/src/fleet/view.rs", "const MOST: usize = 2_048;"),
+        ("crates/router/src/fleet/view.rs", "const MOST: usize = 2 * MOST_INSTANCES;"),
         routers,
         "instances that membership knows",
     ),
     bound(
         "fleet ADDRESSES",
-        4_096.0,
+        16_384.0,
         "addresses with names",
-        ("crates/router/src/fleet/host.rs", "const ADDRESSES: usize = 4_096;"),
+        ("crates/router/src/fleet/host.rs", "const ADDRESSES: usize = 2 * (MOST_INSTANCES + MOST_NAMED);"),
         routers,
         "instances that membership knows",
     ),
@@ -268,19 +272,19 @@
         "routers of a zone; beyond it the view is told whole, and nothing is lost",
     ),
     bound(
-        "router ASKED_PART of sockets",
-        0.25,
-        "of the descriptors",
-        ("crates/router/src/limits.rs", "const ASKED_PART: f64 = 0.75 / 3.0;"),
-        |w| w.at.clients() / w.at.router.descriptors,
-        "descriptors left by members' connections, as counted",
+        "router STAYING_PART of the memory",
+        0.125,
+        "of the memory",
+        ("crates/router/src/limits.rs", "const STAYING_PART: f64 = 0.125;"),
+        |w| w.at.clients() * STAYING_COST / w.at.router.room.memory,
+        "bytes a client as measured (STAYING_COST is 2 KiB)",
     ),
     bound(
         "router CLIENTS_PART of sockets",
         0.45,
         "of the descriptors",
         ("crates/router/src/limits.rs", "const CLIENTS_PART: f64 = 0.45;"),
-        |w| w.at.clients() / w.at.router.descriptors,
+        |w| (w.at.clients() + NEWCOMERS) / w.at.router.descriptors,
         "descriptors left by members' connections, as counted",
     ),
     bound(
--- a/crates/capacity/src/rows/control.rs
+++ b/crates/capacity/src/rows/control.rs
@@ -134,7 +134,7 @@
     size.configuration.within
 }
 
-pub(super) const LINES: [Line; 22] = [
+pub(super) const LINES: [Line; 23] = [
     IN_FORCE,
     processor("processor, rows of the list that change on an ordinary day", LIST, ordinary_rows),
     bytes("bytes, rows of the list that change on an ordinary day", LIST, ordinary_bytes),
@@ -143,6 +143,9 @@
         w.line("module.list.memory", w.at.members())
     }),
     bytes("bytes, whole list asked again while the agent is silent", LIST, |w| {
+        w.line("list.whole.bytes", w.at.members()) / ASKED_AGAIN
+    }),
+    bytes("bytes, the same as a router's process asks", LIST, |w| {
         w.line("router.list.silent", w.at.members())
     }),
     processor("processor, whole list taken in again while the agent is silent", LIST, |w| {
--- a/crates/capacity/src/tests.rs
+++ b/crates/capacity/src/tests.rs
@@ -596,10 +596,10 @@
 }
 
 #[rstest]
-#[case::routers("membership MOST", 1_024.0 / 2_100.0)]
-#[case::members("subsets MEMBERS_MOST", 1_024.0 / 4_900.0)]
+#[case::routers("membership MOST_INSTANCES", 4_096.0 / 2_100.0)]
+#[case::members("subsets MEMBERS_MOST", 8_192.0 / 4_900.0)]
 #[case::a_set("subsets SET_MOST", 32.0)]
-#[case::clients("router ASKED_PART of sockets", 4_096.0 * 2_100.0 / 15e6)]
+#[case::clients("router BACKLOG", 1_024.0 * 2_100.0 / 15e6)]
 #[case::routers_by_a_zone("shared judgements MOST", (65_536.0f64 / (2_100.0 * 4_900.0 / 11.0)).sqrt())]
 fn a_constant_gives_way_at_its_share(#[case] name: &str, #[case] share: f64) {
     let page = page(&size(), &Slopes::default(), GONE);
--- a/crates/cli/src/plan/capacity.rs
+++ b/crates/cli/src/plan/capacity.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use vetchkeel_capacity::{
-    Built, ConstantRow, EventRow, Figure, Outcome, Page, Row, Size, SlopeRow, Slopes, Unit, page,
+    Built, ConstantRow, EventRow, Figure, Outcome, Page, Row, Size, SlopeRow, Slopes, Unit, Used, page,
 };
 use vetchkeel_operator::OperatorFile;
 
@@ -97,6 +97,9 @@
     }
 }
 
+/// A line that lies farther off than this at one of its sizes is told with how far.
+const FAR_OFF: f64 = 0.15;
+
 /// What a figure rests on.
 fn basis(figure: &Figure) -> String {
     let mut words = vec![match figure.beyond() {
@@ -107,7 +110,10 @@
     if figure.simulated() {
         words.push("simulated".into());
     }
-    words.extend(figure.used.iter().map(|u| u.slope.clone()));
+    let off = |u: &Used| {
+        if u.residual > FAR_OFF { format!(" (residual {})", digits(u.residual)) } else { String::new() }
+    };
+    words.extend(figure.used.iter().map(|u| format!("{}{}", u.slope, off(u))));
     words.join(", ")
 }
 
