--- a/crates/cli/src/plan/capacity.rs
+++ b/crates/cli/src/plan/capacity.rs
@@ -213,6 +213,7 @@
             ["slope", "base", "value", "residual", "largest", "universal scalability law", "measured by"];
         table(&mut out, &heads, page.slopes.iter().map(slope));
     }
+    let _ = writeln!(out, "Roles: what each holds, sends and receives:\n");
     let heads = ["role", "holds", "sends", "receives", "carried by"];
     let roles = page
         .roles
