--- a/crates/capacity/src/rows/bulletins.rs
+++ b/crates/capacity/src/rows/bulletins.rs
@@ -7,7 +7,7 @@
 const PUBLISHER: &str = "crates/embargo (publisher.rs); no host yet";
 const GATE: &str = "crates/embargo (gate.rs, edge.rs); no host yet";
 
-pub(super) const LINES: [Line; 8] = [
+pub(super) const LINES: [Line; 11] = [
     line(
         Gateway,
         "processor, pushes",
@@ -32,6 +32,30 @@
         |w| w.line("feeds.bytes.push", w.at.pushes()),
         |s| s.feeds.room.bytes,
     ),
+    line(
+        Gateway,
+        "descriptors, desks",
+        Unit::Descriptors,
+        GATEWAY,
+        |w| w.line("feeds.descriptors.subscription", w.at.subscriptions()),
+        |s| s.feeds.descriptors,
+    ),
+    line(
+        Publisher,
+        "descriptors, edges",
+        Unit::Descriptors,
+        PUBLISHER,
+        |w| w.line("embargo.publisher.descriptors.edge", w.at.edges()),
+        |s| s.embargo.descriptors,
+    ),
+    line(
+        Edge,
+        "bytes, schedules",
+        Unit::BytesASecond,
+        GATE,
+        |w| w.line("embargo.edge.bytes.bulletin", w.at.bulletins()),
+        |s| s.embargo.room.bytes,
+    ),
     line(
         Publisher,
         "processor, renewals",
--- a/crates/capacity/src/rows/control.rs
+++ b/crates/capacity/src/rows/control.rs
@@ -142,10 +142,10 @@
     memory("memory, the module's tables of the list", "src/decide.rs, src/state.rs", |w| {
         w.line("module.list.memory", w.at.members())
     }),
-    bytes("bytes, whole list asked again while the agent is silent", LIST, |w| {
+    bytes("bytes, whole list asked again while the agent is silent, by the list", LIST, |w| {
         w.line("list.whole.bytes", w.at.members()) / ASKED_AGAIN
     }),
-    bytes("bytes, the same as a router's process asks", LIST, |w| {
+    bytes("bytes, whole list asked again while the agent is silent, a router process", LIST, |w| {
         w.line("router.list.silent", w.at.members())
     }),
     processor("processor, whole list taken in again while the agent is silent", LIST, |w| {
--- a/crates/capacity/src/rows/service.rs
+++ b/crates/capacity/src/rows/service.rs
@@ -34,6 +34,11 @@
     work.at.routers() * work.each("router.connections.member", 1.0)
 }
 
+/// Probes a second of all routers at one member.
+fn probes_at_member(work: &mut Work<'_>) -> f64 {
+    work.at.routers() * work.each("router.probes.member", 1.0)
+}
+
 /// A connection is there while the last statement to its member is younger than the time it is kept: with statements by
 /// chance over all members, so many of them. Little's law adds the ones at work, which are fewer than one a member here.
 fn kept(at: &Scaled<'_>) -> f64 {
@@ -46,7 +51,7 @@
     at.routers() * kept(at) / at.members()
 }
 
-pub(super) const LINES: [Line; 12] = [
+pub(super) const LINES: [Line; 16] = [
     line(
         RouterClients,
         "processor, statements, few members listed",
@@ -117,6 +122,47 @@
         },
         |s| s.router.room.memory,
     ),
+    line(
+        RouterMembers,
+        "processor, connections kept",
+        Unit::Cores,
+        NODES,
+        |w| {
+            let open = connections(w);
+            w.line("router.cpu.connection", open)
+        },
+        |s| s.router.room.cores,
+    ),
+    line(
+        RouterMembers,
+        "bytes, statements and rows",
+        Unit::BytesASecond,
+        NODES,
+        |w| w.line("router.bytes.dispatch", w.at.statements()),
+        |s| s.router.room.bytes,
+    ),
+    line(
+        Database,
+        "processor, probes",
+        Unit::Cores,
+        "not ours",
+        |w| {
+            let probes = probes_at_member(w);
+            w.each("database.cpu.probe", probes)
+        },
+        |s| s.member.room.cores,
+    ),
+    line(
+        Database,
+        "bytes, probes",
+        Unit::BytesASecond,
+        NODES,
+        |w| {
+            let probes = probes_at_member(w);
+            w.each("router.bytes.probe", probes)
+        },
+        |s| s.member.room.bytes,
+    ),
     Line {
         check: Some(("kept by chance", kept_at_member)),
         ..line(Database, "connections", Unit::Connections, NODES, at_member, |s| s.member.connections)
@@ -129,14 +175,7 @@
         |w| w.at.routers() * w.each("router.dials.member", 1.0),
         |s| s.member.dials,
     ),
-    line(
-        Database,
-        "probes",
-        Unit::ASecond,
-        NODES,
-        |w| w.at.routers() * w.each("router.probes.member", 1.0),
-        |s| s.member.probes,
-    ),
+    line(Database, "probes", Unit::ASecond, NODES, probes_at_member, |s| s.member.probes),
     line(
         Database,
         "memory, connections",
@@ -146,6 +185,6 @@
             let open = at_member(w);
             w.each("database.memory.connection", open)
         },
-        |s| s.member.memory,
+        |s| s.member.room.memory,
     ),
 ];
--- a/crates/capacity/src/size.rs
+++ b/crates/capacity/src/size.rs
@@ -51,12 +51,11 @@
     pub connection_idle: f64,
 }
 
-/// What one member bears of all routers together.
+/// What one member bears of all routers together, beside its statements.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MemberRoom {
+    pub room: Room,
     pub connections: f64,
-    /// For their processes.
-    pub memory: f64,
     /// Connections opened a second, and probes.
     pub dials: f64,
     pub probes: f64,
@@ -107,6 +106,7 @@
     /// Over all gateways, a second.
     pub pushes: f64,
     pub room: Room,
+    pub descriptors: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -114,7 +114,9 @@
     pub edges: f64,
     /// Schedules that an edge holds.
     pub bulletins: f64,
+    /// Of a publisher, and of an edge.
     pub room: Room,
+    pub descriptors: f64,
 }
 
 const MEGABYTE: f64 = 1e6;
@@ -174,8 +176,7 @@
 
 fn member(s: &Section<'_>) -> Result<MemberRoom, Wrong> {
     let (dials, probes) = (number(s, "dials_a_second", ANY)?, number(s, "probes_a_second", ANY)?);
-    let memory = number(s, "connections_mb", ANY)? * MEGABYTE;
-    Ok(MemberRoom { connections: count(s, "connections")?, memory, dials, probes })
+    Ok(MemberRoom { room: room(s)?, connections: count(s, "connections")?, dials, probes })
 }
 
 fn changes(s: &Section<'_>) -> Result<Changes, Wrong> {
@@ -209,11 +210,17 @@
         subscriptions: count(s, "subscriptions")?,
         pushes,
         room: room(s)?,
+        descriptors: count(s, "descriptors")?,
     })
 }
 
 fn embargo(s: &Section<'_>) -> Result<Embargo, Wrong> {
-    Ok(Embargo { edges: count(s, "edges")?, bulletins: count(s, "bulletins")?, room: room(s)? })
+    Ok(Embargo {
+        edges: count(s, "edges")?,
+        bulletins: count(s, "bulletins")?,
+        room: room(s)?,
+        descriptors: count(s, "descriptors")?,
+    })
 }
 
 impl Size {
--- a/crates/capacity/src/tests.rs
+++ b/crates/capacity/src/tests.rs
@@ -35,8 +35,10 @@
   descriptors = 65536
 }
 member {
+  cores = 1
+  memory_mb = 8192
+  bytes_a_second = 1e6
   connections = 800
-  connections_mb = 8192
   dials_a_second = 100
   probes_a_second = 1000
 }
@@ -77,6 +79,7 @@
   cores = 8
   memory_mb = 4096
   bytes_a_second = 1e8
+  descriptors = 16384
 }
 embargo {
   edges = 2100
@@ -84,6 +87,7 @@
   cores = 1
   memory_mb = 256
   bytes_a_second = 1e6
+  descriptors = 4096
 }
 "#;
 
@@ -221,7 +225,7 @@
 #[case::no_time(
     "within = \"14s\"",
     "within = 14",
-    "size.hcl:41:12: expected a time such as \"250ms\" from 1ms to 86400s for configuration.within, found 14"
+    "size.hcl:43:12: expected a time such as \"250ms\" from 1ms to 86400s for configuration.within, found 14"
 )]
 #[case::nothing_allowed(
     "cores = 0.023",
@@ -251,7 +255,7 @@
 #[case::unknown_in_a_block(
     "topics = 16",
     "topics = 16\n  tpics = 1",
-    "size.hcl:64:3: expected one of topics in shared, found tpics"
+    "size.hcl:66:3: expected one of topics in shared, found tpics"
 )]
 fn a_size_is_refused_with_its_place(#[case] from: &str, #[case] to: &str, #[case] why: &str) {
     assert!(SIZE.contains(from), "{from}");
@@ -495,13 +499,15 @@
         &mut ample.control,
         &mut ample.control_machines.room,
         &mut ample.feeds.room,
+        &mut ample.member.room,
         &mut ample.embargo.room,
     ] {
         (room.cores, room.memory, room.bytes) = (2.0 * room.cores, 2.0 * room.memory, 2.0 * room.bytes);
     }
     let m = &mut ample.member;
-    (m.connections, m.memory) = (2.0 * m.connections, 2.0 * m.memory);
-    (m.dials, m.probes) = (2.0 * m.dials, 2.0 * m.probes);
+    (m.connections, m.dials, m.probes) = (2.0 * m.connections, 2.0 * m.dials, 2.0 * m.probes);
+    (ample.feeds.descriptors, ample.embargo.descriptors) =
+        (2.0 * ample.feeds.descriptors, 2.0 * ample.embargo.descriptors);
     ample.router.descriptors *= 2.0;
     ample.control_machines.descriptors *= 2.0;
     ample.configuration.within *= 2.0;
--- a/crates/cli/tests/size.hcl
+++ b/crates/cli/tests/size.hcl
@@ -26,8 +26,10 @@
   descriptors = 65536
 }
 member {
+  cores = 1
+  memory_mb = 8192
+  bytes_a_second = 1e6
   connections = 800
-  connections_mb = 8192
   dials_a_second = 100
   probes_a_second = 1000
 }
@@ -68,6 +70,7 @@
   cores = 8
   memory_mb = 4096
   bytes_a_second = 1e8
+  descriptors = 16384
 }
 embargo {
   edges = 2100
@@ -75,4 +78,5 @@
   cores = 1
   memory_mb = 256
   bytes_a_second = 1e6
+  descriptors = 4096
 }
--- a/examples/size.hcl
+++ b/examples/size.hcl
@@ -35,12 +35,14 @@
   descriptors    = 65536          # assumed
 }
 
-# One database, of all routers together.
+# One database: what it bears of all routers together beside their statements. All assumed.
 member {
-  connections      = 800          # assumed: 200 a core, four cores, as in docs/lab.md
-  connections_mb   = 8192         # assumed
-  dials_a_second   = 100          # assumed
-  probes_a_second  = 1000         # assumed
+  cores           = 1
+  memory_mb       = 8192
+  bytes_a_second  = 1000000
+  connections     = 800           # 200 a core, four cores, as in docs/lab.md
+  dials_a_second  = 100
+  probes_a_second = 1000
 }
 
 primary_changes {
@@ -90,6 +92,7 @@
   cores           = 8
   memory_mb       = 4096
   bytes_a_second  = 125000000
+  descriptors     = 16384
 }
 
 # Each router an edge. All assumed but that.
@@ -99,4 +102,5 @@
   cores          = 1
   memory_mb      = 256
   bytes_a_second = 1000000
+  descriptors    = 4096
 }
