--- a/crates/capacity/src/events.rs
+++ b/crates/capacity/src/events.rs
@@ -1,7 +1,7 @@
 //! What each event asks of each role: the peak where all is done at once, as the program does today, and the time until it is
 //! over where each role keeps inside its allowance.
 
-use crate::rows::{Missing, Unit, changed_bytes, changed_rows, whole_list};
+use crate::rows::{Unbuilt, Unit, changed_bytes, changed_rows, whole_list};
 use crate::{Role, Scaled, Size, Work};
 use serde::Serialize;
 
@@ -107,7 +107,7 @@
     pub(crate) peak: Option<Peak>,
     /// Seconds until it is over inside the allowance.
     pub(crate) over: Need,
-    pub(crate) configuration: Option<Missing>,
+    pub(crate) configuration: Option<Unbuilt>,
 }
 
 const LISTED: &[Event] =
@@ -166,8 +166,8 @@
 }
 
 const LIST: &str = "crates/router (watch.rs), src/decide.rs";
-const NOT_THERE: Missing =
-    Missing::Impossible("takes effect at the next start: every router would be started again");
+const NOT_THERE: Unbuilt =
+    Unbuilt::Impossible("takes effect at the next start: every router would be started again");
 
 pub(crate) const PARTS: [Part; 12] = [
     Part {
@@ -283,7 +283,7 @@
             processor
                 + w.line("configuration.machine.bytes.router", served) / w.at.control_machines.room.bytes
         },
-        configuration: Some(Missing::LeftOut),
+        configuration: Some(Unbuilt::LeftOut),
     },
     Part {
         role: Role::ControlMachine,
@@ -295,6 +295,6 @@
             let own = copies_bytes(w, e) / w.at.control_machines.room.bytes;
             own.max(document_bytes(w) / w.at.control.bytes)
         },
-        configuration: Some(Missing::LeftOut),
+        configuration: Some(Unbuilt::LeftOut),
     },
 ];
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -3,7 +3,7 @@
 use crate::answer::{Outcome, answer};
 use crate::constants::{CONSTANTS, Held};
 use crate::events::PARTS;
-use crate::rows::{Missing, Unit, lines};
+use crate::rows::{Unbuilt, Unit, lines};
 use crate::slopes::Kind;
 use crate::{Event, ROLES, Role, RoleSheet, Scaled, Size, Slopes, Universal, universal};
 use serde::Serialize;
@@ -89,10 +89,10 @@
 }
 
 /// Works a line out, unless its mechanism is not there. None: then there is nothing to need.
-fn outcome(missing: Option<Missing>, built: Built, worked: impl FnOnce() -> Outcome) -> Option<Outcome> {
+fn outcome(missing: Option<Unbuilt>, built: Built, worked: impl FnOnce() -> Outcome) -> Option<Outcome> {
     match missing {
-        Some(Missing::LeftOut) if !built.configuration => None,
-        Some(Missing::Impossible(why)) if !built.configuration => Some(Outcome::Impossible(why.to_owned())),
+        Some(Unbuilt::LeftOut) if !built.configuration => None,
+        Some(Unbuilt::Impossible(why)) if !built.configuration => Some(Outcome::Impossible(why.to_owned())),
         _ => Some(worked()),
     }
 }
--- a/crates/capacity/src/rows.rs
+++ b/crates/capacity/src/rows.rs
@@ -44,12 +44,12 @@
     pub(crate) allowance: fn(&Size) -> f64,
     pub(crate) check: Option<Check>,
     /// Only where the configuration in force without a start is built; without it, why it can't be done.
-    pub(crate) configuration: Option<Missing>,
+    pub(crate) configuration: Option<Unbuilt>,
 }
 
 /// What becomes of a line whose mechanism is not there.
 #[derive(Clone, Copy)]
-pub(crate) enum Missing {
+pub(crate) enum Unbuilt {
     /// It can't be done: why.
     Impossible(&'static str),
     /// There is nothing to need.
--- a/crates/capacity/src/rows/control.rs
+++ b/crates/capacity/src/rows/control.rs
@@ -1,6 +1,6 @@
 //! What a router spends on control.
 
-use super::{Line, Missing, Unit, line};
+use super::{Line, Unbuilt, Unit, line};
 use crate::Role::RouterControl;
 use crate::{Role, Size, Work};
 
@@ -113,11 +113,11 @@
 }
 
 const fn of_configuration(line: Line) -> Line {
-    Line { configuration: Some(Missing::LeftOut), ..line }
+    Line { configuration: Some(Unbuilt::LeftOut), ..line }
 }
 
 const IN_FORCE: Line = Line {
-    configuration: Some(Missing::Impossible(
+    configuration: Some(Unbuilt::Impossible(
         "SIGHUP moves discovery, the rest takes effect at the next start (Program::reload, crates/router/src/main.rs)",
     )),
     ..line(
--- a/crates/capacity/src/rows/machines.rs
+++ b/crates/capacity/src/rows/machines.rs
@@ -1,6 +1,6 @@
 //! Discovery's agent, and the machines that hold the configuration.
 
-use super::{Line, Missing, Unit, control, line};
+use super::{Line, Unbuilt, Unit, control, line};
 use crate::Role::{Agent, ControlMachine};
 use crate::{Size, Work};
 
@@ -19,7 +19,7 @@
     allowance: fn(&Size) -> f64,
 ) -> Line {
     let line = line(ControlMachine, what, unit, MACHINE, need, allowance);
-    Line { configuration: Some(Missing::LeftOut), ..line }
+    Line { configuration: Some(Unbuilt::LeftOut), ..line }
 }
 
 pub(super) const LINES: [Line; 9] = [
--- a/crates/capacity/src/tests.rs
+++ b/crates/capacity/src/tests.rs
@@ -619,6 +619,24 @@
     }
 }
 
+/// What needs are worked out with beside them.
+#[rstest]
+#[case::reserve("crates/router/src/limits.rs", "const RESERVE: usize = 32;")]
+#[case::clients("crates/router/src/limits.rs", "const CLIENTS_PART: f64 = 0.45;")]
+#[case::staying("crates/router/src/limits.rs", "const STAYING_COST: usize = 2_048;")]
+#[case::newcomers("crates/router/src/limits.rs", "const NEWCOMERS: usize = DEPLOYED_MOST / 12;")]
+#[case::deployed("crates/router/src/limits.rs", "const DEPLOYED_MOST: usize = 1_024;")]
+#[case::silence("crates/router/src/watch.rs", "const SILENCE_MOST: Tenths = 30_000;")]
+#[case::pause("src/decide.rs", "const PAUSE: Tenths = 1_000;")]
+#[case::period("crates/membership/src/plan.rs", "period: 5_000,")]
+#[case::patience("crates/membership/src/plan.rs", "patience: 4,")]
+#[case::slack("crates/membership/src/plan.rs", "slack: 3,")]
+fn needs_are_worked_out_with_the_programs_figures(#[case] file: &str, #[case] expected: &str) {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let text = std::fs::read_to_string(root.join(file)).expect(file);
+    assert!(text.contains(expected), "expected {expected} in {file}");
+}
+
 #[rstest]
 #[case::routers("membership MOST_INSTANCES", 4_096.0 / 2_100.0)]
 #[case::members("subsets MEMBERS_MOST", 8_192.0 / 4_900.0)]
