--- a/crates/capacity/src/events.rs
+++ b/crates/capacity/src/events.rs
@@ -51,12 +51,11 @@
         match self {
             Event::Primary => size.primary_changes.within,
             Event::Configuration => size.configuration.within,
-            Event::Machine => size.over.machine,
+            // A stream is one after the other.
+            Event::Machine | Event::Stream => size.over.machine,
             Event::Rack => size.over.rack,
             Event::Zone => size.over.zone,
             Event::Regions => size.over.regions,
-            // One restart's share of the day.
-            Event::Stream => 86_400.0 / size.machines.restarted_a_day,
             Event::Wave => size.over.wave,
             Event::Start => size.over.start,
         }
--- a/crates/cli/src/plan/capacity.rs
+++ b/crates/cli/src/plan/capacity.rs
@@ -184,7 +184,7 @@
     });
     let base = format!("{:.3e}", s.base);
     let played = format!("{}, {} runs", count(s.largest), s.runs);
-    let name = format!("{} ({} a {})", s.name, s.unit, s.per);
+    let name = format!("{} ({} per {})", s.name, s.unit, s.per);
     vec![name, base, range, digits(s.residual), played, law, s.command.clone()]
 }
 
