Capacity: a database has its part of what routers send to members, by the line at that many

Cause: the slope alone left out its base: connections opened at one member came to 0 where a router opens 2.4 a second over all.

--- a/crates/capacity/src/events.rs
+++ b/crates/capacity/src/events.rs
@@ -1,7 +1,7 @@
 //! What each event asks of each role: the peak where all is done at once, as the program does today, and the time until it is
 //! over where each role keeps inside its allowance.
 
-use crate::rows::{Unbuilt, Unit, changed_bytes, changed_rows, whole_list};
+use crate::rows::{Unbuilt, Unit, at_member, changed_bytes, changed_rows, whole_list};
 use crate::{Role, Scaled, Size, Work};
 use serde::Serialize;
 
@@ -140,7 +140,7 @@
 
 /// Connections of all routers that reach one member anew.
 fn dials(w: &mut Work<'_>, event: Event) -> f64 {
-    event.routers(&w.at) * w.each("router.connections.member", 1.0)
+    event.routers(&w.at) / w.at.routers() * at_member(w, "router.connections.member")
 }
 
 fn list_bytes(w: &mut Work<'_>, _: Event) -> f64 {
--- a/crates/capacity/src/rows.rs
+++ b/crates/capacity/src/rows.rs
@@ -6,6 +6,7 @@
 mod service;
 
 pub(crate) use control::{changed_bytes, changed_rows, whole_list};
+pub(crate) use service::at_member;
 
 use crate::{Role, Scaled, Size, Work};
 use serde::Serialize;
--- a/crates/capacity/src/rows/service.rs
+++ b/crates/capacity/src/rows/service.rs
@@ -29,14 +29,19 @@
     work.each("router.descriptors.client", clients) + RESERVE
 }
 
-/// Connections of all routers at one member.
-fn at_member(work: &mut Work<'_>) -> f64 {
-    work.at.routers() * work.each("router.connections.member", 1.0)
+/// One member's part of what all routers have to members.
+pub(crate) fn at_member(work: &mut Work<'_>, slope: &str) -> f64 {
+    let members = work.at.members();
+    work.at.routers() * work.line(slope, members) / members
+}
+
+fn connections_at_member(work: &mut Work<'_>) -> f64 {
+    at_member(work, "router.connections.member")
 }
 
-/// Probes a second of all routers at one member.
+/// A second.
 fn probes_at_member(work: &mut Work<'_>) -> f64 {
-    work.at.routers() * work.each("router.probes.member", 1.0)
+    at_member(work, "router.probes.member")
 }
 
 /// A connection is there while the last statement to its member is younger than the time it is kept: with statements by
@@ -165,14 +170,16 @@
     ),
     Line {
         check: Some(("kept by chance", kept_at_member)),
-        ..line(Database, "connections", Unit::Connections, NODES, at_member, |s| s.member.connections)
+        ..line(Database, "connections", Unit::Connections, NODES, connections_at_member, |s| {
+            s.member.connections
+        })
     },
     line(
         Database,
         "connections opened",
         Unit::ASecond,
         NODES,
-        |w| w.at.routers() * w.each("router.dials.member", 1.0),
+        |w| at_member(w, "router.dials.member"),
         |s| s.member.dials,
     ),
     line(Database, "probes", Unit::ASecond, NODES, probes_at_member, |s| s.member.probes),
@@ -182,7 +189,7 @@
         Unit::Bytes,
         "not ours",
         |w| {
-            let open = at_member(w);
+            let open = connections_at_member(w);
             w.each("database.memory.connection", open)
         },
         |s| s.member.room.memory,
--- a/crates/capacity/src/tests.rs
+++ b/crates/capacity/src/tests.rs
@@ -431,13 +431,20 @@
         let mut larger = size();
         grow(&mut larger, factor);
         let (less, more) = (page(&size(), &slopes(seed), THERE), page(&larger, &slopes(seed), THERE));
-        let by_name = |page: &Page| -> Vec<(&str, f64)> {
-            let mut all: Vec<_> = outcomes(page).map(|(what, o)| (what, figure(o).need)).collect();
+        let by_name = |page: &Page, members: f64| -> Vec<(&str, f64)> {
+            // Of databases, what all of them need: one of more has a smaller part.
+            let all = |role: Role| if role == Role::Database { members } else { 1.0 };
+            let rows = page.rows.iter().map(|r| (r.what, all(r.role) * figure(&r.outcome).need));
+            let events = page.events.iter().map(|e| (e.does, all(e.role) * figure(&e.over).need));
+            let bounds =
+                page.constants.iter().filter_map(|c| Some((c.name, figure(c.outcome.as_ref()?).need)));
+            let mut all: Vec<_> = rows.chain(events).chain(bounds).collect();
             all.sort_by(|a, b| a.0.cmp(b.0));
             all
         };
+        let (less, more) = (by_name(&less, size().members), by_name(&more, larger.members));
         let mut grown = 0;
-        for ((what, less), (_, more)) in by_name(&less).iter().zip(by_name(&more)) {
+        for ((what, less), (_, more)) in less.iter().zip(more) {
             assert!(more >= *less * (1.0 - 1e-12), "{what}: {less} to {more} by {factor}");
             grown += usize::from(more > *less);
         }
