--- a/crates/capacity/src/rows/control.rs
+++ b/crates/capacity/src/rows/control.rs
@@ -7,7 +7,8 @@
 const LIST: &str = "crates/router (watch.rs), crates/discovery, src/decide.rs";
 const MEMBERSHIP: &str = "crates/membership (membership/rounds.rs, rumours.rs)";
 const SHARED: &str = "crates/shared (counts.rs, judgements.rs, budgets, turns.rs)";
-const SUBSETS: &str = "crates/subsets (share.rs); not wired to the router";
+const SUBSETS: &str = "crates/subsets (share.rs, whole.rs); not wired to the router";
+const FOLLOWED: &str = "crates/subsets (own.rs, set.rs); not wired to the router";
 pub(super) const CONFIGURATION: &str = "crates/configuration (subscriber.rs)";
 
 /// From the last word of a silent agent until it is asked again: `SILENCE_MOST` in `crates/router/src/watch.rs` and `PAUSE`
@@ -134,7 +135,7 @@
     size.configuration.within
 }
 
-pub(super) const LINES: [Line; 23] = [
+pub(super) const LINES: [Line; 24] = [
     IN_FORCE,
     processor("processor, rows of the list that change on an ordinary day", LIST, ordinary_rows),
     bytes("bytes, rows of the list that change on an ordinary day", LIST, ordinary_bytes),
@@ -160,14 +161,17 @@
     bytes("bytes, membership", MEMBERSHIP, |w| membership(w, "membership.bytes.instance")),
     processor("processor, shared signals", SHARED, shared_processor),
     bytes("bytes, shared signals", SHARED, shared_bytes),
-    processor("processor, subsets anew at each change of configuration", SUBSETS, |w| {
+    processor("processor, subsets worked out whole at each change of configuration", SUBSETS, |w| {
         let changes = w.at.changes();
         subsets(w, changes)
     }),
-    processor("processor, subsets anew at each changed row of the list", SUBSETS, |w| {
+    processor("processor, subsets worked out whole at each changed row of the list", SUBSETS, |w| {
         let rows = w.at.rows();
         subsets(w, rows)
     }),
+    processor("processor, subsets that follow each changed row of the list", FOLLOWED, |w| {
+        w.at.rows() * w.line("subset.cpu.change", w.at.routers() * w.at.members())
+    }),
     of_configuration(processor("processor, changes of configuration", CONFIGURATION, change_processor)),
     of_configuration(bytes("bytes, changes of configuration", CONFIGURATION, change_bytes)),
     of_configuration(memory("memory, settings document", CONFIGURATION, document)),
