--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -26,7 +26,7 @@
 use counters::Counters;
 use deadlines::{Deadlines, Due};
 use ending::Cause;
-use fleet::Fleet;
+use fleet::{Configuration, Fleet};
 use limits::Limits;
 use nodes::Nodes;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -83,6 +83,7 @@
     counters: Counters,
     capture: Capture,
     fleet: Fleet,
+    configuration: Configuration,
     limits: Limits,
     /// What has ended since the module last heard.
     news: VecDeque<News>,
@@ -91,6 +92,8 @@
     stopping: Option<Tenths>,
     /// The longest that a client may wait, by the settings.
     longest_wait: Tenths,
+    /// The settings in force.
+    told: Told,
     /// What the configuration said at the start and can't change.
     fixed: BTreeMap<&'static str, serde_json::Value>,
 }
@@ -118,29 +121,27 @@
         let clock = Clock::new();
         let now = clock.now();
         let told = &start.told;
-        let dial_limit = tenths(told, "permissions.dial_timeout_ms", 250.0);
-        let keep = tenths(told, "permissions.conn_idle_ms", 10_000.0) / 2;
-        let text = |name: &str| told.get(name).map(String::as_str).unwrap_or_default();
-        let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
-        let nodes = Nodes::new(dial_limit, keep, probe, text("report.fields"));
         let fleet = Fleet::open(&start.name, start.seed, &handle)?;
+        let configuration = Configuration::open(&start.name, start.seed, &handle)?;
         let mut program = Program {
             clock,
             now,
             handle,
             commands: Commands::start(told, start.seed, now)?,
             clients: Clients::new(start.seed),
-            nodes,
+            nodes: Nodes::new(told),
             watch: Watch::new(start.discovery, start.known, now),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
             capture: Capture::open(&start.name)?,
             fleet,
+            configuration,
             limits: Limits::new(start.sockets, start.memory),
             news: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
             stopping: None,
             longest_wait: longest_wait(told),
+            told: start.told,
             fixed: start.fixed,
         };
         program.start_watch();
@@ -232,6 +233,16 @@
             Ok(start) => start,
             Err(why) => return log!("reload: the configuration stays as it is: {why}"),
         };
+        if self.configuration.is_held_elsewhere() {
+            log!(
+                "reload: control machines hold the settings; those of the file stand only until these are heard"
+            );
+        } else if start.told != self.told {
+            match self.take_settings(start.told) {
+                Ok(()) => log!("reload: the settings have changed and are in force"),
+                Err(why) => return log!("reload: the configuration stays as it is: {why}"),
+            }
+        }
         self.counters.reloads += 1;
         for (name, _) in start.fixed.iter().filter(|(name, value)| self.fixed.get(*name) != Some(*value)) {
             log!("reload: '{name}' has changed, which takes effect at the next start");
@@ -239,10 +250,23 @@
         self.move_watch(start.discovery);
     }
 
+    /// New settings, between two turns of the loop: in force from now on, whole or not at all. The error is one line that
+    /// says what was expected. What is in hand ends under what it came in with.
+    pub fn take_settings(&mut self, told: Told) -> Result<(), String> {
+        vetchkeel_settings::check(&told)?;
+        let refused = |why| format!("expected settings that a router can serve under: {why}");
+        self.commands.reconfigure(&told).map_err(refused)?;
+        self.nodes.reconfigure(&told);
+        self.longest_wait = longest_wait(&told);
+        self.told = told;
+        Ok(())
+    }
+
     fn print_counters(&mut self) {
         self.counters.open = self.open_commands();
         eprintln!("{}", self.counters);
         self.fleet.print();
+        self.configuration.print();
     }
 
     /// How long a command may take from now on that would wait for `wait`: a process that is told to stop must
@@ -275,11 +299,12 @@
 }
 
 fn run() -> Result<(), String> {
+    // Danger: a reload that is told to all ends whoever has just been started and does not heed it yet.
+    let heeded = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
+    let signals = Signals::new(&heeded).map_err(|e| e.to_string())?;
     let start = startup::read()?;
     let name = start.name.clone();
     let mut event_loop = EventLoop::<Program>::try_new().map_err(|e| e.to_string())?;
-    let heeded = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
-    let signals = Signals::new(&heeded).map_err(|e| e.to_string())?;
     let handle = event_loop.handle();
     let heard = handle.insert_source(signals, |event, _, program| program.signalled(event.signal()));
     heard.map_err(|e| e.to_string())?;
