--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -18,7 +18,7 @@
 
 impl Built {
     /// As the program is.
-    pub const TODAY: Built = Built { configuration: false };
+    pub const TODAY: Built = Built { configuration: true };
 }
 
 /// A role's need in service.
--- a/crates/capacity/src/rows/control.rs
+++ b/crates/capacity/src/rows/control.rs
@@ -119,7 +119,7 @@
 
 const IN_FORCE: Line = Line {
     configuration: Some(Unbuilt::Impossible(
-        "SIGHUP moves discovery, the rest takes effect at the next start (Program::reload, crates/router/src/main.rs)",
+        "without crates/configuration and Router::reconfigure a change took effect at the next start alone",
     )),
     ..line(
         Role::RouterControl,
