--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -38,6 +38,14 @@
         #[arg(long)]
         charts: Option<PathBuf>,
     },
+    /// Plays a scale test: a fleet of a told size, a schedule of steps and faults.
+    Scale {
+        /// The schedule, as HCL.
+        file: PathBuf,
+        /// The router program for plays on loopback; the one beside this program if not said.
+        #[arg(long)]
+        router: Option<PathBuf>,
+    },
     /// Lists what has been run.
     List {
         #[command(flatten)]
@@ -134,6 +142,7 @@
             let means = Means { jobs: jobs.unwrap_or(cores), router: router.unwrap_or_else(beside), capture };
             play(&experiment, &means, &store, charts.as_deref(), json)
         }
+        Lab::Scale { file, router } => crate::scale::run(&file, &router.unwrap_or_else(beside), json),
         Lab::List { store } => list(&store, json),
         Lab::Show { id, store } => show(&store.get(id)?, json),
         Lab::Compare { a, b, store } => {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod lab;
 mod logs;
 mod plan;
+mod scale;
 
 use clap::{Parser, Subcommand};
 use std::io::Write;
--- /dev/null
+++ b/crates/scale/src/tests.rs
@@ -0,0 +1,1 @@
+mod schedule;
