--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -21,7 +21,9 @@
     let text = if json { format!("{:#}\n", report.json()) } else { report.text() };
     crate::say(&text);
     if report.failed() {
-        return Err(Failed::Found("something never arrived that should have, or happened that must not".into()));
+        return Err(Failed::Found(
+            "something never arrived that should have, or happened that must not".into(),
+        ));
     }
     Ok(())
 }
--- a/crates/scale/src/file.rs
+++ b/crates/scale/src/file.rs
@@ -97,8 +97,7 @@
 }
 
 fn links(section: Option<Section<'_>>) -> Result<Links, Wrong> {
-    let usual =
-        Links { within_zone: 3, within_region: 10, between_regions: 300, jitter: 0.5, loss: 0.001 };
+    let usual = Links { within_zone: 3, within_region: 10, between_regions: 300, jitter: 0.5, loss: 0.001 };
     let Some(section) = section else { return Ok(usual) };
     let links = Links {
         within_zone: time(&section, "within_zone", usual.within_zone, 60 * SECOND)?,
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod file;
 pub mod list;
 pub mod loopback;
+mod memory;
 pub mod percentile;
 pub mod report;
 pub mod schedule;
--- a/crates/scale/src/list.rs
+++ b/crates/scale/src/list.rs
@@ -26,12 +26,7 @@
 
 impl List {
     /// `members` over `sets` and zones, the first of each set its primary. Version 1.
-    pub fn new(
-        members: usize,
-        sets: usize,
-        zones: &[String],
-        address: impl Fn(usize) -> SocketAddr,
-    ) -> List {
+    pub fn new(members: usize, sets: usize, zones: &[String], address: impl Fn(usize) -> SocketAddr) -> List {
         let zones: Vec<Rc<str>> = zones.iter().map(|zone| Rc::from(zone.as_str())).collect();
         let row = |number: usize| Row {
             number,
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -95,7 +95,7 @@
     pub fn figures(&self) -> Value {
         let seconds = |time: Option<Tenths>| time.map(|time| time as f64 / SECOND as f64);
         let traffic = |t: Traffic| json!({ "messages": t.messages, "bytes": t.bytes });
-        let rates = |r: Rates| json!({ "mean": r.mean, "p99": r.p99, "most": r.most });
+        let rates = |r: Rates| json!({ "mean": r.mean, "p50": r.p50, "p99": r.p99, "most": r.most });
         let arrived: Vec<Value> = self
             .arrived
             .iter()
@@ -122,7 +122,11 @@
             })
             .collect();
         let named = |pairs: &[(&'static str, u64)]| -> Value {
-            pairs.iter().map(|(name, count)| ((*name).to_owned(), json!(count))).collect::<serde_json::Map<_, _>>().into()
+            pairs
+                .iter()
+                .map(|(name, count)| ((*name).to_owned(), json!(count)))
+                .collect::<serde_json::Map<_, _>>()
+                .into()
         };
         let sizes: serde_json::Map<_, _> =
             self.sizes.iter().map(|(name, size)| ((*name).to_owned(), json!(size))).collect();
@@ -168,11 +172,22 @@
     }
 
     fn arrivals_text(&self, out: &mut String) {
-        let shown = |time: Option<Tenths>| time.map_or("-".into(), |t| format!("{:.2}", t as f64 / SECOND as f64));
+        let shown =
+            |time: Option<Tenths>| time.map_or("-".into(), |t| format!("{:.2}", t as f64 / SECOND as f64));
         let _ = writeln!(
             out,
             "\n{:<10} {:<22} {:>5} {:>9} {:>8} {:>8} {:>8} {:>8} {:>7} {:>6} {:>6}",
-            "arrivals", "event", "due", "arrived", "p50 s", "p99 s", "last s", "allowed", "late", "open", "never"
+            "arrivals",
+            "event",
+            "due",
+            "arrived",
+            "p50 s",
+            "p99 s",
+            "last s",
+            "allowed",
+            "late",
+            "open",
+            "never"
         );
         for a in &self.arrived {
             let _ = writeln!(
@@ -202,30 +217,33 @@
     fn bytes_text(&self, out: &mut String) {
         let _ = writeln!(
             out,
-            "\n{:<15} {:>11} {:>14} {:>11} {:>14}   {:>9} {:>9} {:>9}",
-            "routers", "sent", "bytes", "heard", "bytes", "mean B/s", "p99", "most"
+            "\n{:<15} {:>11} {:>14} {:>11} {:>14} {:>9} {:>9} {:>9} {:>9}",
+            "routers", "sent", "bytes", "heard", "bytes", "mean B/s", "p50", "p99", "most"
         );
         for c in &self.carried {
             let _ = writeln!(
                 out,
-                "{:<15} {:>11} {:>14} {:>11} {:>14}   {:>9} {:>9} {:>9}",
+                "{:<15} {:>11} {:>14} {:>11} {:>14} {:>9} {:>9} {:>9} {:>9}",
                 c.duty.name(),
                 c.sent.messages,
                 c.sent.bytes,
                 c.heard.messages,
                 c.heard.bytes,
                 c.rates.mean,
+                c.rates.p50,
                 c.rates.p99,
                 c.rates.most
             );
         }
         let r = self.rates;
-        let _ = writeln!(out, "{:<15} {:>55}   {:>9} {:>9} {:>9}", "all", "", r.mean, r.p99, r.most);
+        let _ =
+            writeln!(out, "{:<15} {:>53} {:>9} {:>9} {:>9} {:>9}", "all", "", r.mean, r.p50, r.p99, r.most);
         let share = |bytes: u64| bytes as f64 / BYTES_ALLOWED;
         let _ = writeln!(
             out,
-            "of 5,000 bytes a second and router: mean {:.2}, p99 {:.2}, most {:.1} times",
+            "of 5,000 bytes a second and router: mean {:.2}, p50 {:.2}, p99 {:.2}, most {:.1} times",
             share(r.mean),
+            share(r.p50),
             share(r.p99),
             share(r.most)
         );
@@ -268,7 +286,8 @@
         let routers: f64 = self.spent.iter().filter(|s| s.role != "control machine").map(|s| s.share).sum();
         if !self.spent.is_empty() {
             let times = routers / CORE_ALLOWED;
-            let _ = writeln!(out, "a router's control: {:.3}% of a core, {times:.2} of 2.3%", routers * 100.0);
+            let _ =
+                writeln!(out, "a router's control: {:.3}% of a core, {times:.2} of 2.3%", routers * 100.0);
         }
         if let Some((all, one)) = self.memory {
             let (all, one, part) = (all as f64 / 1e6, one as f64 / 1e6, one as f64 / MEMORY_ALLOWED);
--- a/crates/scale/src/simulated.rs
+++ b/crates/scale/src/simulated.rs
@@ -16,6 +16,7 @@
 
 use crate::arrivals::Arrivals;
 use crate::list::List;
+use crate::memory::resident;
 use crate::report::Report;
 use crate::schedule::{Deed, Event, Schedule, Step, What};
 use crate::tally::{Duty, Tally, Traffic};
@@ -27,12 +28,12 @@
 use links::{Place, Ways};
 use nanorand::{Rng, WyRand};
 use queue::{Happening, Queue};
-use streams::Streams;
-use watch::Piece;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use streams::Streams;
 use vetchkeel_membership::{Instance, Name, Start};
+use watch::Piece;
 
 /// What the list would tell counts as told after this.
 const LIST_ALLOWED: Tenths = 6 * SECOND;
@@ -88,9 +89,14 @@
 /// # Errors
 /// One line, if the schedule can't be played here.
 pub fn play(schedule: &Schedule, progress: &mut dyn FnMut(Tenths)) -> Result<Report, String> {
+    let before = resident("self");
     let mut world = World::new(schedule, progress);
     world.run()?;
-    Ok(world.report())
+    let after = resident("self");
+    let mut report = world.report();
+    let routers = schedule.size.routers as u64;
+    report.memory = before.zip(after).map(|(before, after)| (after, after.saturating_sub(before) / routers));
+    Ok(report)
 }
 
 impl<'a> World<'a> {
--- a/crates/scale/src/simulated/fleet.rs
+++ b/crates/scale/src/simulated/fleet.rs
@@ -48,7 +48,9 @@
             let (mut out, mut changed) = (Vec::new(), false);
             while let Some(decision) = membership.next_decision(now) {
                 match decision {
-                    Decision::Send { to, message } => out.extend(wire::encode(&message).map(|bytes| (to, bytes))),
+                    Decision::Send { to, message } => {
+                        out.extend(wire::encode(&message).map(|bytes| (to, bytes)))
+                    }
                     Decision::Tell(Change::Doubting(_)) => {}
                     Decision::Tell(_) => changed = true,
                 }
--- a/crates/scale/src/simulated/hollow.rs
+++ b/crates/scale/src/simulated/hollow.rs
@@ -21,7 +21,11 @@
 pub(super) enum Table {
     Module(Box<vetchkeel::Router>),
     /// No module instance: only the watch is kept, and asked for again as the module would.
-    Bare { ask_at: Option<Tenths>, fails: u32, chance: WyRand },
+    Bare {
+        ask_at: Option<Tenths>,
+        fails: u32,
+        chance: WyRand,
+    },
 }
 
 pub(super) struct Hollow {
--- a/crates/scale/src/simulated/queue.rs
+++ b/crates/scale/src/simulated/queue.rs
@@ -8,20 +8,49 @@
 use std::rc::Rc;
 
 pub(super) enum Happening {
-    Datagram { to: usize, duty: Duty, bytes: Vec<u8> },
+    Datagram {
+        to: usize,
+        duty: Duty,
+        bytes: Vec<u8>,
+    },
     /// A router's ask has come to its agent.
-    Asked { router: usize, ask: Ask },
+    Asked {
+        router: usize,
+        ask: Ask,
+    },
     /// An agent's bytes have come to its router.
-    Told { router: usize, round: u64, piece: Rc<Piece> },
+    Told {
+        router: usize,
+        round: u64,
+        piece: Rc<Piece>,
+    },
     /// An agent's next sign of life is due.
-    Beat { router: usize, round: u64 },
-    Wake { node: usize, duty: Duty },
+    Beat {
+        router: usize,
+        round: u64,
+    },
+    Wake {
+        node: usize,
+        duty: Duty,
+    },
     /// A stream's message has come.
-    Message { from: usize, to: usize, serial: u64, bytes: Vec<u8> },
+    Message {
+        from: usize,
+        to: usize,
+        serial: u64,
+        bytes: Vec<u8>,
+    },
     /// A stream breaks at both ends.
-    Break { one: usize, other: usize, serial: u64 },
+    Break {
+        one: usize,
+        other: usize,
+        serial: u64,
+    },
     /// A node learns that another one is gone.
-    Broken { at: usize, of: usize },
+    Broken {
+        at: usize,
+        of: usize,
+    },
     /// What is not published yet is offered again.
     Offer,
 }
--- a/crates/scale/src/tally.rs
+++ b/crates/scale/src/tally.rs
@@ -52,6 +52,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Rates {
     pub mean: u64,
+    pub p50: u64,
     pub p99: u64,
     pub most: u64,
 }
@@ -107,6 +108,7 @@
         let sum: u64 = seconds.iter().map(|bytes| u64::from(*bytes)).sum();
         Rates {
             mean: sum / seconds.len().max(1) as u64,
+            p50: nearest_rank(&seconds, 0.5).unwrap_or(0).into(),
             p99: nearest_rank(&seconds, 0.99).unwrap_or(0).into(),
             most: seconds.last().copied().unwrap_or(0).into(),
         }
--- a/crates/scale/src/tests.rs
+++ b/crates/scale/src/tests.rs
@@ -1,1 +1,4 @@
+mod arrivals;
+mod list;
 mod schedule;
+mod tally;
