--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -4,6 +4,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::IsTerminal;
 use std::path::Path;
+use tracing::info;
 use vetchkeel_operator::OperatorFile;
 use vetchkeel_scale::schedule::Driver;
 use vetchkeel_scale::{SECOND, Tenths, file, loopback, simulated};
@@ -12,7 +13,12 @@
     let text = OperatorFile::read(path).map_err(|wrong| Failed::Input(wrong.to_string()))?;
     let schedule = file::read(&text).map_err(|wrong| Failed::Input(wrong.to_string()))?;
     let bar = progress(schedule.length);
-    let mut told = |now: Tenths| bar.set_position((now / SECOND) as u64);
+    let mut told = |now: Tenths| {
+        bar.set_position((now / SECOND) as u64);
+        if bar.is_hidden() && now % (10 * SECOND) == 0 {
+            info!(seconds = now / SECOND, of = schedule.length / SECOND, "played");
+        }
+    };
     let report = match schedule.driver {
         Driver::Simulated => simulated::play(&schedule, &mut told)?,
         Driver::Loopback => loopback::play(&schedule, router, &mut told)?,
--- a/crates/scale/src/file.rs
+++ b/crates/scale/src/file.rs
@@ -154,11 +154,17 @@
     ("agents_silent", agents_silent),
 ];
 
+/// Events that the player on loopback has no means for.
+const SIMULATED_ALONE: [&str; 5] = ["cut", "machine_killed", "machine_stopped", "changes", "broken_change"];
+
 fn events(root: &Section<'_>, schedule: &mut Schedule) -> Result<(), Wrong> {
     let mut events = Vec::new();
     for (kind, read) in KINDS {
         for block in root.blocks(kind)? {
             let section = block.section;
+            if schedule.driver == Driver::Loopback && SIMULATED_ALONE.contains(&kind) {
+                return Err(section.wrong(format!("driver = \"simulated\" for {kind}"), "\"loopback\""));
+            }
             let at = tenths(section.need("at")?.time(0..=schedule.length * 100)?);
             let what = read(&section, schedule, at)?;
             section.done()?;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod schedule;
 pub mod simulated;
 pub mod tally;
+mod told;
 
 /// A time, or a length of time, in tenths of a millisecond.
 pub type Tenths = i64;
--- a/crates/scale/src/list.rs
+++ b/crates/scale/src/list.rs
@@ -2,13 +2,13 @@
 
 use serde_json::{Value, json};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// One member's row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
     pub number: usize,
-    pub zone: Rc<str>,
+    pub zone: Arc<str>,
     pub set: usize,
     pub primary: bool,
     pub listed: bool,
@@ -27,7 +27,7 @@
 impl List {
     /// `members` over `sets` and zones, the first of each set its primary. Version 1.
     pub fn new(members: usize, sets: usize, zones: &[String], address: impl Fn(usize) -> SocketAddr) -> List {
-        let zones: Vec<Rc<str>> = zones.iter().map(|zone| Rc::from(zone.as_str())).collect();
+        let zones: Vec<Arc<str>> = zones.iter().map(|zone| Arc::from(zone.as_str())).collect();
         let row = |number: usize| Row {
             number,
             // A set's members are in zones of their own.
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -1,5 +1,7 @@
 //! What a play came to, as text and as one JSON document.
 
+use crate::arrivals::Outcome;
+use crate::percentile::nearest_rank;
 use crate::tally::{Duty, Rates, Traffic};
 use crate::{SECOND, Tenths};
 use serde_json::{Value, json};
@@ -31,6 +33,42 @@
     pub never: Vec<String>,
 }
 
+impl Arrived {
+    /// What came of one event; what never came is named by number and router.
+    pub fn of(what: &'static str, event: String, allowed: Tenths, outcome: &Outcome) -> Arrived {
+        Arrived {
+            what,
+            event,
+            due: outcome.due,
+            arrived: outcome.arrived,
+            p50: outcome.p50,
+            p99: outcome.p99,
+            last: outcome.last,
+            allowed,
+            late: outcome.late,
+            open: outcome.open,
+            never: outcome.never.iter().map(|(number, who)| format!("{number} at router-{who:04}")).collect(),
+        }
+    }
+
+    /// Starts, with how long each took, in order.
+    pub fn starts(due: usize, took: &[Tenths], allowed: Tenths, open: usize, never: Vec<String>) -> Arrived {
+        Arrived {
+            what: "start",
+            event: "starts".into(),
+            due,
+            arrived: took.len(),
+            p50: nearest_rank(took, 0.5),
+            p99: nearest_rank(took, 0.99),
+            last: took.last().copied(),
+            allowed,
+            late: took.iter().filter(|took| **took > allowed).count(),
+            open,
+            never,
+        }
+    }
+}
+
 /// What the routers sent and heard for one duty, and a router's bytes a second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Carried {
--- a/crates/scale/src/simulated/control.rs
+++ b/crates/scale/src/simulated/control.rs
@@ -84,7 +84,7 @@
 
 /// The document at the start: settings of a router, and customers until there are `names` of them.
 fn first_edits(names: usize, value_bytes: usize) -> Vec<Edit> {
-    let mut told = super::hollow::told(0, 1);
+    let mut told = crate::told::told(0, 1);
     told.remove("me");
     told.remove("balancers");
     let customers = names.saturating_sub(told.len() + 2) / 2;
