--- a/crates/scale/src/loopback/ready.rs
+++ b/crates/scale/src/loopback/ready.rs
@@ -28,9 +28,8 @@
 fn answers(address: SocketAddr) -> std::io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-    let startup = b"\0\0\0\x1f\0\x03\0\0user\0svc\0database\0main\0\0";
-    let mut startup = startup.to_vec();
-    startup[..4].copy_from_slice(&(startup.len() as u32).to_be_bytes());
+    let body = b"\0\x03\0\0user\0svc\0database\0main\0\0";
+    let startup = [&(body.len() as u32 + 4).to_be_bytes()[..], body].concat();
     stream.write_all(&startup)?;
     wait_for(&mut stream, b'Z')?;
     stream.write_all(b"Q\0\0\0\x05\0")?;
