Bounds that refused the fleet of 2,100 routers and 4,900 members raised, with tests there

Cause: 1,024 instances (membership/plan.rs MOST), routers and members (subsets/told.rs), peers (link/talk.rs), seats and borrowers (shared/budgets); 2,048 names in the loop's view (fleet/view.rs), 4,096 addresses (fleet/host.rs, fewer than view and seeds may have, so made anew at each message), 4,096 members with a known life (shared/judgements.rs).

Change: membership 4,096 (twice the fleet: those gone under other names beside it), subsets 8,192 each, link 8,192 peers; view, addresses, ways around, seats and borrowers follow from the membership's bound, changes not pulled are twice it. Links' connections from others stay 2,048.

Tests at the bound and one past it: 4,096 instances of the longest names taken in, two more told as crowded; all told in pages that fit a datagram; 8,192 peers met, the next refused; 8,192 routers and 8,192 members spread within the rule, one more of each refused.

--- a/crates/link/src/talk.rs
+++ b/crates/link/src/talk.rs
@@ -26,6 +26,7 @@
     /// Given to a connection and not taken by its socket before more is given. Bytes.
     pub ahead: usize,
     pub streams: usize,
+    /// Peers met, and names that have spoken.
     pub peers: usize,
     /// Connections from others, open at once.
     pub calls: usize,
@@ -45,7 +46,7 @@
             peer_bytes: 4 * 1_024 * 1_024,
             ahead: 256 * 1_024,
             streams: 64,
-            peers: 1_024,
+            peers: 8_192,
             calls: 2_048,
             patience: 50_000,
             idle: 300_000,
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -357,3 +357,19 @@
     let lane = Lane::Stream { stream: u16::MAX, epoch: u64::MAX, number: u64::MAX };
     assert!(encode(&Header { lane, ..to }, &[]).len() <= OVERHEAD_MOST);
 }
+
+/// A router's peers: its whole fleet, those of them that have gone, and the control machines.
+#[rstest]
+fn the_most_peers_are_met_and_no_further_one() {
+    let me = Sender { name: name("a"), incarnation: 1 };
+    let mut talk = Talk::new(me, Kinds::new(&[(1, "note")]), Bounds::default(), 1);
+    let at = |i: u32| std::net::SocketAddr::from(([127, 1, (i >> 8) as u8, i as u8], 7_400));
+    for i in 0..8_192 {
+        let peer = name(&format!("router-{i}"));
+        assert_eq!(talk.meet(0, &peer, at(i)), Ok(()));
+        assert!(talk.datagram(&peer, 1, b"x").is_ok(), "{peer}");
+    }
+    assert_eq!(talk.meet(0, &name("more"), at(8_192)), Err(Refused::TooMany { bound: 8_192 }));
+    talk.forget(0, &name("router-7"));
+    assert_eq!(talk.meet(0, &name("more"), at(8_192)), Ok(()));
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -22,7 +22,7 @@
 pub use doubt::Doubt;
 pub use identity::{BadName, Name, Start};
 pub use membership::{Change, Decision, Membership, Seen};
-pub use plan::{BadPlan, Plan};
+pub use plan::{BadPlan, MOST_INSTANCES, Plan};
 pub use wire::{Body, Message, Refused};
 
 /// A time, or a length of time, in tenths of a millisecond.
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -12,7 +12,7 @@
 use crate::doubt::Doubt;
 use crate::order::Order;
 use crate::peer::Peer;
-use crate::plan::{BadPlan, MOST, Plan};
+use crate::plan::{BadPlan, MOST_INSTANCES, Plan};
 use crate::probe::{Errand, Probe};
 use crate::rumours::Rumours;
 use crate::wire::{Body, LONGEST, Message, length};
@@ -20,8 +20,9 @@
 
 /// Most messages that wait to be pulled; at the bound the oldest goes, as a lost datagram would.
 const MOST_WAITING: usize = 4_096;
-/// Most changes that wait to be pulled; at the bound the oldest goes, and [`Change::Missed`] says so.
-const MOST_CHANGES: usize = 4_096;
+/// Most changes that wait to be pulled: all may be suspected and dead at once. At the bound the oldest goes, and
+/// [`Change::Missed`] says so.
+const MOST_CHANGES: usize = 2 * MOST_INSTANCES;
 /// Most errands for others at a time; a further one is answered with a regret at once.
 const MOST_ERRANDS: usize = 256;
 /// Probes whose late answers still tell a round trip.
@@ -414,7 +415,7 @@
 
     /// Room for one more name: forgets the one that has been gone for longest.
     fn make_room(&mut self) -> bool {
-        if self.peers.len() < MOST {
+        if self.peers.len() < MOST_INSTANCES {
             return true;
         }
         let gone = self.peers.iter().filter(|(_, peer)| !peer.is_there());
--- a/crates/membership/src/plan.rs
+++ b/crates/membership/src/plan.rs
@@ -4,9 +4,10 @@
 
 use crate::Tenths;
 
-/// Most instances of one fleet. At the bound the one that has been gone for longest is forgotten; if all are there, a
-/// further one is not taken in.
-pub const MOST: usize = 1_024;
+/// Most other instances that one keeps. Twice a fleet of 2,100: as many again may be remembered as gone, restarted under
+/// new names. At the bound the one that has been gone for longest is forgotten; if all are there, a further one is not
+/// taken in. It guards memory: `docs/membership.md` says what one takes.
+pub const MOST_INSTANCES: usize = 4_096;
 
 /// The rhythm of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -2,11 +2,14 @@
 
 mod world;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use nanorand::Rng;
 use rstest::rstest;
-use vetchkeel_membership::{Change, Claim, Standing, Start, Tenths, wire};
+use vetchkeel_membership::{
+    Change, Claim, Decision, Instance, MOST_INSTANCES, Membership, Name, Plan, Standing, Start, Tenths, wire,
+};
 use world::{SECOND, World, address, name};
 
 /// No live and connected instance is held dead for longer, once the links are whole.
@@ -207,3 +210,67 @@
 fn a_later_start_outdoes_a_higher_count() {
     assert!(Start { at: 2, count: 0 } > Start { at: 1, count: 9 });
 }
+
+/// One that has heard of this many others, at `from` and after it.
+fn heard_of(own: &mut Membership, numbers: std::ops::Range<u32>, standing: &Standing) {
+    let instance = |at: u32| Instance {
+        name: Name::new(&format!("router-of-the-wide-fleet-{at:05}")).expect("short"),
+        start: Start { at: u64::MAX, count: u32::MAX },
+        address: SocketAddr::from(([127, 1, (at >> 8) as u8, at as u8], u16::MAX)),
+        zone: Name::new("a-zone-of-the-longest-name-there").ok(),
+    };
+    let claim = |at: u32| Claim { instance: instance(at), incarnation: u32::MAX, standing: standing.clone() };
+    let from = instance(0);
+    for at in numbers.step_by(6) {
+        let claims = (at..at + 6).map(claim).collect();
+        let sent =
+            wire::Message { fleet: 0, from: from.clone(), incarnation: 0, body: wire::Body::News, claims };
+        let bytes = wire::encode(&sent).expect("six of the longest fit");
+        own.heard(0, &wire::decode(&bytes).expect("what was sent can be read"));
+    }
+}
+
+/// 4,098 are a multiple of six, two more than there is room for.
+#[test]
+fn a_fleet_of_the_most_is_taken_in_whole_and_no_further_one() {
+    let me = Instance { name: name(0), start: Start::default(), address: address(0), zone: None };
+    let mut own = Membership::new(Plan::default(), me, &[], 0, 1).expect("a good plan");
+    let mut told = Vec::new();
+    heard_of(&mut own, 0..4_098, &Standing::Alive);
+    while let Some(decision) = own.next_decision(0) {
+        told.extend(if let Decision::Tell(change) = decision { Some(change) } else { None });
+    }
+    let joined = told.iter().filter(|change| matches!(change, Change::Joined(_))).count();
+    let crowded = told.iter().filter(|change| matches!(change, Change::Crowded(_))).count();
+    assert_eq!((joined, crowded, own.view().count()), (4_096, 2, MOST_INSTANCES));
+}
+
+/// All pages of a full view are within a datagram and tell all.
+#[test]
+fn a_full_view_is_told_in_pages() {
+    let me = Instance { name: name(0), start: Start::default(), address: address(0), zone: None };
+    let mut own = Membership::new(Plan::default(), me, &[], 0, 1).expect("a good plan");
+    heard_of(&mut own, 0..4_098, &Standing::Alive);
+    let asker = Instance { name: name(1), start: Start::default(), address: address(1), zone: None };
+    let (mut after, mut told) = (None, BTreeSet::new());
+    loop {
+        let body = wire::Body::Compare { digest: None, after };
+        let asks = wire::Message { fleet: 0, from: asker.clone(), incarnation: 0, body, claims: vec![] };
+        own.heard(0, &asks);
+        let sent = std::iter::from_fn(|| own.next_decision(0));
+        let page = sent.filter_map(|decision| match decision {
+            Decision::Send { to, message } if to == address(1) => Some(message),
+            _ => None,
+        });
+        let page = page.filter(|message| matches!(message.body, wire::Body::Page { .. })).last();
+        let page = page.expect("a page");
+        assert!(wire::encode(&page).is_ok(), "{} claims", page.claims.len());
+        told.extend(page.claims.iter().map(|claim| claim.instance.name.clone()));
+        let wire::Body::Page { next } = page.body else { panic!("a page") };
+        after = next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert_eq!(told.len(), MOST_INSTANCES);
+}
--- a/crates/router/src/fleet/file.rs
+++ b/crates/router/src/fleet/file.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use vetchkeel::Tenths;
-use vetchkeel_membership::{Name, Plan, Zone};
+use vetchkeel_membership::{MOST_INSTANCES, Name, Plan, Zone};
 use vetchkeel_operator::{OperatorFile, Section, Wrong};
 
-/// Seeds and ways around in one file.
-const MOST_NAMED: usize = 1_024;
+/// Seeds and ways around in one file: each at most the whole fleet.
+pub const MOST_NAMED: usize = MOST_INSTANCES;
 
 /// The file, checked.
 #[derive(Debug)]
--- a/crates/router/src/fleet/host.rs
+++ b/crates/router/src/fleet/host.rs
@@ -1,7 +1,7 @@
 //! The thread that is this router in its fleet: the membership on the link's sockets. Nothing is decided here.
 
 use super::duty::Inside;
-use super::file::Place;
+use super::file::{MOST_NAMED, Place};
 use super::view::{Told, View};
 use crate::Clock;
 use std::collections::BTreeMap;
@@ -12,7 +12,7 @@
     Bounds, Event, Kinds, Name as LinkName, Parts, Refused, Sender, Sockets, Transport, Waker, Way,
 };
 use vetchkeel_membership::wire::{LONGEST, decode, encode};
-use vetchkeel_membership::{Body, Change, Decision, Instance, Membership, Message, Start};
+use vetchkeel_membership::{Body, Change, Decision, Instance, MOST_INSTANCES, Membership, Message, Start};
 
 /// The link's kind of the membership's messages.
 const MEMBERSHIP: u16 = 1;
@@ -24,8 +24,9 @@
 const LONGEST_SLEEP: Tenths = 2_000;
 /// How often the view is told whole, whatever was told of it.
 const WHOLE: Tenths = 600_000;
-/// Addresses whose names are known; at the bound those of the view are kept.
-const ADDRESSES: usize = 4_096;
+/// Addresses whose names are known; at the bound those of the view are kept. Danger: with no more than the view and the
+/// seeds have, they would be made anew at each message.
+const ADDRESSES: usize = 2 * (MOST_INSTANCES + MOST_NAMED);
 
 /// What the loop asks for.
 pub enum Order {
--- a/crates/router/src/fleet/view.rs
+++ b/crates/router/src/fleet/view.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use vetchkeel_membership::{Change, Instance, Name, Seen, Standing, Start};
+use vetchkeel_membership::{Change, Instance, MOST_INSTANCES, Name, Seen, Standing, Start};
 
-/// Names held; a further one is not taken before the view is told whole again.
-const MOST: usize = 2_048;
+/// Names held: those of the membership, and as many that it has forgotten since the view was last told whole. A further
+/// one is not taken before it is told whole again.
+const MOST: usize = 2 * MOST_INSTANCES;
 
 /// What the thread tells the loop.
 pub enum Told {
--- a/crates/shared/src/budgets/lender.rs
+++ b/crates/shared/src/budgets/lender.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use vetchkeel_membership::{Name, Start, Tenths};
+use vetchkeel_membership::{MOST_INSTANCES, Name, Start, Tenths};
 
 use super::{Ask, Grant, Rate, Terms};
 
 /// Most borrowers that one lender keeps; further ones get nothing until one has been silent for a loan.
-pub const MOST_BORROWERS: usize = 1_024;
+pub const MOST_BORROWERS: usize = MOST_INSTANCES;
 /// Most loans to one borrower that may be running at once; at the bound it gets nothing new until one ends.
 const MOST_LOANS: usize = 6;
 
--- a/crates/shared/src/budgets/terms.rs
+++ b/crates/shared/src/budgets/terms.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use vetchkeel_membership::{Name, Tenths};
+use vetchkeel_membership::{MOST_INSTANCES, Name, Tenths};
 
 use super::Rate;
 
-/// Most seats of one budget.
-pub const MOST_SEATS: usize = 1_024;
+/// Most seats of one budget: one for each instance that a fleet may have.
+pub const MOST_SEATS: usize = MOST_INSTANCES;
 /// Most millionths by which a clock may run fast or slow.
 pub const MOST_DRIFT: i64 = 100_000;
 /// Highest budget, thousandths of a token a second: products with times stay far within 63 bits.
--- a/crates/shared/src/judgements.rs
+++ b/crates/shared/src/judgements.rs
@@ -15,8 +15,9 @@
 
 /// Most judgements kept. At the bound one of another router is not taken; an own one always is.
 pub const MOST: usize = 65_536;
-/// Most members whose life is remembered; at the bound a further one is not, and its judgements count by their own start.
-pub const MOST_MEMBERS: usize = 4_096;
+/// Most members whose life is remembered, above 4,900; at the bound a further one is not, and its judgements count by
+/// their own start.
+pub const MOST_MEMBERS: usize = 8_192;
 /// Told to so many in one round.
 const FANOUT: usize = 3;
 
--- a/crates/subsets/src/tests.rs
+++ b/crates/subsets/src/tests.rs
@@ -138,7 +138,8 @@
 #[case::member_twice(|_: &mut Vec<Router>, m: &mut Vec<Member>, _: &mut Rule| { m[0].id = "a".into(); m[1].id = "a".into() }, Refused::MemberTwice("a".into()))]
 #[case::rule_without_room(|_: &mut Vec<Router>, _: &mut Vec<Member>, rule: &mut Rule| rule.most = 0.9, Refused::Rule)]
 #[case::set_too_large(|_: &mut Vec<Router>, m: &mut Vec<Member>, _: &mut Rule| *m = members(0, 1, 128, &[1.0]), Refused::SetTooLarge(0))]
-#[case::too_many_routers(|r: &mut Vec<Router>, _: &mut Vec<Member>, _: &mut Rule| *r = numbered(1025), Refused::TooManyRouters(1025))]
+#[case::too_many_routers(|r: &mut Vec<Router>, _: &mut Vec<Member>, _: &mut Rule| *r = numbered(8193), Refused::TooManyRouters(8193))]
+#[case::too_many_members(|_: &mut Vec<Router>, m: &mut Vec<Member>, _: &mut Rule| *m = members(0, 2731, 2, &[1.0]), Refused::TooManyMembers(8193))]
 fn what_makes_no_sense_is_refused(
     #[case] spoil: fn(&mut Vec<Router>, &mut Vec<Member>, &mut Rule),
     #[case] why: Refused,
@@ -147,3 +148,19 @@
     spoil(&mut routers, &mut members, &mut rule);
     assert_eq!(subset(9, &routers, &members, &rule), Err(why));
 }
+
+/// 2 of 3 replicas for each of the most routers, and each replica within the rule; then the most members, in sets of 4.
+#[rstest]
+#[case::routers(8192, 1)]
+#[case::members(2, 2048)]
+fn the_most_are_taken(#[case] routers: u64, #[case] sets: i64) {
+    let (routers, members) = (numbered(routers), members(7, sets, 3, &[1.0]));
+    assert!(routers.len().max(members.len()) == ROUTERS_MOST && ROUTERS_MOST == MEMBERS_MOST);
+    let own = subset(1, &routers, &members, &Rule::default()).expect("within the bounds");
+    assert!(own.len() == sets as usize && own.values().all(|subset| subset.replicas.len() == 2));
+    let fair = routers.len() as f64 * 2.0 / 3.0;
+    let (most, least) = ((fair * 1.1).max(fair.ceil()), (fair * 0.88).min(fair.floor()));
+    for given in given(&routers, &members, &Rule::default()).values() {
+        assert!((least..=most).contains(given), "{given} of fair {fair}");
+    }
+}
--- a/crates/subsets/src/told.rs
+++ b/crates/subsets/src/told.rs
@@ -4,10 +4,10 @@
 use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The most routers, members, and members of one set told at once. More are refused: the work grows with routers times
-/// members, and mending with the square of a set besides.
-pub const ROUTERS_MOST: usize = 1024;
-pub const MEMBERS_MOST: usize = 1024;
+/// The most routers, members, and members of one set told at once: above 2,100 routers and 4,900 members with room to
+/// grow. More are refused: the work grows with routers times members, and mending with the square of a set besides.
+pub const ROUTERS_MOST: usize = 8_192;
+pub const MEMBERS_MOST: usize = 8_192;
 pub const SET_MOST: usize = 128;
 
 /// One router of the fleet. `number` is its `me`; `weight` is its part of the traffic, by any common unit.
