A router told 16,384 descriptors keeps the 7,143 clients that come, 4,096 before

Cause: limits.rs ASKED_PART: from a quarter of the descriptors told on (three quarters of the third that the deployment's page lets clients hold) `thin_out` in clients/crowd.rs ends the longest quiet. That page tells 256 to 1,024; at 16,384 its quarter is 4,096, of 7,358 that are the clients' own.

Change: above 1,024 clients stay on all of their own but for 85, what a quarter leaves to newcomers at 1,024, as far as an eighth of the memory told bears them at 2 KiB each.

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -11,6 +11,14 @@
 /// Clients hold a third of the descriptors at most, as the deployment has it. From this part of it on whoever is
 /// quiet makes way, so that some are left.
 const ASKED_PART: f64 = 0.75 / 3.0;
+/// The most descriptors that the deployment tells. A router that is told more stands before clients that stay: they
+/// may hold all of their own but for what is left to newcomers at the deployment's most, a twelfth of it.
+const DEPLOYED_MOST: usize = 1_024;
+const NEWCOMERS: usize = DEPLOYED_MOST / 12;
+/// Of the memory, the part that clients that stay may fill, and what one takes: 0.8 KiB were measured
+/// (`docs/measured/clients.md`), and its queries may be longer. Bytes.
+const STAYING_PART: f64 = 0.125;
+const STAYING_COST: usize = 2_048;
 /// The part of the memory that what clients have sent and is not yet taken may fill. Danger: memory over half
 /// of the limit is paid for, and answers, lists and the module's tables stand beside it.
 const HELD_PART: f64 = 0.125;
@@ -33,6 +41,15 @@
     (of as f64 * share) as usize
 }
 
+fn asked(sockets: usize, memory: usize, clients: usize) -> usize {
+    let deployed = part(sockets.min(DEPLOYED_MOST), ASKED_PART);
+    if sockets <= DEPLOYED_MOST {
+        return deployed;
+    }
+    let borne = part(memory, STAYING_PART) / STAYING_COST;
+    clients.saturating_sub(NEWCOMERS).min(borne).max(deployed)
+}
+
 impl Limits {
     pub fn new(sockets: usize, memory: usize) -> Limits {
         let room = sockets.saturating_sub(RESERVE).max(4);
@@ -43,7 +60,7 @@
             clients,
             nodes,
             spare,
-            asked: part(sockets, ASKED_PART),
+            asked: asked(sockets, memory, clients),
             held: part(memory, HELD_PART),
         }
     }
