--- a/crates/subsets/src/score.rs
+++ b/crates/subsets/src/score.rs
@@ -9,21 +9,30 @@
 
 const BLOCK: u64 = 16;
 
-/// The member's scores with routers of these numbers, each above 0 and below 1; the lowest suits best. Fastest if the
-/// numbers rise.
-pub(crate) fn scores(id: &str, numbers: impl Iterator<Item = u64>) -> Vec<f64> {
-    let key = xxh3_64(id.as_bytes());
-    let (mut block, mut order) = (None, [0; BLOCK as usize]);
-    let score = |number: u64| {
-        if block != Some(number / BLOCK) {
-            block = Some(number / BLOCK);
-            order = shuffled(xxh3_64_with_seed(&(number / BLOCK).to_le_bytes(), !key));
+/// One member's scores with routers. Those of following numbers come cheapest one after another.
+pub(crate) struct Scores {
+    key: u64,
+    /// The sixteen last asked for, and its order.
+    block: Option<u64>,
+    order: [u8; BLOCK as usize],
+}
+
+impl Scores {
+    pub(crate) fn new(id: &str) -> Scores {
+        Scores { key: xxh3_64(id.as_bytes()), block: None, order: [0; BLOCK as usize] }
+    }
+
+    /// Its score with the router of this number, above 0 and below 1; the lowest suits best.
+    pub(crate) fn with(&mut self, number: u64) -> f64 {
+        let block = number / BLOCK;
+        if self.block != Some(block) {
+            self.block = Some(block);
+            self.order = shuffled(xxh3_64_with_seed(&block.to_le_bytes(), !self.key));
         }
-        let drawn = xxh3_64_with_seed(&number.to_le_bytes(), key) >> 16;
+        let drawn = xxh3_64_with_seed(&number.to_le_bytes(), self.key) >> 16;
         let within = (drawn as f64 + 0.5) / (1u64 << 48) as f64;
-        (order[(number % BLOCK) as usize] as f64 + within) / BLOCK as f64
-    };
-    numbers.map(score).collect()
+        (self.order[(number % BLOCK) as usize] as f64 + within) / BLOCK as f64
+    }
 }
 
 /// One drawn number tells a whole shuffle: there are fewer shuffles of 16 than numbers.
--- a/crates/subsets/src/tests.rs
+++ b/crates/subsets/src/tests.rs
@@ -1,4 +1,5 @@
 use crate::*;
+use nanorand::{Rng, WyRand};
 use rstest::rstest;
 use std::collections::BTreeMap;
 
@@ -164,3 +165,149 @@
         assert!((least..=most).contains(given), "{given} of fair {fair}");
     }
 }
+
+/// A fleet that changes by chance, and what it is by now.
+struct Changing {
+    chance: WyRand,
+    me: u64,
+    names: bool,
+    routers: BTreeMap<u64, Router>,
+    members: BTreeMap<String, Member>,
+    told: u64,
+}
+
+impl Changing {
+    fn weight(&mut self, weights: &[f64]) -> f64 {
+        weights[self.chance.generate_range(0..weights.len())]
+    }
+
+    fn a_router(&mut self, weights: &[f64]) -> Router {
+        let number = self.chance.generate_range(0..60u64);
+        let weight = self.weight(weights);
+        let named = Router::named(&format!("r{number}"), weight);
+        if self.names { named } else { Router { number, weight } }
+    }
+
+    fn a_member(&mut self, weights: &[f64]) -> Member {
+        self.told += 1;
+        let known: Vec<String> = self.members.keys().cloned().collect();
+        let pick = self.chance.generate_range(0..=known.len() * 2);
+        Member {
+            id: known.get(pick).cloned().unwrap_or(format!("m{:03}", self.told)),
+            set: self.chance.generate_range(0..4i64),
+            role: if self.chance.generate_range(0..5u32) == 0 { Role::Primary } else { Role::Replica },
+            weight: self.weight(weights),
+            zone: format!("z{}", self.chance.generate_range(0..3u32)),
+        }
+    }
+
+    /// Tells one change by chance.
+    fn change(&mut self, own: &mut Subsets, weights: &[f64]) {
+        match self.chance.generate_range(0..8u32) {
+            0..=2 => {
+                let router = self.a_router(weights);
+                own.router(router.clone()).expect("sound");
+                self.routers.insert(router.number, router);
+            }
+            3 => {
+                let number = self.a_router(&[1.0]).number;
+                let left = own.router_left(number);
+                assert_eq!(left, if number == self.me { Err(Refused::NotTold(number)) } else { Ok(()) });
+                self.routers.retain(|_, r| r.number != number || number == self.me);
+            }
+            4..=6 => {
+                let member = self.a_member(weights);
+                own.member(member.clone()).expect("sound");
+                self.members.insert(member.id.clone(), member);
+            }
+            _ => {
+                let known: Vec<String> = self.members.keys().cloned().collect();
+                let pick = self.chance.generate_range(0..known.len() + 1);
+                let id = known.get(pick).cloned().unwrap_or("nobody".into());
+                own.member_left(&id);
+                self.members.remove(&id);
+            }
+        }
+    }
+
+    /// What the whole computation says, by ids.
+    fn whole(&self, rule: &Rule) -> BTreeMap<i64, Own> {
+        let routers: Vec<Router> = self.routers.values().cloned().collect();
+        let members: Vec<Member> = self.members.values().cloned().collect();
+        let ids = |places: Vec<usize>| places.into_iter().map(|at| members[at].id.clone()).collect();
+        let sets = subset(self.me, &routers, &members, rule).expect("sound");
+        let own = |s: Subset| Own { primaries: ids(s.primaries), replicas: ids(s.replicas), short: s.short };
+        sets.into_iter().map(|(number, s)| (number, own(s))).collect()
+    }
+}
+
+/// After any changes, what was pulled set by set is what is worked out from all at once; each pull is a change.
+#[rstest]
+fn what_changed_comes_to_the_whole(
+    #[values(0, 1, 2, 3)] seed: u64,
+    #[values(&[1.0], &[0.3, 1.0, 1.7, 2.0, 5.0], &[1e-15, 3e-15, 1.0, 1e15])] weights: &[f64],
+    #[values(false, true)] apart: bool,
+    #[values(false, true)] names: bool,
+) {
+    let rule = Rule { apart, short: 3, ..Rule::default() };
+    let first = if names { Router::named("r7", 1.0) } else { Router { number: 7, weight: 1.0 } };
+    let mut all = Changing {
+        chance: WyRand::new_seed(seed),
+        me: first.number,
+        names,
+        routers: BTreeMap::from([(first.number, first.clone())]),
+        members: BTreeMap::new(),
+        told: 0,
+    };
+    let mut own = Subsets::new(first.number, &[first], &[], &rule).expect("sound");
+    let mut pulled: BTreeMap<i64, Own> = BTreeMap::new();
+    for step in 0..120 {
+        for _ in 0..all.chance.generate_range(1..4u32) {
+            all.change(&mut own, weights);
+        }
+        while let Some((set, subset)) = own.next_change() {
+            assert_ne!(pulled.get(&set), subset.as_ref(), "set {set} did not change");
+            match subset {
+                Some(subset) => pulled.insert(set, subset),
+                None => pulled.remove(&set),
+            };
+        }
+        assert_eq!(pulled, all.whole(&rule), "step {step}");
+    }
+}
+
+/// Nothing of what is refused is taken.
+#[rstest]
+#[case::weight(|own: &mut Subsets| own.router(Router { number: 9, weight: -1.0 }), Refused::Weight("router 9".into()))]
+#[case::itself(|own: &mut Subsets| own.router_left(0), Refused::NotTold(0))]
+#[case::member(|own: &mut Subsets| own.member(Member { weight: f64::NAN, ..members(1, 1, 0, &[1.0]).remove(0) }), Refused::Weight("member n-09dbcf9d".into()))]
+#[case::set(|own: &mut Subsets| (0..=SET_MOST).try_for_each(|i| own.member(Member { id: format!("s{i}"), ..members(1, 1, 0, &[1.0]).remove(0) })), Refused::SetTooLarge(0))]
+#[case::routers(|own: &mut Subsets| (0..=ROUTERS_MOST as u64).try_for_each(|number| own.router(Router { number, weight: 1.0 })), Refused::TooManyRouters(8193))]
+#[case::members(|own: &mut Subsets| (0..=MEMBERS_MOST as i64).try_for_each(|set| own.member(Member { id: format!("s{set}"), set, ..members(1, 1, 0, &[1.0]).remove(0) })), Refused::TooManyMembers(8193))]
+fn a_change_that_makes_no_sense_is_refused(
+    #[case] spoil: fn(&mut Subsets) -> Result<(), Refused>,
+    #[case] why: Refused,
+) {
+    let mut own = Subsets::new(0, &numbered(3), &[], &Rule::default()).expect("sound");
+    assert_eq!(spoil(&mut own), Err(why));
+}
+
+/// Routers that leave 2,100 and join them change no set, and none is worked out again; a member that goes, only its own.
+#[rstest]
+fn a_change_in_a_wide_fleet_costs_what_changed() {
+    let told = members(3, 50, 4, &[1.0]);
+    let mut own = Subsets::new(7, &numbered(2_100), &told, &Rule::default()).unwrap();
+    assert_eq!(std::iter::from_fn(|| own.next_change()).count(), 50);
+    for number in 100..500 {
+        own.router_left(number).unwrap();
+        assert_eq!(own.next_change(), None);
+    }
+    for number in (100..500).chain(2_100..2_400) {
+        own.router(Router { number, weight: 1.0 }).unwrap();
+        assert_eq!(own.next_change(), None);
+    }
+    assert_eq!(own.worked_out(), 50);
+    own.member_left(&told[1].id);
+    assert!(std::iter::from_fn(|| own.next_change()).all(|(set, _)| set == 0));
+    assert_eq!(own.worked_out(), 51);
+}
--- a/crates/subsets/src/told.rs
+++ b/crates/subsets/src/told.rs
@@ -103,6 +103,30 @@
 
 impl std::error::Error for Refused {}
 
+fn sound(weight: f64, of: impl FnOnce() -> String) -> Result<(), Refused> {
+    if weight.is_finite() && weight > 0.0 { Ok(()) } else { Err(Refused::Weight(of())) }
+}
+
+impl Router {
+    pub(crate) fn check(&self) -> Result<(), Refused> {
+        sound(self.weight, || format!("router {}", self.number))
+    }
+}
+
+impl Member {
+    pub(crate) fn check(&self) -> Result<(), Refused> {
+        sound(self.weight, || format!("member {}", self.id))
+    }
+}
+
+impl Rule {
+    fn check(&self) -> Result<(), Refused> {
+        // Written so that a NaN is refused.
+        let good = self.replicas > 0 && self.most >= 1.0 && (0.0..=1.0).contains(&self.least);
+        if good { Ok(()) } else { Err(Refused::Rule) }
+    }
+}
+
 pub(crate) fn check(routers: &[Router], members: &[Member], rule: &Rule) -> Result<(), Refused> {
     if routers.len() > ROUTERS_MOST {
         return Err(Refused::TooManyRouters(routers.len()));
@@ -110,25 +134,17 @@
     if members.len() > MEMBERS_MOST {
         return Err(Refused::TooManyMembers(members.len()));
     }
-    // Written so that a NaN is refused.
-    if rule.replicas == 0 || !(rule.most >= 1.0 && (0.0..=1.0).contains(&rule.least)) {
-        return Err(Refused::Rule);
-    }
-    let sound = |weight: f64| weight.is_finite() && weight > 0.0;
+    rule.check()?;
     let mut numbers = BTreeSet::new();
     for router in routers {
-        if !sound(router.weight) {
-            return Err(Refused::Weight(format!("router {}", router.number)));
-        }
+        router.check()?;
         if !numbers.insert(router.number) {
             return Err(Refused::RouterTwice(router.number));
         }
     }
     let (mut ids, mut of_set) = (BTreeSet::new(), BTreeMap::new());
     for member in members {
-        if !sound(member.weight) {
-            return Err(Refused::Weight(format!("member {}", member.id)));
-        }
+        member.check()?;
         if !ids.insert(&member.id) {
             return Err(Refused::MemberTwice(member.id.clone()));
         }
