Fleet: names that the view has forgotten make room in the link

Cause: make_room in fleet/host.rs forgot only those whom the view holds gone.

Change: the host keeps whom it has met, and at the bound forgets all who are not there.

Test: 8,200 names one after another are all sent to. Seen failing with nothing of it forgotten.

--- a/crates/router/src/fleet/host.rs
+++ b/crates/router/src/fleet/host.rs
@@ -4,7 +4,7 @@
 use super::file::{MOST_NAMED, Place};
 use super::view::{Told, View};
 use crate::Clock;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use vetchkeel::Tenths;
@@ -41,6 +41,8 @@
     place: Place,
     /// Who was last heard of at an address. The link sends to names.
     names: BTreeMap<SocketAddr, LinkName>,
+    /// Whom the link knows.
+    met: BTreeSet<LinkName>,
     /// Something could not be told: all is to be told as soon as there is room.
     owes: bool,
     whole_at: Tenths,
@@ -70,7 +72,8 @@
         let seeds: Vec<SocketAddr> = place.seeds.values().copied().collect();
         let membership = Membership::new(place.plan, me, &seeds, now, seed).map_err(|bad| bad.to_string())?;
         let names = place.seeds.iter().filter_map(|(name, at)| Some((*at, link_name(name)?))).collect();
-        Ok(Host { clock, sockets, membership, place, names, owes: false, whole_at: now + WHOLE })
+        let met = BTreeSet::new();
+        Ok(Host { clock, sockets, membership, place, names, met, owes: false, whole_at: now + WHOLE })
     }
 
     pub fn waker(&self) -> Waker {
@@ -180,16 +183,22 @@
         if let Err(Refused::TooMany { .. }) = self.sockets.meet(now, &name, address) {
             self.make_room(now);
         }
-        let _ = self.sockets.meet(now, &name, address);
+        if self.sockets.meet(now, &name, address).is_ok() {
+            self.met.insert(name.clone());
+        }
         if let Err(why) = self.sockets.send(now, &name, Way::Datagram, MEMBERSHIP, &body) {
             crate::log!("fleet: a message to {name} was not sent: {why}");
         }
     }
 
     /// The link forgets whom the membership has forgotten or holds gone; they are met again when they are sent to.
+    /// Danger: a fleet whose restarts come under new names fills it with those that the view no longer has.
     fn make_room(&mut self, now: Tenths) {
-        let gone = self.membership.view().filter(|s| !s.standing.is_there());
-        let gone: Vec<LinkName> = gone.filter_map(|s| link_name(&s.instance.name)).collect();
+        let there = self.membership.view().filter(|s| s.standing.is_there());
+        let there: BTreeSet<LinkName> = there.filter_map(|s| link_name(&s.instance.name)).collect();
+        let (kept, gone) = std::mem::take(&mut self.met).into_iter().partition(|name| there.contains(name));
+        self.met = kept;
+        let gone: BTreeSet<LinkName> = gone;
         gone.iter().for_each(|name| self.sockets.forget(now, name));
     }
 }
--- a/crates/router/src/fleet/host/tests.rs
+++ b/crates/router/src/fleet/host/tests.rs
@@ -47,3 +47,19 @@
     let mut inside = Inside { told, orders, beat: Beat::new() };
     assert_eq!(host().run(&mut inside, &|| {}), Ok(()));
 }
+
+/// Restarts under new names, one after another, for longer than the link has room.
+#[rstest]
+fn names_that_are_gone_leave_room_for_new_ones() {
+    let mut host = host();
+    let now = host.clock.now();
+    let from = host.membership.me().clone();
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    for i in 0..8_200 {
+        let body = Body::Ping { number: 1, to: name(i) };
+        let asks = Message { fleet: 0, from: from.clone(), incarnation: 0, body, claims: Vec::new() };
+        host.send(now, nobody, &asks);
+        let sent = link_name(&name(i)).map(|to| host.sockets.send(now, &to, Way::Datagram, MEMBERSHIP, b"x"));
+        assert_eq!(sent, Some(Ok(0)), "r{i}");
+    }
+}
