--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod lab;
 mod logs;
 mod plan;
+mod scale;
 mod slopes;
 
 use clap::{Parser, Subcommand};
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -309,3 +309,29 @@
         "{code} {log}"
     );
 }
+
+const SCALE: &str = "length = \"40s\"\nsize {\n  routers = 6\n  members = 8\n}\nregion \"n\" { zones = [\"a\"] }\n\
+    region \"s\" { zones = [\"b\"] }\ncontrol {\n  machines = 3\n  keepers = 3\n  names = 30\n}\n\
+    changes \"c\" { at = \"20s\" }\n";
+
+/// What comes to all ends with 0; a region that stays cut off never has its change, which ends with 1 and is named.
+#[rstest]
+#[case::all("", 0)]
+#[case::cut_off("cut {\n  from = [\"n\"]\n  to = [\"s\"]\n  at = \"15s\"\n  until = \"40s\"\n}\n", 1)]
+fn a_scale_test_ends_by_what_arrived(#[case] event: &str, #[case] expected: i32) {
+    let place = Place::new(&format!("{SCALE}{event}"));
+    let (code, text, _) = place.call("lab scale e.hcl");
+    let (_, json, _) = place.call("lab scale e.hcl --json");
+    let document: serde_json::Value = serde_json::from_str(&json).expect("one JSON document");
+    assert_eq!((code, document["failed"].as_bool()), (expected, Some(expected == 1)), "{text}");
+    assert_eq!(text.contains("never arrived, change c: 2 at router-0001"), expected == 1, "{text}");
+    assert!(text.starts_with("simulated: 6 routers, 8 members"), "{text}");
+}
+
+#[rstest]
+fn a_wrong_scale_file_is_told_with_its_place() {
+    let place = Place::new(&format!("{SCALE}restart {{ at = \"41s\" }}\n"));
+    let (code, _, log) = place.call("lab scale e.hcl");
+    assert_eq!(code, 2);
+    assert!(log.contains("e.hcl:14:16: expected a time such as \"250ms\" from 0s to 40s"), "{log}");
+}
