Scale tests: time never goes back in a simulated play, and a router that ended is not woken

Cause: with a cut left in place after its end, a trial, a stream's message came before it was sent and the play did not end. Change: told time only grows; a node's wakes go with it.

--- a/crates/scale/src/simulated.rs
+++ b/crates/scale/src/simulated.rs
@@ -165,7 +165,8 @@
                 self.now = self.schedule.length;
                 return Ok(());
             }
-            self.now = next;
+            // Nothing that was put in late turns time back.
+            self.now = self.now.max(next);
             if step == Some(next) {
                 let deed = self.steps[self.next_step].deed.clone();
                 self.next_step += 1;
@@ -265,6 +266,7 @@
         if let Some(hollow) = self.routers[router].take() {
             self.keep_side(router, hollow);
         }
+        self.queue.end(router);
         self.streams_end(router);
         self.agents[router] = Agent { silent: self.agents[router].silent, ..Agent::default() };
     }
--- a/crates/scale/src/simulated/queue.rs
+++ b/crates/scale/src/simulated/queue.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// A node is gone: nothing of it is to be woken.
+    pub(super) fn end(&mut self, node: usize) {
+        Duty::ALL.into_iter().for_each(|duty| _ = self.wakes.remove(&(node, duty)));
+    }
+
     /// Is this the time at which it is to be woken?
     pub(super) fn is_due(&mut self, now: Tenths, node: usize, duty: Duty) -> bool {
         let due = self.wakes.get(&(node, duty)) == Some(&now);
