--- a/crates/scale/src/schedule.rs
+++ b/crates/scale/src/schedule.rs
@@ -64,6 +64,12 @@
     pub judged: usize,
 }
 
+impl Signals {
+    pub fn is_on(&self) -> bool {
+        self.topics > 0 || self.judged > 0
+    }
+}
+
 /// Something that happens to the fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Event {
--- a/crates/scale/src/simulated.rs
+++ b/crates/scale/src/simulated.rs
@@ -252,7 +252,9 @@
         self.agreement.due(self.now, None);
         self.pull_list(router);
         self.pull_membership(router);
-        self.pull_signals(router);
+        if self.schedule.signals.is_on() {
+            self.pull_signals(router);
+        }
         self.pull_subscriber(router);
         Ok(())
     }
