--- a/crates/slopes/src/catalogue.rs
+++ b/crates/slopes/src/catalogue.rs
@@ -1,7 +1,7 @@
 //! What is measured: plays, each of which measures one need or a few at one size after the other.
 
 use crate::table::Kind;
-use crate::{membership, module, router, shared, subsets};
+use crate::{configuration, membership, module, router, shared, subsets};
 use std::path::PathBuf;
 
 /// One need that a play measures, and what its size counts.
@@ -35,13 +35,16 @@
     Measure { name, unit, per, counted: |size| size as f64, kind: Kind::Measured }
 }
 
-pub static PLAYS: [&Play; 12] = [
+pub static PLAYS: [&Play; 15] = [
     &module::LIST,
     &subsets::SUBSET,
     &membership::MEMBERSHIP,
     &shared::COUNTS,
     &shared::JUDGEMENTS,
     &shared::BUDGETS,
+    &configuration::MACHINE,
+    &configuration::CHANGE,
+    &configuration::DOCUMENT,
     &router::MEMORY_OF_MEMBERS,
     &router::MEMORY_OF_CLIENTS,
     &router::STATEMENTS,
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod allocated;
 mod catalogue;
+mod configuration;
 mod fit;
 mod list;
 mod measure;
--- a/crates/slopes/src/tests/plays.rs
+++ b/crates/slopes/src/tests/plays.rs
@@ -72,3 +72,21 @@
         assert!(counted.len() >= 5, "{}", play.measures[0].name);
     }
 }
+
+/// What goes between a router and its machine for changes grows with them alone, and repeats exactly.
+#[test]
+fn changes_cost_the_same_each() {
+    let results = play(of("configuration.bytes.change"), &[2, 4, 6], 1, &no_router(), |_| {});
+    let found = results.iter().flatten().find(|m| m.slope.name == "configuration.bytes.change");
+    let bytes = &found.expect("measured").slope.fit;
+    assert!((500.0..5_000.0).contains(&bytes.value) && bytes.residual < 0.02, "{bytes:?}");
+}
+
+/// A copy of settings that hardly compress is about as long as they are, and a router that kept nothing gets one.
+#[test]
+fn a_whole_copy_is_as_long_as_the_settings() {
+    let results = play(of("configuration.bytes.whole"), &[4_000, 8_000, 12_000], 1, &no_router(), |_| {});
+    let found = results.iter().flatten().find(|m| m.slope.name == "configuration.bytes.whole");
+    let bytes = &found.expect("measured").slope.fit;
+    assert!((0.7..1.3).contains(&bytes.value), "{bytes:?}");
+}
--- a/docs/measured/slopes.hcl
+++ b/docs/measured/slopes.hcl
@@ -543,3 +543,115 @@
   command  = "vetchkeel lab slopes --only subset.cpu.router_member"
   cores    = 8
 }
+
+slope "configuration.bytes.change" {
+  unit     = "bytes"
+  per      = "change"
+  base     = -3.1666666666751553
+  value    = 1701.0083333333337
+  low      = 1700.875
+  high     = 1701.1
+  residual = 1.9604960055945893e-5
+  largest  = 20
+  sizes    = [4, 8, 12, 16, 20]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.bytes.change"
+  cores    = 8
+}
+
+slope "configuration.bytes.whole" {
+  unit     = "bytes"
+  per      = "byte of settings"
+  base     = 3329.4666666666635
+  value    = 0.92096
+  low      = 0.91988
+  high     = 0.92209
+  residual = 0.004361865438568852
+  largest  = 50000
+  sizes    = [10000, 20000, 30000, 40000, 50000]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.bytes.whole"
+  cores    = 8
+}
+
+slope "configuration.cpu.change" {
+  unit     = "seconds"
+  per      = "change"
+  base     = 6.607666666666803e-6
+  value    = 5.4886816666666654e-5
+  low      = 5.4682025000000004e-5
+  high     = 5.508857500000001e-5
+  residual = 0.005480159837995093
+  largest  = 20
+  sizes    = [4, 8, 12, 16, 20]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.cpu.change"
+  cores    = 8
+}
+
+slope "configuration.machine.bytes.router" {
+  unit     = "bytes"
+  per      = "router"
+  base     = 0
+  value    = 1700.25
+  low      = 1700
+  high     = 1700.5
+  residual = 0
+  largest  = 420
+  sizes    = [25, 50, 105, 210, 420]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.machine.bytes.router"
+  cores    = 8
+}
+
+slope "configuration.machine.cpu.router" {
+  unit     = "seconds"
+  per      = "router"
+  base     = 3.0064000265880853e-5
+  value    = 2.0874595986013085e-5
+  low      = 1.6683345552547618e-5
+  high     = 2.789768234313062e-5
+  residual = 0.1204209580515697
+  largest  = 420
+  sizes    = [25, 50, 105, 210, 420]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.machine.cpu.router"
+  cores    = 8
+}
+
+slope "configuration.machine.memory.router" {
+  unit     = "bytes"
+  per      = "router"
+  base     = 172066.63237616426
+  value    = 531.3944503528957
+  low      = 528.3907570337426
+  high     = 534.471159238132
+  residual = 0.015746322377762148
+  largest  = 420
+  sizes    = [25, 50, 105, 210, 420]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.machine.memory.router"
+  cores    = 8
+}
+
+slope "configuration.memory.document" {
+  unit     = "bytes"
+  per      = "byte of settings"
+  base     = 35.19999999999709
+  value    = 1.68192
+  low      = 1.68192
+  high     = 1.68192
+  residual = 0.00900383141762439
+  largest  = 50000
+  sizes    = [10000, 20000, 30000, 40000, 50000]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.memory.document"
+  cores    = 8
+}
