Tests: system calls of the program that fail as Linux documents them

Change: a library for LD_PRELOAD (crates/router/examples/faults), controlled through a shared file, and tests/faults.rs: four clients send 600 commands beside three members that are well while one kind of call fails.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -4,6 +4,7 @@
 // Each test file uses its part.
 #![allow(dead_code)]
 
+pub mod faults;
 pub mod member;
 
 use socket2::{Domain, Socket, Type};
@@ -224,6 +225,12 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    /// A second handle to the same watch.
+    pub fn split(&self) -> Asked {
+        let stream = self.stream.try_clone().expect("a handle");
+        Asked { path: self.path.clone(), at: self.at, stream }
+    }
+
     /// When the last handle is dropped the router is told of a reset, and what it has not read lies before that.
     pub fn will_reset(&self) {
         socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("a connection");
@@ -414,13 +421,23 @@
 
     /// Beside this agent, with this configuration.
     pub fn beside(discovery: Discovery, text: &str, variable: Option<(&str, &Path)>) -> Router {
+        Router::with_variables(discovery, text, variable.as_slice())
+    }
+
+    /// With system calls that fail.
+    pub fn failing(discovery: Discovery, text: &str, faults: &faults::Faults) -> Router {
+        let variables = faults.variables();
+        Router::with_variables(discovery, text, &variables.each_ref().map(|(name, file)| (*name, &**file)))
+    }
+
+    fn with_variables(discovery: Discovery, text: &str, variables: &[(&str, &Path)]) -> Router {
         static COUNT: AtomicUsize = AtomicUsize::new(0);
         let number = COUNT.fetch_add(1, Relaxed);
         let config = std::env::temp_dir().join(format!("vetchkeel-{}-{number}.json", std::process::id()));
         std::fs::write(&config, text).expect("a temporary file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_vetchkeel-router"))
             .env("NODE_CONFIG", &config)
-            .envs(variable)
+            .envs(variables.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -538,7 +555,11 @@
 
 impl Client {
     pub fn raw(router: &Router) -> Client {
-        let stream = TcpStream::connect(router.address).expect("the router listens");
+        Client::raw_at(router.address)
+    }
+
+    fn raw_at(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("the router listens");
         stream.set_read_timeout(Some(WAIT)).expect("a time-out");
         Client { stream }
     }
@@ -560,7 +581,11 @@
     }
 
     pub fn connect(router: &Router) -> Client {
-        Client::raw(router).opened()
+        Client::at(router.address)
+    }
+
+    pub fn at(address: SocketAddr) -> Client {
+        Client::raw_at(address).opened()
     }
 
     fn opened(mut self) -> Client {
--- /dev/null
+++ b/crates/router/tests/faults.rs
@@ -0,0 +1,125 @@
+//! The built program while its system calls fail in the ways that Linux documents, beside members that are well.
+
+mod common;
+
+use common::faults::*;
+use common::*;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a client waits, and how late an answer may be and still be one.
+const CLIENT_TIMEOUT: u32 = 2_000;
+const LATE_MOST: Duration = Duration::from_millis(500);
+const CLIENTS: usize = 4;
+const COMMANDS: usize = 150;
+/// Commands of one client connection.
+const A_CONNECTION: usize = 10;
+
+/// Settings with which commands are worth sending for as long as their client waits, and dials take a quarter second.
+const SETTINGS: [(&str, &str); 2] = [WORTH, ("\"dial_timeout_ms\":1000.0", "\"dial_timeout_ms\":250.0")];
+
+fn agent(entries: &[String]) -> Discovery {
+    let known = list(41, true, entries);
+    Discovery::acting(move |_, asked| {
+        asked.begin();
+        asked.send(&known);
+        let mut asked = asked.split();
+        thread::spawn(move || {
+            for _ in 0..60 {
+                thread::sleep(Duration::from_secs(1));
+                asked.raw("1\r\n\n\r\n");
+            }
+        });
+    })
+}
+
+/// One set: a primary and two replicas that answer at once.
+struct Members {
+    nodes: Vec<Node>,
+}
+
+impl Members {
+    fn start() -> Members {
+        let nodes = ["primary", "replica", "replica"];
+        Members { nodes: nodes.map(|role| Node::start(role, |_| Reply::Send(row("r")))).into() }
+    }
+
+    fn entries(&self) -> Vec<String> {
+        let roles = ["primary", "replica", "replica"];
+        let entry = |(at, node): (usize, &Node)| entry(&format!("s-{at}"), node, "ready", roles[at]);
+        self.nodes.iter().enumerate().map(entry).collect()
+    }
+
+    fn router(&self, faults: &Faults) -> Router {
+        let discovery = agent(&self.entries());
+        let text = with_pieces(configuration(discovery.address, 1024, 192, "null"), &SETTINGS);
+        Router::failing(discovery, &text, faults)
+    }
+}
+
+/// What a client was answered, and how long that took.
+type Outcome = (Answer, Duration);
+
+fn client(router: SocketAddr, name: usize) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    while outcomes.len() < COMMANDS {
+        let mut client = Client::at(router);
+        for _ in 0..A_CONNECTION {
+            let id = format!("c{name}-{}", outcomes.len());
+            let statement =
+                if outcomes.len() % 3 == 0 { order(&id, CLIENT_TIMEOUT) } else { look(&id, CLIENT_TIMEOUT) };
+            let begun = Instant::now();
+            let answer = client.query(&statement);
+            outcomes.push((answer, begun.elapsed()));
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+    outcomes
+}
+
+fn served(outcomes: &[Outcome]) -> usize {
+    outcomes.iter().filter(|(answer, _)| *answer == Answer::Row("r".into())).count()
+}
+
+/// Every command has its final answer in time, and no more than these are given up.
+fn judge(outcomes: &[Outcome], given_up_most: usize) {
+    let ended =
+        outcomes.iter().filter(|(answer, _)| matches!(answer, Answer::Closed | Answer::Empty)).count();
+    let most = Duration::from_millis(CLIENT_TIMEOUT as u64) + LATE_MOST;
+    let late = outcomes.iter().filter(|(_, took)| *took > most).count();
+    let given_up = outcomes.len() - served(outcomes);
+    let longest = outcomes.iter().map(|(_, took)| *took).max();
+    println!(
+        "{} commands: {given_up} not served, {ended} not answered, {late} late, {longest:?}",
+        outcomes.len()
+    );
+    assert_eq!((ended, late), (0, 0), "not answered, late");
+    assert!(given_up <= given_up_most, "{given_up} of {} not served", outcomes.len());
+}
+
+fn play(router: &Router) -> Vec<Outcome> {
+    let address = router.address;
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..CLIENTS).map(|name| scope.spawn(move || client(address, name))).collect();
+        clients.into_iter().flat_map(|client| client.join().expect("a client")).collect()
+    })
+}
+
+#[rstest]
+#[case::none(&[])]
+#[case::short_writes(&[(Fault::ShortSend, 500_000)])]
+#[case::interrupted_writes(&[(Fault::InterruptedSend, 200_000)])]
+#[case::starved_writes(&[(Fault::StarvedSend, 50_000)])]
+#[case::short_reads(&[(Fault::ShortReceive, 500_000)])]
+#[case::interrupted_reads(&[(Fault::InterruptedReceive, 200_000)])]
+#[case::polls(&[(Fault::InterruptedPoll, 300_000)])]
+fn system_calls_that_fail_cost_no_command(#[case] failing: &[(Fault, u64)]) {
+    let (members, faults) = (Members::start(), Faults::new(1));
+    let router = members.router(&faults);
+    failing.iter().for_each(|(fault, often)| faults.set(*fault, *often));
+    let outcomes = play(&router);
+    failing.iter().for_each(|(fault, _)| assert!(faults.injected(*fault) > 0, "{fault:?} came"));
+    judge(&outcomes, 0);
+}
