Router: a system call that fails for a moment is made again, a part of a packet goes on

Lines at fault: conn_ready took a startup packet that the system took in part for a broken member; flush, read_on, Job::write and read_conn ended a connection at any error but EAGAIN and EINTR; after EAGAIN only an event of the edge-triggered poll could go on.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -10,6 +10,7 @@
 use crate::keys::{ClientKey, CommandKey};
 use crate::leaving::has_gone;
 use crate::log;
+use crate::transient::{Backoff, is_transient};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use crowd::ACCEPT_AGAIN;
@@ -68,6 +69,7 @@
     /// Reading stopped because enough is held.
     paused: bool,
     quiet_since: Tenths,
+    retry: Backoff,
     /// The turn of the loop that it was last heard in, and what it took up in that.
     turn: u64,
     spent: u32,
@@ -131,9 +133,11 @@
 
 impl Program {
     fn welcome(&mut self, stream: TcpStream) {
-        if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
-            return;
+        if let Err(e) = stream.set_nonblocking(true) {
+            return log!("a client's connection cannot be used: {e}");
         }
+        // Without it answers come a little later.
+        let _ = stream.set_nodelay(true);
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let key = self.clients.table.insert(Client {
@@ -152,6 +156,7 @@
             served: false,
             paused: false,
             quiet_since: self.now,
+            retry: Backoff::default(),
             turn: 0,
             spent: 0,
         });
@@ -174,7 +179,7 @@
         }
     }
 
-    fn client_ready(&mut self, key: ClientKey) {
+    pub fn client_ready(&mut self, key: ClientKey) {
         self.flush(key);
         self.read_client(key);
         // What was kept from its end by its output is ended behind that.
@@ -247,6 +252,7 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if is_transient(&e) => return self.retry_client(key),
                 Err(_) => return self.drop_client(key),
             }
             if !self.has_turn(key) {
@@ -255,6 +261,13 @@
         }
     }
 
+    /// A system call on its connection failed for a moment. Danger: no event may tell when it succeeds.
+    fn retry_client(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let at = self.now + client.retry.wait();
+        self.deadlines.set(Due::RetryClient(key), at);
+    }
+
     /// Takes messages until one becomes a command or more bytes must come.
     fn advance(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.get_mut(key) else { return };
@@ -483,6 +496,7 @@
             match (&*client.stream).write_vectored(&slices) {
                 Ok(0) => return self.drop_client(key),
                 Ok(mut written) => {
+                    client.retry.reset();
                     client.unsent -= written;
                     while let Some(piece) = client.output.front() {
                         if written < piece.len() - client.written {
@@ -494,11 +508,11 @@
                         client.output.pop_front();
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                Err(e) if is_transient(&e) => {
                     if client.unsent < before || self.deadlines.time(Due::Client(key)).is_none() {
                         self.deadlines.set(Due::Client(key), self.now + PATIENCE);
                     }
-                    return;
+                    return self.retry_client(key);
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return self.drop_client(key),
@@ -527,7 +541,8 @@
     pub fn drop_client(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.remove(key) else { return };
         self.clients.held -= client.input.len();
-        [Due::Client(key), Due::Message(key)].into_iter().for_each(|due| self.deadlines.clear(due));
+        let dues = [Due::Client(key), Due::Message(key), Due::RetryClient(key)];
+        dues.into_iter().for_each(|due| self.deadlines.clear(due));
         if self.clients.crowded {
             self.deadlines.set(Due::Accept, self.now);
         }
--- a/crates/router/src/clients/closing.rs
+++ b/crates/router/src/clients/closing.rs
@@ -28,6 +28,7 @@
             match (&*client.stream).read(&mut self.scratch) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if is_transient(&e) => return self.retry_client(key),
                 Ok(read) if read > 0 => {}
                 _ => return self.drop_client(key),
             }
--- a/crates/router/src/deadlines.rs
+++ b/crates/router/src/deadlines.rs
@@ -18,6 +18,10 @@
     Client(ClientKey),
     /// A client whose first query, or whose message that has begun, does not come.
     Message(ClientKey),
+    /// A system call on a connection failed for a moment: it is made again.
+    RetryClient(ClientKey),
+    RetryConn(ConnKey),
+    RetryWatch,
     /// Clients wait to be accepted.
     Accept,
     /// The watch is silent or does not open.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -15,6 +15,7 @@
 mod log;
 mod nodes;
 mod startup;
+mod transient;
 mod watch;
 
 use calloop::generic::Generic;
@@ -183,6 +184,9 @@
                 Due::Dial(key) => self.break_conn(key, Cause::DialLimit),
                 Due::Idle(key) => self.drop_conn(key),
                 Due::Client(key) => self.close_client(key),
+                Due::RetryClient(key) => self.client_ready(key),
+                Due::RetryConn(key) => self.conn_ready(key),
+                Due::RetryWatch => self.hear_watch(),
                 Due::Message(key) => self.end_unheard(key),
                 Due::Accept => self.accept(),
                 Due::Watch => self.watch_silent(),
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -8,6 +8,7 @@
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
 use crate::keys::{CommandKey, ConnKey, Statement, Work};
 use crate::log;
+use crate::transient::{Backoff, is_transient};
 use crate::{Program, tenths};
 use answer::{Answer, believed};
 use calloop::generic::Generic;
@@ -61,6 +62,9 @@
     stream: Rc<TcpStream>,
     token: Option<RegistrationToken>,
     stage: Stage,
+    /// What is still to be written of the startup packet.
+    opening: Vec<u8>,
+    retry: Backoff,
     job: Option<Job>,
     input: Vec<u8>,
     /// Bytes since it last carried nothing.
@@ -134,6 +138,19 @@
 }
 
 impl Conn {
+    /// Writes what is left of the startup packet. Danger: the system may take a part of it.
+    fn write_opening(&mut self) -> io::Result<()> {
+        while !self.opening.is_empty() {
+            match (&*self.stream).write(&self.opening) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(written) => drop(self.opening.drain(..written)),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
     /// Open, and carries something that is not written whole.
     fn unwritten(&self) -> bool {
         let job = self.job.as_ref().filter(|_| self.stage == Stage::Open);
@@ -187,7 +204,7 @@
             match stream.write_vectored(left) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(written) => self.written += written,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if is_transient(&e) => return Ok(false),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
@@ -281,7 +298,10 @@
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let (node, input, stage) = (node.clone(), Vec::new(), Stage::Dialling);
         let (token, job, heard, idle_since) = (None, None, 0, self.now);
-        let conn = Conn { node, address, stream, token, stage, job, input, heard, idle_since };
+        let (mut opening, retry) = (Vec::new(), Backoff::default());
+        pgwire::startup(&mut opening, "svc", "main");
+        let conn =
+            Conn { node, address, stream, token, stage, opening, retry, job, input, heard, idle_since };
         let key = self.nodes.conns.insert(conn);
         let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
             let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
@@ -298,19 +318,17 @@
         Ok(key)
     }
 
-    fn conn_ready(&mut self, key: ConnKey) {
+    pub fn conn_ready(&mut self, key: ConnKey) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
         if conn.stage == Stage::Dialling {
             if conn.stream.take_error().ok().flatten().is_some() {
                 return self.break_conn(key, Cause::Broken);
             }
-            let mut packet = Vec::new();
-            pgwire::startup(&mut packet, "svc", "main");
-            match (&*conn.stream).write(&packet) {
-                // An empty send buffer takes a packet of this size whole.
-                Ok(written) if written == packet.len() => conn.stage = Stage::Greeting,
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => return,
-                _ => return self.break_conn(key, Cause::Broken),
+            match conn.write_opening() {
+                Ok(()) => conn.stage = Stage::Greeting,
+                Err(e) if e.kind() == ErrorKind::NotConnected => return,
+                Err(e) if is_transient(&e) => return self.retry_conn(key),
+                Err(_) => return self.break_conn(key, Cause::Broken),
             }
         }
         self.read_conn(key);
@@ -319,6 +337,13 @@
         }
     }
 
+    /// A system call on the connection failed for a moment. Danger: no event may tell when it succeeds.
+    fn retry_conn(&mut self, key: ConnKey) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let at = self.now + conn.retry.wait();
+        self.deadlines.set(Due::RetryConn(key), at);
+    }
+
     /// Danger: after the process stood still, a node that can be written to is heard before what takes the
     /// command back. So it is written once the module has heard all, a list that came during this turn as well;
     /// and what came from the node by then is read before, as it would be taken for the answer.
@@ -351,8 +376,11 @@
             return self.give_up_work(key, Cause::Limit);
         }
         match job.write(&conn.stream, now) {
-            Ok(true) => self.deadlines.set(Due::Work(key), job.limit_at),
-            Ok(false) => {}
+            Ok(true) => {
+                conn.retry.reset();
+                self.deadlines.set(Due::Work(key), job.limit_at);
+            }
+            Ok(false) => self.retry_conn(key),
             Err(_) => self.break_conn(key, Cause::Broken),
         }
     }
@@ -374,6 +402,7 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if is_transient(&e) => return self.retry_conn(key),
                 Err(_) => over = true,
             }
             self.take_messages(key);
@@ -494,7 +523,7 @@
     /// Closes a connection that carries nothing, or whose work has been taken off it.
     pub fn drop_conn(&mut self, key: ConnKey) {
         let Some(conn) = self.nodes.conns.remove(key) else { return };
-        [Due::Work(key), Due::Dial(key), Due::Idle(key)]
+        [Due::Work(key), Due::Dial(key), Due::Idle(key), Due::RetryConn(key)]
             .into_iter()
             .for_each(|due| self.deadlines.clear(due));
         if let Some(member) = self.nodes.members.get_mut(&conn.node) {
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -4,6 +4,7 @@
 use crate::deadlines::Due;
 use crate::log;
 use crate::nodes::dial;
+use crate::transient::{Backoff, is_transient};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use std::collections::BTreeSet;
@@ -43,6 +44,7 @@
     starting: bool,
     /// When the process says that it is ready even without a list.
     untold: Tenths,
+    retry: Backoff,
     /// Every set that a list has named.
     pub sets: BTreeSet<i64>,
 }
@@ -77,6 +79,7 @@
             known,
             starting: true,
             untold: now + UNTOLD_MOST,
+            retry: Backoff::default(),
             sets: BTreeSet::new(),
         }
     }
@@ -218,6 +221,12 @@
         }
     }
 
+    /// A system call on the watch failed for a moment. Danger: no event may tell when it succeeds.
+    fn retry_watch(&mut self) {
+        let at = self.now + self.watch.retry.wait();
+        self.deadlines.set(Due::RetryWatch, at);
+    }
+
     /// Takes in what the agent has sent by now.
     pub fn hear_watch(&mut self) {
         let rounds: Vec<u64> = self.watch.open.iter().chain(&self.watch.old).map(|o| o.round).collect();
@@ -232,9 +241,10 @@
                 match (&*open.stream).write(&open.request) {
                     Ok(written) => drop(open.request.drain(..written)),
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    Err(e) if is_transient(&e) || e.kind() == io::ErrorKind::NotConnected => {
                         // Not connected yet, or the dial has failed and says so.
                         let failed = open.stream.take_error().ok().flatten();
+                        self.retry_watch();
                         return failed.map_or(Ok(()), |e| Err(e.to_string()));
                     }
                     Err(e) => return Err(e.to_string()),
@@ -245,8 +255,13 @@
                 Ok(read) => read,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if is_transient(&e) => {
+                    self.retry_watch();
+                    return Ok(());
+                }
                 Err(e) => return Err(e.to_string()),
             };
+            self.watch.retry.reset();
             let first = !std::mem::replace(&mut open.heard, true);
             let (body, begun) = (open.watched.body_bytes(), open.watched.has_begun_value());
             let mut values = Vec::new();
