--- a/crates/router/tests/faults.rs
+++ b/crates/router/tests/faults.rs
@@ -115,6 +115,9 @@
 #[case::short_reads(&[(Fault::ShortReceive, 500_000)])]
 #[case::interrupted_reads(&[(Fault::InterruptedReceive, 200_000)])]
 #[case::polls(&[(Fault::InterruptedPoll, 300_000)])]
+#[case::refused_writes(&[(Fault::RefusedSend, 50_000)])]
+#[case::refused_reads(&[(Fault::RefusedReceive, 50_000)])]
+#[case::accepts(&[(Fault::FailedAccept, 300_000)])]
 fn system_calls_that_fail_cost_no_command(#[case] failing: &[(Fault, u64)]) {
     let (members, faults) = (Members::start(), Faults::new(1));
     let router = members.router(&faults);
