Router: a read or an accept that finds nothing after an event is made again a few times

Lines at fault: client_ready, conn_ready, watch_ready and accept took EAGAIN for proof that nothing is there. Change: an event that says readable and a read that finds nothing arm the retry of transient.rs, up to its longest wait; accepts get seven looks behind an event that led to nobody, two behind one that did.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -81,6 +81,8 @@
     pub listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     /// Clients wait to be accepted until one of those held has gone.
     crowded: bool,
+    /// How often it is still looked for who waits to be accepted.
+    accept_looks: u32,
     /// Those with something to write.
     unsent: Vec<ClientKey>,
     /// Those that have used up this turn: they are heard again in the next.
@@ -160,8 +162,9 @@
             turn: 0,
             spent: 0,
         });
-        let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
-            program.guarded("a client's connection", |p| p.client_ready(key), |p| p.drop_client(key));
+        let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
+            let event = |p: &mut Program| p.client_event(key, ready.readable);
+            program.guarded("a client's connection", event, |p| p.drop_client(key));
             Ok(PostAction::Continue)
         });
         match token {
@@ -179,7 +182,19 @@
         }
     }
 
-    pub fn client_ready(&mut self, key: ClientKey) {
+    /// The system says that the connection is ready. Danger: a read may be refused for a moment all the same, and
+    /// no further event tells of what lies there. So one that should have found something is made again a few times.
+    pub fn client_event(&mut self, key: ClientKey, readable: bool) {
+        let before = self.clients.table.get(key).map(|c| c.read);
+        self.client_ready(key);
+        let Some(client) = self.clients.table.get(key).filter(|c| Some(c.read) == before) else { return };
+        let reads = !client.paused && matches!(client.stage, Stage::Opening | Stage::Ready | Stage::Skipping);
+        if readable && reads && !self.clients.deaf && !client.retry.is_spent() {
+            self.retry_client(key);
+        }
+    }
+
+    fn client_ready(&mut self, key: ClientKey) {
         self.flush(key);
         self.read_client(key);
         // What was kept from its end by its output is ended behind that.
@@ -244,6 +259,7 @@
                 Ok(0) => return self.drop_client(key),
                 Ok(_) if matches!(client.stage, Stage::Ending | Stage::Told) => {}
                 Ok(read) => {
+                    client.retry.reset();
                     client.input.extend_from_slice(&self.scratch[..read]);
                     client.read += read as u64;
                     client.marks.push_back((client.read, self.now - waited(&client.stream)));
--- a/crates/router/src/clients/crowd.rs
+++ b/crates/router/src/clients/crowd.rs
@@ -9,6 +9,11 @@
 /// Clients accepted in one turn.
 const ACCEPTED_MOST: usize = 64;
 pub(super) const ACCEPT_AGAIN: Tenths = 1_000;
+/// Looks for who waits to be accepted, behind an event that led to nobody and behind one that did, and what lies
+/// between two.
+const LOOKS: u32 = 7;
+const LOOKS_BEHIND: u32 = 2;
+const LOOK_AGAIN: Tenths = 10;
 
 impl Clients {
     /// Who gives way where others want in, first of all whoever sent no command yet; of each kind the one that
@@ -52,8 +57,11 @@
                 }
             }
             match listener.accept() {
-                Ok((stream, _)) => self.welcome(stream),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Ok((stream, _)) => {
+                    self.clients.accept_looks = LOOKS_BEHIND;
+                    self.welcome(stream);
+                }
+                Err(e) if is_transient(&e) => return self.look_again(),
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     log!("cannot accept: {e}");
@@ -65,6 +73,21 @@
         self.deadlines.set(Due::Accept, self.now + 1);
     }
 
+    /// The system says that somebody wants in.
+    pub fn accept_event(&mut self) {
+        self.clients.accept_looks = LOOKS;
+        self.accept();
+    }
+
+    /// Nobody is there to be accepted. Danger: it may have been said for a moment only, and no event tells of those
+    /// who wait by then. So a few looks follow.
+    fn look_again(&mut self) {
+        if self.clients.accept_looks > 0 {
+            self.clients.accept_looks -= 1;
+            self.deadlines.set(Due::Accept, self.now + LOOK_AGAIN);
+        }
+    }
+
     /// Clients hold their part and more is not free: what nodes don't use of theirs is lent, but for a spare part.
     fn at_limit(&self) -> bool {
         let (clients, limits) = (self.clients.count(), self.limits);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -151,7 +151,7 @@
             .map(Rc::new)?;
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
         let token = program.handle.insert_source(source, |_, _, program: &mut Program| {
-            program.guarded("accepting", Program::accept, |_| {});
+            program.guarded("accepting", Program::accept_event, |_| {});
             Ok(PostAction::Continue)
         });
         program.clients.listener = Some((listener, token.map_err(|e| e.to_string())?));
@@ -184,9 +184,9 @@
                 Due::Dial(key) => self.break_conn(key, Cause::DialLimit),
                 Due::Idle(key) => self.drop_conn(key),
                 Due::Client(key) => self.close_client(key),
-                Due::RetryClient(key) => self.client_ready(key),
-                Due::RetryConn(key) => self.conn_ready(key),
-                Due::RetryWatch => self.hear_watch(),
+                Due::RetryClient(key) => self.client_event(key, true),
+                Due::RetryConn(key) => self.conn_event(key, true),
+                Due::RetryWatch => self.retry_watch_now(),
                 Due::Message(key) => self.end_unheard(key),
                 Due::Accept => self.accept(),
                 Due::Watch => self.watch_silent(),
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -67,7 +67,8 @@
     retry: Backoff,
     job: Option<Job>,
     input: Vec<u8>,
-    /// Bytes since it last carried nothing.
+    /// Reads that found something, and bytes since it last carried nothing.
+    reads: u64,
     heard: usize,
     /// Since when it has carried nothing.
     idle_since: Tenths,
@@ -297,15 +298,27 @@
         let stream = Rc::new(dial(address)?);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let (node, input, stage) = (node.clone(), Vec::new(), Stage::Dialling);
-        let (token, job, heard, idle_since) = (None, None, 0, self.now);
+        let (token, job, reads, heard, idle_since) = (None, None, 0, 0, self.now);
         let (mut opening, retry) = (Vec::new(), Backoff::default());
         pgwire::startup(&mut opening, "svc", "main");
-        let conn =
-            Conn { node, address, stream, token, stage, opening, retry, job, input, heard, idle_since };
+        let conn = Conn {
+            node,
+            address,
+            stream,
+            token,
+            stage,
+            opening,
+            retry,
+            job,
+            input,
+            reads,
+            heard,
+            idle_since,
+        };
         let key = self.nodes.conns.insert(conn);
-        let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
+        let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
             let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
-            program.guarded("a node's connection", |p| p.conn_ready(key), broken);
+            program.guarded("a node's connection", |p| p.conn_event(key, ready.readable), broken);
             Ok(PostAction::Continue)
         });
         match token {
@@ -318,7 +331,18 @@
         Ok(key)
     }
 
-    pub fn conn_ready(&mut self, key: ConnKey) {
+    /// The system says that the connection is ready. Danger: a read may be refused for a moment all the same, and
+    /// no further event tells of what lies there. So one that should have found something is made again a few times.
+    pub fn conn_event(&mut self, key: ConnKey, readable: bool) {
+        let before = self.nodes.conns.get(key).map(|c| c.reads);
+        self.conn_ready(key);
+        let same = self.nodes.conns.get(key).filter(|c| Some(c.reads) == before);
+        if readable && same.is_some_and(|c| !c.retry.is_spent()) {
+            self.retry_conn(key);
+        }
+    }
+
+    fn conn_ready(&mut self, key: ConnKey) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
         if conn.stage == Stage::Dialling {
             if conn.stream.take_error().ok().flatten().is_some() {
@@ -397,6 +421,8 @@
                     return self.break_conn(key, Cause::Garbled);
                 }
                 Ok(read) => {
+                    conn.retry.reset();
+                    conn.reads += 1;
                     conn.input.extend_from_slice(&self.scratch[..read]);
                     conn.heard += read;
                 }
--- a/crates/router/src/transient.rs
+++ b/crates/router/src/transient.rs
@@ -32,6 +32,11 @@
         wait
     }
 
+    /// The longest wait has been reached.
+    pub fn is_spent(&self) -> bool {
+        self.0 == WAIT_MOST
+    }
+
     /// A call has succeeded.
     pub fn reset(&mut self) {
         *self = Backoff::default();
--- a/crates/router/src/transient/tests.rs
+++ b/crates/router/src/transient/tests.rs
@@ -18,6 +18,8 @@
     let mut backoff = Backoff::default();
     let waits: Vec<Tenths> = (0..9).map(|_| backoff.wait()).collect();
     assert_eq!(waits, [10, 20, 40, 80, 160, 320, 640, 640, 640]);
+    assert!(backoff.is_spent());
     backoff.reset();
+    assert!(!backoff.is_spent());
     assert_eq!(backoff.wait(), WAIT_LEAST);
 }
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -45,6 +45,8 @@
     /// When the process says that it is ready even without a list.
     untold: Tenths,
     retry: Backoff,
+    /// Reads that found something.
+    reads: u64,
     /// Every set that a list has named.
     pub sets: BTreeSet<i64>,
 }
@@ -80,6 +82,7 @@
             starting: true,
             untold: now + UNTOLD_MOST,
             retry: Backoff::default(),
+            reads: 0,
             sets: BTreeSet::new(),
         }
     }
@@ -136,8 +139,9 @@
         let opened = dial(self.watch.address).and_then(|stream| {
             let stream = Rc::new(stream);
             let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-            let token = self.handle.insert_source(source, move |_, _, program: &mut Program| {
-                program.guarded("the watch", |p| p.watch_ready(round), |p| p.break_watch("a panic"));
+            let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
+                let event = |p: &mut Program| p.watch_event(round, ready.readable);
+                program.guarded("the watch", event, |p| p.break_watch("a panic"));
                 Ok(PostAction::Continue)
             });
             Ok((stream, token.map_err(|e| io::Error::other(e.to_string()))?))
@@ -209,6 +213,23 @@
         self.list_failed();
     }
 
+    /// The system says that a watch is ready; a read that finds nothing all the same is made again a few times.
+    fn watch_event(&mut self, round: u64, readable: bool) {
+        let before = self.watch.reads;
+        self.watch_ready(round);
+        if readable && self.watch.reads == before && !self.watch.retry.is_spent() {
+            self.retry_watch();
+        }
+    }
+
+    pub fn retry_watch_now(&mut self) {
+        let before = self.watch.reads;
+        self.hear_watch();
+        if self.watch.reads == before && !self.watch.retry.is_spent() {
+            self.retry_watch();
+        }
+    }
+
     /// News of the watch in use, or of the one before it, which is never asked again.
     fn watch_ready(&mut self, round: u64) {
         if self.watch.open.as_ref().is_some_and(|o| o.round == round) {
@@ -262,6 +283,7 @@
                 Err(e) => return Err(e.to_string()),
             };
             self.watch.retry.reset();
+            self.watch.reads += 1;
             let first = !std::mem::replace(&mut open.heard, true);
             let (body, begun) = (open.watched.body_bytes(), open.watched.has_begun_value());
             let mut values = Vec::new();
