--- a/crates/router/tests/faults.rs
+++ b/crates/router/tests/faults.rs
@@ -118,6 +118,9 @@
 #[case::refused_writes(&[(Fault::RefusedSend, 50_000)])]
 #[case::refused_reads(&[(Fault::RefusedReceive, 50_000)])]
 #[case::accepts(&[(Fault::FailedAccept, 300_000)])]
+#[case::dials(&[(Fault::FailedConnect, 800_000)])]
+#[case::interrupted_dials(&[(Fault::InterruptedConnect, 500_000)])]
+#[case::sockets(&[(Fault::FailedSocket, 800_000)])]
 fn system_calls_that_fail_cost_no_command(#[case] failing: &[(Fault, u64)]) {
     let (members, faults) = (Members::start(), Faults::new(1));
     let router = members.router(&faults);
