Router: a dial that fails on this machine says nothing of the member

Checked: the counters name connect_failed, the members probed and broken. Lines at fault: begin() ended every failed dial as Cause::Broken, also EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENFILE and the router's own want of descriptors; the module then paused the member, probed it, took two probes without a connection for its death and held it for cold; six such dials used up a command's attempts at once. dial() took EINTR for a failure, and EAGAIN for a dial under way. Change: Ending::NotDialled; src/decide/dialling.rs gives the attempt back, pauses dials to that member for 1 to 128 ms, asks a probe again, and takes 16 in a row for a member out of reach; a dial without a descriptor frees one and is made again. Elsewhere: the same error told late, by SO_ERROR; the watch's dial, which already only waits.

--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -143,7 +143,7 @@
             Ending::TimedOut => &mut s.timed_out,
             Ending::ConnectFailed => &mut s.connect_failed,
             Ending::Reset => &mut s.reset,
-            Ending::NeverSent => &mut s.never_sent,
+            Ending::NeverSent | Ending::NotDialled => &mut s.never_sent,
             Ending::CalledOff => &mut s.called_off,
         };
         *count += 1;
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -44,6 +44,7 @@
             Ending::Reset => "reset",
             Ending::CalledOff => "called_off",
             Ending::NeverSent => "never_sent",
+            Ending::NotDialled => "not_dialled",
             Ending::Miss => "miss",
         };
         *self.0.entry(name).or_default() += 1;
--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -19,6 +19,8 @@
 pub enum Cause {
     /// Refused, reset, closed, or not to be opened.
     Broken,
+    /// This machine had nothing to open a connection with.
+    Local,
     /// Not open within the time for dialling.
     DialLimit,
     /// Past its own limit.
@@ -56,7 +58,8 @@
         (Code(_) | Garbled, Reached::Written) => Ending::Error,
         (Limit, Reached::Written) => Ending::TimedOut,
         (CalledOff, Reached::Written) => Ending::CalledOff,
-        (Broken | DialLimit, Reached::Written) => Ending::Reset,
+        (Broken | Local | DialLimit, Reached::Written) => Ending::Reset,
+        (Local, _) => Ending::NotDialled,
         (Limit | CalledOff, _) => Ending::NeverSent,
         (Broken | DialLimit | Code(_) | Garbled, _) => Ending::ConnectFailed,
     }
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -8,7 +8,7 @@
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
 use crate::keys::{CommandKey, ConnKey, Statement, Work};
 use crate::log;
-use crate::transient::{Backoff, is_transient};
+use crate::transient::{Backoff, is_local, is_transient};
 use crate::{Program, tenths};
 use answer::{Answer, believed};
 use calloop::generic::Generic;
@@ -133,11 +133,17 @@
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
     match socket.connect(&address.into()) {
-        Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
+        // One that is interrupted goes on.
+        Err(e) if !matches!(e.raw_os_error(), Some(libc::EINPROGRESS | libc::EINTR)) => Err(e),
         _ => Ok(socket.into()),
     }
 }
 
+/// What a dial that failed so tells.
+fn dial_cause(error: &io::Error) -> Cause {
+    if is_local(error) { Cause::Local } else { Cause::Broken }
+}
+
 impl Conn {
     /// Writes what is left of the startup packet. Danger: the system may take a part of it.
     fn write_opening(&mut self) -> io::Result<()> {
@@ -262,11 +268,8 @@
             }
             Err(e) => {
                 log!("node {node}: cannot be dialled: {e}");
-                self.ended(
-                    node.clone(),
-                    job,
-                    Err(Failure { reached: Reached::Dialling, cause: Cause::Broken }),
-                );
+                let cause = dial_cause(&e);
+                self.ended(node.clone(), job, Err(Failure { reached: Reached::Dialling, cause }));
             }
         }
     }
@@ -280,22 +283,31 @@
         Some(idle.remove(at))
     }
 
+    /// Room comes from the connection that idles longest, else from a client in spite of its answer.
+    fn free_descriptor(&mut self) -> bool {
+        let idle = self.nodes.members.values().filter_map(|m| m.idle.first().copied());
+        match idle.min_by_key(|key| self.deadlines.time(Due::Idle(*key))) {
+            Some(key) => self.drop_conn(key),
+            None => return self.nodes.count() < self.limits.nodes && self.make_room(true),
+        }
+        true
+    }
+
     fn open_conn(&mut self, node: &Id) -> io::Result<ConnKey> {
         // What was lent to clients is wanted back.
         let lent = self.nodes.count() + self.clients.count() >= self.limits.room;
-        if self.nodes.count() >= self.limits.nodes || (lent && !self.make_room(false)) {
-            // Room comes from the connection that idles longest, else from a client in spite of its answer.
-            let idle = self.nodes.members.values().filter_map(|m| m.idle.first().copied());
-            let oldest = idle.min_by_key(|key| self.deadlines.time(Due::Idle(*key)));
-            match oldest {
-                Some(key) => self.drop_conn(key),
-                None if self.nodes.count() < self.limits.nodes && self.make_room(true) => {}
-                None => return Err(io::Error::other("all descriptors for nodes are in use")),
-            }
+        let full = self.nodes.count() >= self.limits.nodes || (lent && !self.make_room(false));
+        if full && !self.free_descriptor() {
+            return Err(io::Error::other("all descriptors for nodes are in use"));
         }
         let address = self.nodes.members.get(node).and_then(|m| m.address);
         let address = address.ok_or_else(|| io::Error::other("no address"))?;
-        let stream = Rc::new(dial(address)?);
+        let dialled = dial(address).or_else(|e| match e.raw_os_error() {
+            // The system holds this process to less than it was told.
+            Some(libc::EMFILE) if self.free_descriptor() => dial(address),
+            _ => Err(e),
+        });
+        let stream = Rc::new(dialled?);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let (node, input, stage) = (node.clone(), Vec::new(), Stage::Dialling);
         let (token, job, reads, heard, idle_since) = (None, None, 0, 0, self.now);
@@ -345,8 +357,8 @@
     fn conn_ready(&mut self, key: ConnKey) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
         if conn.stage == Stage::Dialling {
-            if conn.stream.take_error().ok().flatten().is_some() {
-                return self.break_conn(key, Cause::Broken);
+            if let Some(e) = conn.stream.take_error().ok().flatten() {
+                return self.break_conn(key, dial_cause(&e));
             }
             match conn.write_opening() {
                 Ok(()) => conn.stage = Stage::Greeting,
--- a/crates/router/src/transient.rs
+++ b/crates/router/src/transient.rs
@@ -14,6 +14,23 @@
         || matches!(error.raw_os_error(), Some(libc::ENOBUFS | libc::ENOMEM))
 }
 
+/// Whether a dial failed for want of something on this machine: a port, a socket, a buffer, a route, leave to send. What
+/// is at the other end is not known.
+pub fn is_local(error: &io::Error) -> bool {
+    is_transient(error) || error.raw_os_error().is_none_or(|code| LOCAL.contains(&code))
+}
+
+const LOCAL: [i32; 8] = [
+    libc::EADDRNOTAVAIL,
+    libc::EADDRINUSE,
+    libc::ENETUNREACH,
+    libc::ENETDOWN,
+    libc::EMFILE,
+    libc::ENFILE,
+    libc::EACCES,
+    libc::EPERM,
+];
+
 /// The waits between calls that fail for a moment: each is twice as long as the one before, up to a bound.
 #[derive(Clone, Copy, Debug)]
 pub struct Backoff(Tenths);
--- a/crates/router/tests/faults.rs
+++ b/crates/router/tests/faults.rs
@@ -6,6 +6,8 @@
 use common::*;
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,6 +16,8 @@
 const LATE_MOST: Duration = Duration::from_millis(500);
 const CLIENTS: usize = 4;
 const COMMANDS: usize = 150;
+/// Connections to members that a router of 40 descriptors may hold.
+const NODES_MOST: usize = 5;
 /// Commands of one client connection.
 const A_CONNECTION: usize = 10;
 
@@ -129,3 +133,36 @@
     failing.iter().for_each(|(fault, _)| assert!(faults.injected(*fault) > 0, "{fault:?} came"));
     judge(&outcomes, 0);
 }
+
+/// Clients that left, with no permission to cancel, leave every descriptor for members in use.
+#[rstest]
+fn a_router_without_descriptors_holds_no_member_for_dead() {
+    let release = Arc::new(AtomicBool::new(false));
+    let released = release.clone();
+    let node = Node::start("primary", move |_| {
+        while !released.load(Relaxed) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        Reply::Send(row("r"))
+    });
+    let cold = "\"drain_grace_ms\":500.0,\"start_capacity\":0.001,\"warm_after_ms\":60000.0";
+    let pieces = [WORTH, ("\"cancel\":true", "\"cancel\":false"), ("\"drain_grace_ms\":500.0", cold)];
+    let discovery = agent(&[entry("s-a", &node, "ready", "primary")]);
+    let text = with_pieces(configuration(discovery.address, 40, 192, "null"), &pieces);
+    let router = Router::beside(discovery, &text, None);
+    for number in 0..NODES_MOST {
+        let mut client = Client::connect(&router);
+        client.send(&query_bytes(&order(&format!("left-{number}"), 20_000)));
+        assert!(node.statement().contains(&format!("left-{number}")));
+    }
+    let address = router.address;
+    let waiting = thread::spawn(move || Client::at(address).query(&order("waits", 5_000)));
+    router.logged("all descriptors for nodes are in use");
+    thread::sleep(Duration::from_millis(300));
+    release.store(true, Relaxed);
+    assert_eq!(waiting.join().expect("a client"), Answer::Row("r".into()));
+    for number in 0..20 {
+        let served = Client::connect(&router).query(&order(&format!("behind-{number}"), 5_000));
+        assert_eq!(served, Answer::Row("r".into()), "{number}");
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,6 +10,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod dialling;
+
 const SECOND: Tenths = 10_000;
 /// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
 const PAUSE: Tenths = 1_000;
@@ -204,6 +206,9 @@
     pub fn dispatch_ended(&mut self, now: Tenths, id: &str, end: DispatchEnd) {
         let DispatchEnd { dispatch, ending, took, idled, over, note, report } = end;
         let Some(&key) = self.by_id.get(id) else { return };
+        if ending == Ending::NotDialled {
+            return self.not_dialled(now, key, dispatch, over);
+        }
         let Some(cmd) = self.open.get_mut(&key) else { return };
         let Some((node, sent)) = cmd.out.remove(&dispatch) else { return };
         let write = self.groups.places[cmd.kind].access == Access::Write;
@@ -244,6 +249,7 @@
         }
         let usual = self.usual(now, kind);
         self.learn_report(now, node, report);
+        self.dialled(node);
         let m = &mut self.members[node];
         m.out.remove(&(key, dispatch));
         // The note of a write that went through is its commit, not the member's position.
@@ -300,6 +306,10 @@
     pub fn probe_ended(&mut self, now: Tenths, node: &str, ending: Ending, report: Report) {
         let Some(&node) = self.nodes.get(node) else { return };
         self.dirty.insert(self.members[node].set);
+        if ending == Ending::NotDialled {
+            return self.probe_not_dialled(now, node);
+        }
+        self.dialled(node);
         self.learn_report(now, node, report);
         let m = &mut self.members[node];
         m.probing = false;
@@ -549,7 +559,7 @@
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
         let ran = cmd.maybe_ran.is_some_and(|(at, _)| self.repeatable_for(now, cmd, at) <= 0);
         let late = cmd.patience.min(cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths);
-        if cmd.dispatches >= self.groups.places[cmd.kind].attempts
+        if cmd.attempts() >= self.groups.places[cmd.kind].attempts
             || ran
             || cmd.hopeless
             || now + self.tick >= cmd.ends
@@ -667,14 +677,19 @@
             _ => true,
         };
         let walk = set.nodes.iter().map(|n| (&self.members[*n], *n)).filter(|(m, n)| {
-            !m.shut && open(m) && !cmd.tried.contains(n) && cmd.dispatches < most.div_ceil(2)
+            !m.shut && open(m) && !cmd.tried.contains(n) && cmd.attempts() < most.div_ceil(2)
         });
         let ranked = walk.map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
-        if let Some((.., node)) = ranked.min() {
+        // One that this machine can't dial just now is waited for.
+        let (paused, ready): (Vec<_>, Vec<_>) = ranked.partition(|r| self.members[r.4].dial_at > now);
+        if let Some((.., node)) = ready.into_iter().min() {
             cmd.tried.push(node);
             set.scout = Some(key);
             return Some(node);
         }
+        if !paused.is_empty() {
+            return None;
+        }
         // The round is over: misses cost the fixed pause, transport errors a backoff with equal jitter.
         cmd.tried.clear();
         set.scout = None;
@@ -730,7 +745,8 @@
     /// Danger: a primary that is slow, not crowded, is spared until it idles; nobody else takes its writes.
     fn has_room(&self, now: Tenths, node: Node, part: f64, least: f64) -> bool {
         let (m, out) = (&self.members[node], self.members[node].out.len() as f64);
-        (m.shy_until <= now && out < (m.window * part).max(1.0)) || (m.refused == 0 && out < least)
+        m.dial_at <= now
+            && ((m.shy_until <= now && out < (m.window * part).max(1.0)) || (m.refused == 0 && out < least))
     }
 
     /// The usual latency of a command group's answers.
@@ -839,7 +855,7 @@
     fn lawful_for(&self, now: Tenths, key: u64, node: Node) -> Tenths {
         let (cmd, m) = (&self.open[&key], &self.members[node]);
         let group = &self.groups.places[cmd.kind];
-        let answer = !cmd.closed && now < cmd.ends && cmd.dispatches < group.attempts && m.set == cmd.set;
+        let answer = !cmd.closed && now < cmd.ends && cmd.attempts() < group.attempts && m.set == cmd.set;
         if !answer || !cmd.out.is_empty() || self.cold_credit(now, m) < group.target as f64 {
             return 0;
         }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1342,3 +1342,66 @@
     r.reconfigure(change).expect("settings that are whole");
     assert_eq!(behind(&r), behind(&alone));
 }
+
+/// A write is out at the member `b`, and its connection can't be opened here.
+fn not_dialled(r: &mut Router) {
+    open(r, "write");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.dispatches, cmd.tried) = (1, vec![1]);
+    cmd.out.insert(0, (1, NOW));
+    r.dispatch_ended(NOW, "cmd", ended(Ending::NotDialled, None));
+}
+
+#[rstest]
+fn a_dial_that_fails_here_is_no_attempt_and_tells_nothing_of_the_member() {
+    let mut r = router(&[]);
+    r.members[1].state = State::Healthy;
+    not_dialled(&mut r);
+    let (cmd, m) = (&r.open[&0], &r.members[1]);
+    assert_eq!((cmd.attempts(), cmd.maybe_ran, cmd.broken_round, cmd.tried.len()), (0, None, false, 0));
+    assert_eq!((m.state, m.refused, m.fails, m.died), (State::Healthy, 0, 0, false));
+    assert!(m.dial_at > NOW && m.dial_at <= NOW + 20, "{}", m.dial_at - NOW);
+}
+
+#[rstest]
+#[case::not_yet(0, None)]
+#[case::after_the_pause(20, Some(1))]
+fn a_member_that_cannot_be_dialled_is_dialled_again_after_a_pause(
+    #[case] later: Tenths,
+    #[case] node: Option<Node>,
+) {
+    let mut r = router(&[]);
+    (r.members[0].state, r.members[2].state) = (State::TopologyReject, State::TopologyReject);
+    (r.members[0].noted_at, r.members[2].noted_at) = (NOW, NOW);
+    not_dialled(&mut r);
+    assert_eq!(r.scout(NOW + later, 1, 0), node);
+    assert!(r.sets[&1].round_at <= NOW, "the round goes on");
+}
+
+#[rstest]
+fn a_probe_that_cannot_be_dialled_is_no_silence_and_is_made_again() {
+    let mut r = router(&[]);
+    (r.members[1].refused, r.members[1].probing) = (1, true);
+    r.probe_ended(NOW, "b", Ending::NotDialled, Report::default());
+    let m = &r.members[1];
+    assert_eq!((m.state, m.fails, m.died, m.probing), (State::Unknown, 0, false, false));
+    assert!(r.agenda.contains(&(m.dial_at, Task::Ask(1))));
+}
+
+#[rstest]
+fn dials_that_fail_here_for_long_count_as_a_member_out_of_reach() {
+    let mut r = router(&[]);
+    for _ in 0..16 {
+        assert_eq!(r.members[1].state, State::Unknown);
+        r.probe_ended(NOW, "b", Ending::NotDialled, Report::default());
+    }
+    assert_eq!((r.members[1].state, r.members[1].died), (State::TransportError, false));
+}
+
+#[rstest]
+fn an_open_connection_ends_the_pause_between_dials() {
+    let mut r = router(&[]);
+    r.probe_ended(NOW, "b", Ending::NotDialled, Report::default());
+    r.probe_ended(NOW, "b", Ending::Answered, Report::default());
+    assert_eq!((r.members[1].local_errors, r.members[1].dial_at), (0, 0));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -40,6 +40,8 @@
     Reset,
     CalledOff,
     NeverSent,
+    /// This machine could not open a connection: no member saw it.
+    NotDialled,
     Miss,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,6 +144,9 @@
     /// A connection there broke, and no probe has told yet whether it died.
     pub broke: bool,
     pub retry_at: Tenths,
+    /// Dials in a row that failed on this machine, and until when no further one is made.
+    pub local_errors: u32,
+    pub dial_at: Tenths,
 }
 
 impl Member {
@@ -218,6 +221,8 @@
     pub needs: Tenths,
     pub session: Option<String>,
     pub dispatches: u32,
+    /// Dispatches that this machine could not open a connection for.
+    pub given_back: u32,
     pub out: BTreeMap<u32, (Node, Tenths)>,
     /// The first dispatch that may have run.
     pub maybe_ran: Option<(Node, Tenths)>,
@@ -229,6 +234,13 @@
     pub closed: bool,
 }
 
+impl Open {
+    /// Dispatches that count as attempts.
+    pub(crate) fn attempts(&self) -> u32 {
+        self.dispatches - self.given_back
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Task {
     Settle(u64),
