--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1405,3 +1405,33 @@
     r.probe_ended(NOW, "b", Ending::Answered, Report::default());
     assert_eq!((r.members[1].local_errors, r.members[1].dial_at), (0, 0));
 }
+
+#[rstest]
+#[case::newer_than_its_last_answer(NOW + 5)]
+#[case::older_than_its_last_answer(NOW - 5_000)]
+fn a_report_of_a_demotion_ends_a_primarys_excuse(#[case] position: Tenths) {
+    let mut r = router(&[]);
+    open(&mut r, "session");
+    r.learn_role(NOW, 0, true);
+    (r.members[0].noted_at, r.members[0].position) = (NOW, position);
+    let out = (0, NOW);
+    r.open.get_mut(&0).unwrap().out.insert(0, out);
+    r.open.get_mut(&0).unwrap().needs = NOW + 10;
+    assert!(r.may_write(NOW + 20, "cmd", 0), "a primary has it all");
+    // Its connection is still being opened when a probe tells.
+    r.probe_ended(NOW + 30, "a", Ending::Answered, Report { primary: Some(false), position: Some(position) });
+    assert!(!r.may_write(NOW + 40, "cmd", 0), "a replica may lack what the session wrote");
+}
+
+#[rstest]
+fn an_answer_as_primary_renews_the_excuse_that_a_report_ended() {
+    let mut r = router(&[]);
+    open(&mut r, "session");
+    r.learn_role(NOW, 0, true);
+    let replica = Report { primary: Some(false), position: Some(NOW - 5_000) };
+    r.probe_ended(NOW, "a", Ending::Answered, replica);
+    r.open.get_mut(&0).unwrap().out.insert(0, (0, NOW));
+    r.dispatch_ended(NOW + 10, "cmd", DispatchEnd { over: false, ..ended(Ending::Answered, Some(true)) });
+    let cmd = &r.open[&0];
+    assert!(r.takes_for(NOW + 20, cmd, &r.members[0]) > 0);
+}
