Module: a probe's word that a primary was demoted ends its excuse for old reads

Change: Member::reported_replica, set by any report that says replica, cleared by a newer one or by an answer; what answers say stays as strict as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -260,7 +260,8 @@
         (m.heard, m.unheard) = if spoke { (now, 0) } else { (m.heard, m.unheard) };
         m.met |= spoke && ending != Ending::Error;
         if let Some(primary) = note.primary {
-            (m.noted, m.noted_at) = (Some(primary), now);
+            (m.noted_replica, m.noted_at) = (!primary, now);
+            m.reported_replica &= !primary;
             self.learn_role(now, node, primary);
         }
         let can_probe = self.allows("permissions.may_probe");
@@ -439,8 +440,12 @@
         let m = &mut self.members[node];
         (m.position, m.checked_at) = (m.position.max(position), now);
         (m.behind, m.behind_at) = (m.behind(now).min(now - position), now);
+        // Danger: one that was demoted lags, so its report may look older than it is. It is no excuse for an old read
+        // any more, whatever the report's age.
+        m.reported_replica |= report.primary == Some(false);
         // A report older than the last answer's note proves nothing against it; its position dates it.
         if let (Some(primary), true) = (report.primary, position > m.noted_at) {
+            m.reported_replica &= !primary;
             self.learn_role(now, node, primary);
         }
     }
@@ -864,8 +869,9 @@
 
     /// For how long a member may take what the command asks, by the rules on drains and on age.
     fn takes_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
-        // Danger: named as primary by a report after a note as replica, it may be none again. No excuse then.
-        let primary = (m.state == State::Healthy || m.been_primary) && m.noted != Some(false);
+        // Danger: told to be a replica after it was primary, it may lack what it once had. No excuse then.
+        let primary =
+            (m.state == State::Healthy || m.been_primary) && !m.noted_replica && !m.reported_replica;
         let unaged = primary || self.node_checks || self.groups.places[cmd.kind].access == Access::Write;
         match (m.shut || self.may_drain(m), unaged) {
             (true, _) => 0,
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1143,7 +1143,9 @@
 fn a_report_excuses_no_old_read_after_a_note(#[case] noted: Option<bool>, #[case] lawful: bool) {
     let mut r = router(&[]);
     open(&mut r, "bounded");
-    (r.members[1].state, r.members[1].been_primary, r.members[1].noted) = (State::Healthy, true, noted);
+    (r.members[1].state, r.members[1].been_primary) = (State::Healthy, true);
+    r.members[1].noted_replica = noted == Some(false);
+    r.learn_report(NOW - 1, 1, Report { primary: Some(true), position: Some(NOW - 90 * SECOND) });
     assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,9 +107,12 @@
     pub start_known: Tenths,
     pub state: State,
     pub been_primary: bool,
-    /// The role in the last answer's note, and when that came.
-    pub noted: Option<bool>,
+    /// When the last answer's note told its role.
     pub noted_at: Tenths,
+    /// An answer has told that it is a replica, and none since that it is the primary; the same of probes' reports,
+    /// which an answer overrules.
+    pub noted_replica: bool,
+    pub reported_replica: bool,
     /// Proven: all commits up to here are applied.
     pub position: Tenths,
     pub checked_at: Tenths,
