Tests: a log that cannot be written, and one that nobody reads

Measured: with EPIPE, ENOSPC or EIO from the standard error stream the next client's connection is closed with no answer, and the process ends; with a full pipe (400 prints of the counters) no client is answered for 10 s. Both are listed.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -367,6 +367,8 @@
     config: PathBuf,
     pub address: SocketAddr,
     log: Receiver<String>,
+    /// What it logs is not read for as long as this is set.
+    pub log_unread: Arc<AtomicBool>,
     pub discovery: Discovery,
 }
 
@@ -443,8 +445,17 @@
             .expect("the program starts");
         let (tell, log) = channel();
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| tell.send(line)));
-        let mut router = Router { child, config, address: discovery.address, log, discovery };
+        let log_unread = Arc::new(AtomicBool::new(false));
+        let unread = log_unread.clone();
+        thread::spawn(move || {
+            lines.map_while(Result::ok).try_for_each(|line| {
+                while unread.load(Relaxed) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                tell.send(line)
+            })
+        });
+        let mut router = Router { child, config, address: discovery.address, log, log_unread, discovery };
         let serving = router.logged("serves on ");
         router.address = serving.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
         router
--- a/crates/router/tests/faults.rs
+++ b/crates/router/tests/faults.rs
@@ -166,3 +166,41 @@
         assert_eq!(served, Answer::Row("r".into()), "{number}");
     }
 }
+
+/// What can't be read is logged.
+fn is_told_what_is_wrong(router: &Router) {
+    let wrong = |number: usize| format!("SELECT {number} /* id=w{number},c=nothing,d=100,cluster=2 */");
+    for number in 0..20 {
+        let answer = Client::connect(router).query(&wrong(number));
+        assert_eq!(answer, Answer::Error("22023".into(), None), "{number}");
+    }
+}
+
+#[rstest]
+fn a_log_that_cannot_be_written_costs_no_command() {
+    let (members, faults) = (Members::start(), Faults::new(1));
+    let mut router = members.router(&faults);
+    faults.set(Fault::FailedLog, ALWAYS);
+    is_told_what_is_wrong(&router);
+    router.signal("-USR1");
+    router.signal("-HUP");
+    judge(&play(&router), 0);
+    assert!(faults.injected(Fault::FailedLog) > 0, "it logged");
+    router.signal("-TERM");
+    assert!(router.wait().success());
+}
+
+#[rstest]
+fn a_log_that_nobody_reads_costs_no_command() {
+    let (members, faults) = (Members::start(), Faults::new(1));
+    let mut router = members.router(&faults);
+    router.log_unread.store(true, Relaxed);
+    // More than a pipe holds.
+    for _ in 0..400 {
+        router.signal("-USR1");
+    }
+    is_told_what_is_wrong(&router);
+    judge(&play(&router), 0);
+    router.signal("-TERM");
+    assert!(router.wait().success());
+}
