Router: the log never holds up the loop and never ends a connection or the process

Cause: seen, a client's connection closed with no answer and the process ended where its log cannot be written; nobody answered for 10 s where nobody reads it. Checked: a panic 'failed printing to stderr' out of eprintln, in guarded's own error path too, where nothing catches it; the loop asleep in write(2) on the pipe. Ruled out: SIGPIPE, which the runtime ignores. Lines at fault: log! and print_counters, with eprintln. Change: log.rs writes a line only if the stream takes one at once (poll), cuts it at PIPE_BUF, ignores what fails, counts the lines lost and says so with the next; panics are logged the same way.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -272,7 +272,7 @@
             }
             let (v, c) = (&self.view, &self.counters);
             let works = self.joined.as_ref().is_some_and(|j| !j.over && !j.watch.is_hung());
-            eprintln!(
+            crate::log_always!(
                 "counters fleet: works={} alive={} suspect={} dead={} gone={} doubt={} joined={} restarted={} \
                  suspected={} returned={} died={} left={} doubted={} raised={} superseded={} crowded={} wholes={} \
                  hung={} stopped={}",
@@ -296,7 +296,7 @@
                 c.hung,
                 c.stopped
             );
-            eprintln!("fleet view:{v}");
+            crate::log_always!("fleet view:{v}");
         }
     }
 
--- a/crates/router/src/fleet/configuration.rs
+++ b/crates/router/src/fleet/configuration.rs
@@ -71,7 +71,7 @@
         log!("configuration: the thread has ended: {why}; what is in force stays until the next start");
         if !self.serves {
             // Nobody was let in yet, and nothing would let anybody in.
-            eprintln!(
+            crate::log_always!(
                 "vetchkeel-router: expected to hear the control machines, or to find what was kept: {why}"
             );
             std::process::exit(2);
@@ -82,7 +82,7 @@
         let Some(joined) = &self.joined else { return };
         let Seen { holds, machine, silent_since, refused, why, unkept } = &self.seen;
         let none = || "none".to_owned();
-        eprintln!(
+        crate::log_always!(
             "counters configuration: works={} serves={} in_force={} told={holds} machine={} silent_since_ms={} \
              applied={} refused={refused} unkept={unkept} hung={}",
             u8::from(!joined.over && !joined.watch.is_hung()),
@@ -94,7 +94,7 @@
             self.hung
         );
         if *refused > 0 {
-            eprintln!("configuration: last refused: {why}");
+            crate::log_always!("configuration: last refused: {why}");
         }
     }
 }
--- a/crates/router/src/log.rs
+++ b/crates/router/src/log.rs
@@ -1,14 +1,21 @@
-//! One macro writes the log. Each place that logs may write a few lines a second; what was left out is
-//! counted and said with its next line.
+//! The log: lines on the standard error stream, which never hold up the loop and never fail. Each place that logs may
+//! write a few lines a second; what was left out is counted and said with its next line. What the stream doesn't take
+//! at once is lost, and counted too.
 
+use std::fmt::Arguments;
+use std::io::{Write, stderr};
 use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
 use std::time::Instant;
 
 /// Enough to see what happens; no service depends on it.
 const LINES_A_SECOND: u32 = 5;
+/// What a pipe that says it has room takes whole (`PIPE_BUF`). Longer lines are cut.
+const LONGEST: usize = 4_096;
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+/// Lines lost since the last one that was written.
+static LOST: AtomicU64 = AtomicU64::new(0);
 
 /// What one place has written in the current second.
 pub struct Gate {
@@ -34,17 +41,57 @@
     }
 }
 
+/// Whether the stream takes a line now. Danger: a pipe that nobody reads would hold up the process for ever.
+fn takes_a_line() -> bool {
+    let mut asked = libc::pollfd { fd: libc::STDERR_FILENO, events: libc::POLLOUT, revents: 0 };
+    // SAFETY: the system reads and writes this one value.
+    let answered = unsafe { libc::poll(&mut asked, 1, 0) };
+    answered == 1 && asked.revents & libc::POLLOUT != 0
+}
+
+/// Writes a line, or several, as far as the stream takes it at once. Danger: `eprintln` panics where the stream is
+/// closed, full or on a full disk.
+pub fn write_line(text: Arguments) {
+    let lost = LOST.load(Relaxed);
+    let mut line = match lost {
+        0 => text.to_string(),
+        lost => format!("{text} ({lost} lines before this were lost)"),
+    };
+    if line.len() >= LONGEST {
+        line.truncate(line.floor_char_boundary(LONGEST - 1));
+    }
+    line.push('\n');
+    let written = takes_a_line() && stderr().write_all(line.as_bytes()).is_ok();
+    LOST.store(if written { 0 } else { lost + 1 }, Relaxed);
+}
+
+/// Panics are logged like all else.
+pub fn log_panics() {
+    std::panic::set_hook(Box::new(|panic| write_line(format_args!("{panic}"))));
+}
+
 #[macro_export]
 macro_rules! log {
     ($($part:tt)*) => {{
         static GATE: $crate::log::Gate = $crate::log::Gate::new();
         match GATE.open() {
-            Some(0) => eprintln!($($part)*),
-            Some(left_out) => eprintln!("{} ({left_out} more like this left out)", format_args!($($part)*)),
+            Some(0) => $crate::log::write_line(format_args!($($part)*)),
+            Some(left_out) => $crate::log::write_line(format_args!(
+                "{} ({left_out} more like this left out)",
+                format_args!($($part)*)
+            )),
             None => {}
         }
     }};
 }
 
+/// Writes whatever one place says, however often.
+#[macro_export]
+macro_rules! log_always {
+    ($($part:tt)*) => {
+        $crate::log::write_line(format_args!($($part)*))
+    };
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -268,7 +268,7 @@
 
     fn print_counters(&mut self) {
         self.counters.open = self.open_commands();
-        eprintln!("{}", self.counters);
+        crate::log_always!("{}", self.counters);
         self.fleet.print();
         self.configuration.print();
     }
@@ -303,6 +303,7 @@
 }
 
 fn run() -> Result<(), String> {
+    log::log_panics();
     // Danger: a reload that is told to all ends whoever has just been started and does not heed it yet.
     let heeded = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
     let signals = Signals::new(&heeded).map_err(|e| e.to_string())?;
@@ -337,7 +338,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("vetchkeel-router: {why}");
+            crate::log_always!("vetchkeel-router: {why}");
             ExitCode::from(2)
         }
     }
