Module: the members' clock is learned from primaries, not taken from this machine's alone

Checked: steps in service change nothing, the router reads its wall clock once. Lines at fault: Clock::new is one reading; fresh_for compared positions with it; believed() threw away every position past it, and learn_report the role beside it, so that no primary was known; cold_credit took starts by it (a member that started a moment ago is warm beside a clock ahead, cold for an hour beside one behind). Change: src/member_clock.rs keeps the offset between the router's clock and the members'. A primary is positioned at the present, so each of its positions bounds it; three in a row that contradict it and agree correct it, to the late side; one alone only makes positions look older until it is refuted. No bounded read goes to a replica before a primary has borne the clock out, and nobody is warm by it in the first second. Positions yet to come are dropped in the module, not in the host; the test of that moved with it and got two cases more. Unit tests start from a clock that was borne out, which they had taken for granted.

--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -579,7 +579,7 @@
             let text = std::str::from_utf8(&raw[value]).unwrap_or_default();
             report = answer::report(text, &job.fields);
         }
-        (note, report) = believed(&result, note, report, self.now);
+        (note, report) = believed(&result, note, report);
         let outcome = match result {
             Ok(()) => Ending::Answered,
             Err(failure) => {
--- a/crates/router/src/nodes/answer.rs
+++ b/crates/router/src/nodes/answer.rs
@@ -5,10 +5,6 @@
 use vetchkeel::{Note, Report, Tenths};
 use vetchkeel_pgwire as pgwire;
 
-/// How far this machine's clock and a node's may be apart. The protocol has one clock for all machines; this
-/// is for reading it.
-const CLOCKS_APART: Tenths = 50;
-
 /// What the node has answered so far.
 #[derive(Default)]
 pub(super) struct Answer {
@@ -99,19 +95,12 @@
     report
 }
 
-/// Nothing in a spoilt answer is believed, and nobody has applied what is yet to come: such a position is none.
-pub(super) fn believed(
-    result: &Result<(), Failure>,
-    note: Note,
-    report: Report,
-    now: Tenths,
-) -> (Note, Report) {
-    if matches!(result, Err(Failure { cause: Cause::Garbled, .. })) {
-        return (Note::default(), Report::default());
+/// Nothing in a spoilt answer is believed.
+pub(super) fn believed(result: &Result<(), Failure>, note: Note, report: Report) -> (Note, Report) {
+    match result {
+        Err(Failure { cause: Cause::Garbled, .. }) => (Note::default(), Report::default()),
+        _ => (note, report),
     }
-    let past = |position: &Tenths| *position <= now + CLOCKS_APART;
-    let position = Some(note.position).filter(past).unwrap_or(0);
-    (Note { position, ..note }, Report { position: report.position.filter(past), ..report })
 }
 
 #[cfg(test)]
--- a/crates/router/tests/clock.rs
+++ b/crates/router/tests/clock.rs
@@ -101,7 +101,10 @@
 
 #[rstest]
 #[case::right(0)]
+#[case::behind(-1_000)]
+#[case::long_behind(-3_600_000)]
 #[case::ahead(2_000)]
+#[case::long_ahead(3_600_000)]
 fn replicas_inside_the_bound_are_read_from_soon(#[case] wrong: i64) {
     let (members, faults) = (Members::start([50, 50]), Faults::new(1));
     let router = members.router(&faults, wrong);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,6 +5,7 @@
 
 use crate::decay::{ByAge, Decay, Mean};
 use crate::interface::*;
+use crate::member_clock::{Evidence, MemberClock};
 use crate::state::*;
 use crate::told::{command_groups, is, numbers, pick, shares, tenths};
 use std::cmp::Reverse;
@@ -28,6 +29,10 @@
 /// How long a session's last write is remembered, once this many are.
 const SESSION_KEPT: Tenths = 60 * SECOND;
 const SESSIONS_LEAST: usize = 4096;
+/// A report is no older than this when it comes. For as long after the start a clock that no primary has borne out
+/// makes nobody warm.
+const REPORT_AGE: Tenths = SECOND;
+const UNCONFIRMED_MOST: Tenths = SECOND;
 /// Until seen, an unhurried answer is taken to need this share of the response target.
 const USUAL_GUESS: f64 = 0.2;
 /// Latency over response target above which an answer shrinks its member's window; below, it grows.
@@ -83,6 +88,7 @@
     used: BTreeSet<Node>,
     scarce: Decay,
     sessions: Sessions,
+    clock: MemberClock,
     stale: ByAge,
     list_fails: u32,
     node_checks: bool,
@@ -106,6 +112,19 @@
     busy: f64,
 }
 
+/// What an answer's note proves by now: a position that is yet to come is none. The clock learns from it.
+fn past(clock: &mut MemberClock, now: Tenths, took: Tenths, note: Note) -> Note {
+    if note.position <= 0 {
+        return Note { position: 0, ..note };
+    }
+    clock.learn(match note.primary {
+        Some(true) => Evidence::of_primary(note.position, now - took, now, 0),
+        _ => Evidence::of_any(note.position, now),
+    });
+    let position = if clock.is_past(note.position, now) { note.position } else { 0 };
+    Note { position, ..note }
+}
+
 impl Router {
     pub fn start(told: Told, seed: u64, now: Tenths) -> Result<Router, String> {
         let watch = (!is(&told, "membership_mode", "automatic")).then_some((now, Task::Watch));
@@ -171,7 +190,9 @@
         let ends = if group.late_share > 0.0 { timeout } else { timeout.min(target) } - 2 * self.tick;
         let remembered = is(&self.told, "family_info.token_mode", "remembered");
         let needs = match (group.access, command.token_age) {
-            (Access::Session, _) if remembered => self.sessions.written(&command.session, now - SESSION_KEPT),
+            (Access::Session, _) if remembered => {
+                self.sessions.written(&command.session, self.clock.now(now) - SESSION_KEPT)
+            }
             (Access::Session, Some(0)) => 0,
             (Access::Session, age) => now + 1 - age.unwrap_or(0),
             _ => now + 1,
@@ -211,6 +232,7 @@
         }
         let Some(cmd) = self.open.get_mut(&key) else { return };
         let Some((node, sent)) = cmd.out.remove(&dispatch) else { return };
+        let note = past(&mut self.clock, now, took, note);
         let write = self.groups.places[cmd.kind].access == Access::Write;
         let answered = ending == Ending::Answered;
         let unproven = matches!(ending, Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff);
@@ -220,7 +242,8 @@
         cmd.broken_round |= matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
         if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
             // Danger: sessions come and go for ever. One not remembered counts as written that long ago.
-            self.sessions.write(session, note.position + 1, now - SESSION_KEPT, SESSIONS_LEAST);
+            let old = self.clock.now(now) - SESSION_KEPT;
+            self.sessions.write(session, note.position + 1, old, SESSIONS_LEAST);
         }
         // Danger: commands that err at any member take others' turns. Whether a dispatch after an error is
         // answered tells them from members that err; only beside the latter is one more worth it.
@@ -255,7 +278,8 @@
         // The note of a write that went through is its commit, not the member's position.
         let told = if write && answered { 0 } else { note.position };
         m.position = m.position.max(told);
-        (m.behind, m.behind_at) = if told > 0 { (now - told, now) } else { (m.behind, m.behind_at) };
+        let behind = self.clock.now(now) - told;
+        (m.behind, m.behind_at) = if told > 0 { (behind, now) } else { (m.behind, m.behind_at) };
         let spoke = matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full);
         (m.heard, m.unheard) = if spoke { (now, 0) } else { (m.heard, m.unheard) };
         m.met |= spoke && ending != Ending::Error;
@@ -375,7 +399,7 @@
                 Phase::Removed => removal_binds || m.shut,
             };
             if fresh || e.started > m.started {
-                m.state = if m.heard < e.started { State::Unknown } else { m.state };
+                m.state = if self.clock.now(m.heard) < e.started { State::Unknown } else { m.state };
                 self.restarted(now, e.started, node);
                 // Danger: every router that starts, or meets a new member, asks it at once; hundreds started
                 // together are a herd of dials and probes. Where routers are more than ten (the fleet's least
@@ -436,15 +460,21 @@
     }
 
     fn learn_report(&mut self, now: Tenths, node: Node, report: Report) {
-        let Some(position) = report.position else { return };
+        let Some(position) = report.position.filter(|position| *position > 0) else { return };
         let m = &mut self.members[node];
-        (m.position, m.checked_at) = (m.position.max(position), now);
-        (m.behind, m.behind_at) = (m.behind(now).min(now - position), now);
+        self.clock.learn(match report.primary.unwrap_or(m.state == State::Healthy) {
+            true => Evidence::of_primary(position, now, now, REPORT_AGE),
+            false => Evidence::of_any(position, now),
+        });
+        if self.clock.is_past(position, now) {
+            (m.position, m.checked_at) = (m.position.max(position), now);
+            (m.behind, m.behind_at) = (m.behind(now).min(self.clock.now(now) - position), now);
+        }
         // Danger: one that was demoted lags, so its report may look older than it is. It is no excuse for an old read
         // any more, whatever the report's age.
         m.reported_replica |= report.primary == Some(false);
         // A report older than the last answer's note proves nothing against it; its position dates it.
-        if let (Some(primary), true) = (report.primary, position > m.noted_at) {
+        if let (Some(primary), true) = (report.primary, position > self.clock.now(m.noted_at)) {
             m.reported_replica &= !primary;
             self.learn_role(now, node, primary);
         }
@@ -492,7 +522,8 @@
         let m = &mut self.members[node];
         if m.state == State::TransportError {
             m.state = State::Unknown;
-            m.died.then(|| self.restarted(now, now, node));
+            let at = self.clock.now(now);
+            m.died.then(|| self.restarted(now, at, node));
         }
     }
 
@@ -734,7 +765,7 @@
     /// Danger: standing checks by all routers of all members outgrow the commands. A member is asked only
     /// for a waiting read: a broken one after its backoff, else by its position's age, far behind less often.
     fn ask_due(&self, now: Tenths, m: &Member) -> bool {
-        let behind = (m.checked_at - m.position - self.tightest).clamp(0, 2 * SECOND);
+        let behind = (self.clock.now(m.checked_at) - m.position - self.tightest).clamp(0, 2 * SECOND);
         let rest = if m.position == 0 { PAUSE } else { PAUSE.max(self.tightest / 2).max(behind / 4) };
         if m.state == State::TransportError { self.rested(now, m) } else { m.checked_at + rest <= now }
     }
@@ -845,10 +876,17 @@
     /// write of 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
     fn fresh_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
         let fresh = match self.groups.places[cmd.kind].access {
-            Access::Bounded(bound) if !self.node_checks => return m.position + bound - now,
+            // Danger: beside a clock that is wrong, old data looks fresh.
+            Access::Bounded(bound) if !self.node_checks => {
+                return self
+                    .clock
+                    .latest(now)
+                    .map_or(0, |latest| (m.position + bound).saturating_sub(latest));
+            }
             Access::Bounded(bound) => m.behind(now) < bound,
             Access::Session => {
-                m.position >= cmd.needs || (self.node_checks && m.behind(now) <= now - cmd.needs)
+                let past = self.clock.now(now) - cmd.needs;
+                m.position >= cmd.needs || (self.node_checks && m.behind(now) <= past)
             }
             access => access == Access::Any,
         };
@@ -917,7 +955,7 @@
         if m.started == 0 {
             return f64::INFINITY;
         }
-        let warmth = (now - m.started).max(0) as f64 / (10.0 * self.number("rules.warm_after_ms", 20_000.0));
+        let warmth = self.age(now, m) as f64 / (10.0 * self.number("rules.warm_after_ms", 20_000.0));
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
@@ -930,6 +968,14 @@
         (m.credit + (now - m.credit_at) as f64 * pace).min(most.max(self.cheap as f64))
     }
 
+    /// For how long a member has been up: as told, by the members' clock, and no less than that is known of. Danger:
+    /// while this machine's clock may be ahead, one that has just started looks warm.
+    fn age(&self, now: Tenths, m: &Member) -> Tenths {
+        let known = now - m.start_known;
+        let trusted = self.clock.is_confirmed() || now - self.began > UNCONFIRMED_MOST;
+        if trusted { known.max(self.clock.now(now) - m.started) } else { known }
+    }
+
     /// A member that started at `at`, told or seen: its credit starts anew, by chance. Danger: with more than
     /// the cheapest command to start with, hundreds of routers each send at once and push it over.
     fn restarted(&mut self, now: Tenths, at: Tenths, node: Node) {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -31,9 +31,11 @@
     told
 }
 
-/// A router with one set of three members, `a` the listed primary, and a command group for each access.
+/// A router with one set of three members, `a` the listed primary, and a command group for each access. A primary has
+/// borne out its clock.
 fn router(extra: &[(&str, &str)]) -> Router {
     let mut router = Router::start(told(extra), 7, NOW - SECOND).expect("complete settings");
+    router.clock.learn(Evidence::of_primary(NOW - SECOND, NOW - SECOND, NOW - SECOND, 0));
     let entries: Vec<Entry> = ["a", "b", "c"].iter().map(|id| entry(id, Phase::Up, 0)).collect();
     router.members_changed(NOW - SECOND, true, &entries);
     router
@@ -1437,3 +1439,65 @@
     let cmd = &r.open[&0];
     assert!(r.takes_for(NOW + 20, cmd, &r.members[0]) > 0);
 }
+
+#[rstest]
+#[case::borne_out(true, true)]
+#[case::not_borne_out(false, false)]
+fn a_bounded_read_needs_a_clock_that_a_primary_has_borne_out(#[case] borne_out: bool, #[case] lawful: bool) {
+    let mut r = router(&[]);
+    open(&mut r, "bounded");
+    r.members[1].position = NOW;
+    r.clock = MemberClock::default();
+    if borne_out {
+        r.learn_report(NOW, 0, Report { primary: Some(true), position: Some(NOW) });
+    }
+    assert_eq!(r.lawful_for(NOW, 0, 1) > 0, lawful);
+}
+
+#[rstest]
+fn a_primary_that_a_clock_behind_calls_yet_to_come_is_known_all_the_same() {
+    let mut r = router(&[]);
+    r.learn_report(NOW, 1, Report { primary: Some(true), position: Some(NOW + 36_000 * SECOND) });
+    assert_eq!((r.members[1].state, r.members[1].position), (State::Healthy, 0));
+}
+
+#[rstest]
+#[case::clock_right(0, 20)]
+#[case::clock_behind(3_600, 20)]
+#[case::clock_ahead(-60, 20)]
+fn a_member_that_has_just_started_is_cold_whatever_the_clock_says(
+    #[case] apart: Tenths,
+    #[case] ago: Tenths,
+) {
+    let mut r = router(&[("rules.warm_after_ms", "18000")]);
+    r.clock = MemberClock::default();
+    let theirs = NOW + apart * SECOND;
+    r.members_changed(NOW, false, &[entry("b", Phase::Up, theirs - ago)]);
+    assert!(r.cold_credit(NOW, &r.members[1]).is_finite());
+    let answer = |r: &mut Router, at: Tenths| {
+        r.learn_report(at, 0, Report { primary: Some(true), position: Some(at + apart * SECOND) })
+    };
+    (0..4).for_each(|i| answer(&mut r, NOW + i));
+    assert!(r.cold_credit(NOW + 10, &r.members[1]).is_finite(), "cold once the clock is known");
+    assert!(r.cold_credit(NOW + 19 * SECOND, &r.members[1]).is_infinite(), "warm in its time");
+}
+
+#[rstest]
+#[case::past(NOW - 1, NOW - 1)]
+#[case::yet_to_come(NOW + 10_000, 0)]
+#[case::endless(Tenths::MAX, 0)]
+#[case::before_all_time(Tenths::MIN, 0)]
+fn a_position_yet_to_come_is_none(#[case] told: Tenths, #[case] want: Tenths) {
+    for primary in [None, Some(true), Some(false)] {
+        let mut r = router(&[]);
+        open(&mut r, "bounded");
+        r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW - 100));
+        let end = DispatchEnd { note: Note { primary, position: told }, ..ended(Ending::Answered, primary) };
+        r.dispatch_ended(NOW, "cmd", end);
+        assert_eq!(r.members[1].position, want, "{primary:?} in a note");
+        let mut r = router(&[]);
+        r.probe_ended(NOW, "b", Ending::Answered, Report { primary, position: Some(told) });
+        assert_eq!(r.members[1].position, want, "{primary:?} in a report");
+        assert_eq!(r.clock.now(NOW), NOW, "one moves no clock");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod decay;
 mod decide;
 mod interface;
+mod member_clock;
 mod state;
 mod told;
 
--- /dev/null
+++ b/src/member_clock/tests.rs
@@ -0,0 +1,68 @@
+use super::*;
+use rstest::rstest;
+
+const NOW: Tenths = 1_000_000;
+/// A primary was asked at NOW and answered 20 ms later.
+const HEARD: Tenths = NOW + 200;
+
+/// Evidence where their clock is ahead of ours by this.
+fn evidence(ahead: Tenths) -> Evidence {
+    Evidence::of_primary(NOW + 100 + ahead, NOW, HEARD, 0)
+}
+
+fn clock(evidence: &[Evidence]) -> MemberClock {
+    let mut clock = MemberClock::default();
+    evidence.iter().for_each(|e| clock.learn(*e));
+    clock
+}
+
+#[rstest]
+fn a_clock_that_nobody_has_borne_out_says_nothing_of_the_latest() {
+    assert_eq!(clock(&[]).latest(NOW), None);
+    assert_eq!(clock(&[Evidence::of_any(NOW - 500, NOW)]).latest(NOW), None);
+}
+
+#[rstest]
+fn a_clock_that_is_right_is_left_alone() {
+    assert_eq!(clock(&[evidence(0); 5]).latest(NOW), Some(NOW));
+}
+
+#[rstest]
+#[case::behind(10_000)]
+#[case::long_behind(36_000_000)]
+#[case::ahead(-20_000)]
+#[case::long_ahead(-36_000_000)]
+fn primaries_that_agree_correct_it_and_rather_too_late(#[case] wrong: Tenths) {
+    let clock = clock(&[evidence(wrong); AGREE]);
+    let latest = clock.latest(NOW).expect("borne out") - NOW;
+    assert!((wrong..=wrong + 200).contains(&latest), "{latest}");
+    assert_eq!(clock.now(NOW) - NOW, latest);
+}
+
+#[rstest]
+fn one_spoilt_position_is_doubted_and_then_forgotten() {
+    let mut clock = clock(&[evidence(0), evidence(36_000_000)]);
+    assert_eq!(clock.now(NOW), NOW);
+    assert!(clock.latest(NOW) > Some(NOW + 35_000_000), "until it is refuted nothing is fresh");
+    clock.learn(evidence(0));
+    assert_eq!(clock.latest(NOW), Some(NOW));
+}
+
+#[rstest]
+fn contradictions_that_disagree_correct_nothing() {
+    let clock = clock(&[evidence(10_000), evidence(50_000), evidence(90_000), evidence(130_000)]);
+    assert_eq!(clock.now(NOW), NOW);
+}
+
+#[rstest]
+fn a_position_yet_to_come_is_evidence_but_moves_no_clock_alone() {
+    let clock = clock(&[[evidence(0)].as_slice(), &[Evidence::of_any(NOW + 9_000, NOW); 9]].concat());
+    assert_eq!(clock.now(NOW), NOW);
+    assert_eq!(clock.latest(NOW), Some(NOW + 9_000));
+}
+
+#[rstest]
+fn a_report_that_is_old_contradicts_nothing() {
+    let report = Evidence::of_primary(NOW - 3_000, NOW, HEARD, 10_000);
+    assert_eq!(clock(&[report; 3]).latest(NOW), Some(NOW));
+}
