Router: a start waits for its address and a socket; a failed round of the loop ends nothing

Cause: seen, the process ends where its address is still held (hand-over), where socket says ENFILE or ENOBUFS at the start, and where the read of a signal is interrupted. Checked: exit code 2 with 'expected to listen', 'the loop failed'. Lines at fault: Program::new listened once; run took any error of a round for the end; a round that fails in the middle also loses the edge-triggered events behind it. Change: listen_patiently looks every 50 ms for up to 8 s, but for errors that do not pass; a failed round is logged, all connections, the watch and the listener are looked at, and 100 in a row end the process.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -116,6 +116,10 @@
         self.table.len()
     }
 
+    pub fn keys(&self) -> Vec<ClientKey> {
+        self.table.keys().collect()
+    }
+
     pub fn has_unsent(&self) -> bool {
         !self.unsent.is_empty()
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -33,11 +33,13 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use startup::Start;
 use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use transient::is_local;
 use vetchkeel::{Tenths, Told};
 use watch::Watch;
 
@@ -52,6 +54,11 @@
 const LAST_MARGIN: Tenths = 1_400;
 const LAST_CLOSED: Tenths = 500;
 const BACKLOG: i32 = 1024;
+/// How long a start waits for its address, which the process before it may still hold, and how often it looks.
+const LISTEN_MOST: Duration = Duration::from_secs(8);
+const LISTEN_AGAIN: Duration = Duration::from_millis(50);
+/// So many rounds of the loop in a row that fail end the process.
+const FAILED_ROUNDS_MOST: u32 = 100;
 /// A deadline that is over for longer was not waited for: the process stood still.
 const OVERDUE: Tenths = 50;
 
@@ -117,8 +124,32 @@
     Ok(socket.into())
 }
 
+/// Listens as soon as the address is free and the system has a socket to give. Danger: a start that fails for a moment
+/// is one that never comes.
+fn listen_patiently(address: SocketAddr) -> Result<TcpListener, String> {
+    let began = Instant::now();
+    loop {
+        match listen(address) {
+            Ok(listener) => return Ok(listener),
+            Err(e)
+                if is_local(&e)
+                    && e.kind() != ErrorKind::PermissionDenied
+                    && began.elapsed() < LISTEN_MOST =>
+            {
+                log!("cannot listen on {address} yet: {e}");
+                std::thread::sleep(LISTEN_AGAIN);
+            }
+            Err(e) => return Err(format!("expected to listen on {address}: {e}")),
+        }
+    }
+}
+
 impl Program {
-    fn new(start: Start, handle: LoopHandle<'static, Program>) -> Result<Program, String> {
+    fn new(
+        start: Start,
+        listener: TcpListener,
+        handle: LoopHandle<'static, Program>,
+    ) -> Result<Program, String> {
         let clock = Clock::new();
         let now = clock.now();
         let told = &start.told;
@@ -146,9 +177,7 @@
             fixed: start.fixed,
         };
         program.start_watch();
-        let listener = listen(start.listen)
-            .map_err(|e| format!("expected to listen on {}: {e}", start.listen))
-            .map(Rc::new)?;
+        let listener = Rc::new(listener);
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
         let token = program.handle.insert_source(source, |_, _, program: &mut Program| {
             program.guarded("accepting", Program::accept_event, |_| {});
@@ -169,6 +198,20 @@
         }
     }
 
+    /// Danger: a round of the loop that fails in the middle loses the events behind, and none tells again of what lies
+    /// there. So all that may have been meant is looked at.
+    fn look_everywhere(&mut self) {
+        self.guarded("accepting", Program::accept_event, |_| {});
+        for key in self.clients.keys() {
+            self.guarded("a client's connection", |p| p.client_event(key, false), |p| p.drop_client(key));
+        }
+        for key in self.nodes.keys() {
+            let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
+            self.guarded("a node's connection", |p| p.conn_event(key, false), broken);
+        }
+        self.guarded("the watch", Program::hear_watch, |p| p.break_watch("a panic"));
+    }
+
     /// One turn, after all that was readable has been taken in.
     fn turn(&mut self) {
         self.guarded("a turn", Program::steps, |_| {});
@@ -313,18 +356,27 @@
     let handle = event_loop.handle();
     let heard = handle.insert_source(signals, |event, _, program| program.signalled(event.signal()));
     heard.map_err(|e| e.to_string())?;
-    let mut program = Program::new(start, handle)?;
+    let listener = listen_patiently(start.listen)?;
+    let mut program = Program::new(start, listener, handle)?;
     if let Some((listener, _)) = &program.clients.listener {
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         log!("router {name} serves on {address}");
     }
     program.turn();
+    let mut failed_rounds = 0;
     while !program.finished() {
-        let sleep = program.sleep();
-        event_loop.dispatch(sleep, &mut program).map_err(|e| format!("the loop failed: {e}"))?;
-        if program.stood_still() {
-            let polled = event_loop.dispatch(Some(Duration::ZERO), &mut program);
-            polled.map_err(|e| format!("the loop failed: {e}"))?;
+        let mut polled = event_loop.dispatch(program.sleep(), &mut program);
+        if polled.is_ok() && program.stood_still() {
+            polled = event_loop.dispatch(Some(Duration::ZERO), &mut program);
+        }
+        match polled {
+            Ok(()) => failed_rounds = 0,
+            Err(e) if failed_rounds == FAILED_ROUNDS_MOST => return Err(format!("the loop failed: {e}")),
+            Err(e) => {
+                log!("a round of the loop failed: {e}");
+                failed_rounds += 1;
+                program.look_everywhere();
+            }
         }
         program.turn();
     }
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -125,6 +125,10 @@
     pub fn count(&self) -> usize {
         self.conns.len()
     }
+
+    pub fn keys(&self) -> Vec<ConnKey> {
+        self.conns.keys().collect()
+    }
 }
 
 /// Begins to open a connection.
