--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod dialling;
+mod gate;
+mod slow_start;
 
 const SECOND: Tenths = 10_000;
 /// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
@@ -625,10 +627,9 @@
             return;
         }
         let group = &self.groups.places[cmd.kind];
-        let free = matches!(group.effect, Effect::Replayable | Effect::Keyed { everywhere: true, .. });
-        let harmless = free || (cmd.maybe_ran.is_none() && cmd.out.is_empty());
         let throttle = Decision::Throttle { command: cmd.id.clone(), hold_off: group.hold_off };
-        self.ready.push_back(if harmless { throttle } else { Decision::Fail { command: cmd.id.clone() } });
+        let fail = Decision::Fail { command: cmd.id.clone() };
+        self.ready.push_back(if self.is_harmless_to_repeat(cmd) { throttle } else { fail });
         self.close(key);
     }
 
@@ -871,145 +872,6 @@
         self.groups.places[kind].access == Access::Any && time > self.tightest as f64
     }
 
-    /// For how long a member stays fresh enough: known position against bound or token. Where nodes check for
-    /// themselves, how far behind it was at the last word of it. Danger: a miss for one need (a session's
-    /// write of 50 ms ago) says nothing of another (300 ms), and shut the dearer reads out.
-    fn fresh_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
-        let fresh = match self.groups.places[cmd.kind].access {
-            // Danger: beside a clock that is wrong, old data looks fresh.
-            Access::Bounded(bound) if !self.node_checks => {
-                return self
-                    .clock
-                    .latest(now)
-                    .map_or(0, |latest| (m.position + bound).saturating_sub(latest));
-            }
-            Access::Bounded(bound) => m.behind(now) < bound,
-            Access::Session => {
-                let past = self.clock.now(now) - cmd.needs;
-                m.position >= cmd.needs || (self.node_checks && m.behind(now) <= past)
-            }
-            access => access == Access::Any,
-        };
-        if fresh { Tenths::MAX } else { 0 }
-    }
-
-    /// The one gate of every send: the rules on final answers, effects, drains, age and cold members. Danger:
-    /// what must first get a connection is written when a rule forbids it by then. So it says for how long.
-    fn lawful_for(&self, now: Tenths, key: u64, node: Node) -> Tenths {
-        let (cmd, m) = (&self.open[&key], &self.members[node]);
-        let group = &self.groups.places[cmd.kind];
-        let answer = !cmd.closed && now < cmd.ends && cmd.attempts() < group.attempts && m.set == cmd.set;
-        if !answer || !cmd.out.is_empty() || self.cold_credit(now, m) < group.target as f64 {
-            return 0;
-        }
-        self.repeatable_for(now, cmd, node).min(self.takes_for(now, cmd, m))
-    }
-
-    /// For how long a member may take what the command asks, by the rules on drains and on age.
-    fn takes_for(&self, now: Tenths, cmd: &Open, m: &Member) -> Tenths {
-        // Danger: told to be a replica after it was primary, it may lack what it once had. No excuse then.
-        let primary =
-            (m.state == State::Healthy || m.been_primary) && !m.noted_replica && !m.reported_replica;
-        let unaged = primary || self.node_checks || self.groups.places[cmd.kind].access == Access::Write;
-        match (m.shut || self.may_drain(m), unaged) {
-            (true, _) => 0,
-            (_, true) => Tenths::MAX,
-            _ => self.fresh_for(now, cmd, m),
-        }
-    }
-
-    /// Danger: what the list would tell counts as told after 6 s, heard or not. While asks for it fail, a
-    /// member that turns dispatches away may be draining, unless it is the primary: that hands over.
-    fn may_drain(&self, m: &Member) -> bool {
-        self.list_fails > 0 && m.turned_away > 0 && m.state != State::Healthy
-    }
-
-    /// Asked by the host before it writes what waited for its connection. Danger: meanwhile the member
-    /// drained, turned out to lag, or died: the credit was the old process's, and the new one is cold.
-    pub fn may_write(&self, now: Tenths, command: &str, dispatch: u32) -> bool {
-        let cmd = self.by_id.get(command).and_then(|key| self.open.get(key)).filter(|c| !c.closed);
-        cmd.is_some_and(|cmd| {
-            let learned = |(node, sent): &(Node, Tenths)| self.members[*node].start_known > *sent;
-            let takes = |(node, _): &(Node, Tenths)| self.takes_for(now, cmd, &self.members[*node]) > 0;
-            now < cmd.ends && cmd.out.get(&dispatch).is_some_and(|out| takes(out) && !learned(out))
-        })
-    }
-
-    /// What may have run goes out again only if it is replayable, or keyed, in scope and in time.
-    fn repeatable_for(&self, now: Tenths, cmd: &Open, node: Node) -> Tenths {
-        cmd.maybe_ran.map_or(Tenths::MAX, |(at, sent)| match self.groups.places[cmd.kind].effect {
-            Effect::Replayable => Tenths::MAX,
-            Effect::Mutating => 0,
-            Effect::Keyed { everywhere, by_zone, window } => {
-                let near = everywhere || !by_zone || self.members[at].zone == self.members[node].zone;
-                if near { sent + window - self.tick - now } else { 0 }
-            }
-        })
-    }
-
-    /// Danger: all routers together push over a member that has just started, each with its little. So each
-    /// has a credit there that grows with what its own commands usually ask of a member, times what the cold
-    /// one can do by now, and starts by chance below the cheapest command: however many and unequal, they
-    /// send the ordinary load times that part from the first moment on, also where members fail by turns.
-    fn cold_credit(&self, now: Tenths, m: &Member) -> f64 {
-        if m.started == 0 {
-            return f64::INFINITY;
-        }
-        let warmth = self.age(now, m) as f64 / (10.0 * self.number("rules.warm_after_ms", 20_000.0));
-        if warmth >= 1.0 {
-            return f64::INFINITY;
-        }
-        let from = self.number("rules.start_capacity", 0.1);
-        let part = (from + (1.0 - from) * warmth) * self.number("rules.tip_multiple", 1.0) * COLD_PART;
-        // Danger: a router that has just started takes its ordinary load for nothing and starves the cold.
-        let since = self.began.min(now - SLOW_HALF);
-        let pace = self.done_work.rate_since(now, USUAL_HALF, since) / self.nodes.len() as f64 * part;
-        let most = pace * 10.0 * self.number("rules.fall_ms", 1000.0) * COLD_BURST;
-        (m.credit + (now - m.credit_at) as f64 * pace).min(most.max(self.cheap as f64))
-    }
-
-    /// For how long a member has been up: as told, by the members' clock, and no less than that is known of. Danger:
-    /// while this machine's clock may be ahead, one that has just started looks warm.
-    fn age(&self, now: Tenths, m: &Member) -> Tenths {
-        let known = now - m.start_known;
-        let trusted = self.clock.is_confirmed() || now - self.began > UNCONFIRMED_MOST;
-        if trusted { known.max(self.clock.now(now) - m.started) } else { known }
-    }
-
-    /// A member that started at `at`, told or seen: its credit starts anew, by chance. Danger: with more than
-    /// the cheapest command to start with, hundreds of routers each send at once and push it over.
-    fn restarted(&mut self, now: Tenths, at: Tenths, node: Node) {
-        let credit = self.rng.below(self.cheap / 3) as f64;
-        let window = (WINDOW_START / self.number("balancers", 1.0)).max(WINDOW_LEAST);
-        let m = &mut self.members[node];
-        (m.started, m.start_known, m.credit, m.credit_at) = (at, now, credit, now);
-        (m.died, m.window) = (false, window);
-    }
-
-    /// Every dispatch goes out here, and only through the gate.
-    fn send(&mut self, now: Tenths, key: u64, node: Node) -> bool {
-        let grace = tenths(self.number("rules.drain_grace_ms", 500.0)).max(self.tick);
-        let until = now + self.lawful_for(now, key, node).min(grace);
-        if until <= now {
-            return false;
-        }
-        let cmd = self.open.get_mut(&key).expect("lawful sends are of open commands");
-        let (kind, dispatch, limit) = (cmd.kind, cmd.dispatches, (cmd.ends - now).max(1));
-        cmd.dispatches += 1;
-        cmd.out.insert(dispatch, (node, now));
-        let (command, to) = (cmd.id.clone(), self.members[node].id.clone());
-        self.ready.push_back(Decision::Dispatch { command, node: to, limit, until });
-        let patience = (self.usual(now, kind) * 2.5) as Tenths;
-        self.agenda.insert((now + patience.max(2 * self.tick), Task::Overdue(key, dispatch)));
-        let credit = self.cold_credit(now, &self.members[node]);
-        let work = self.groups.places[kind].target as f64;
-        self.allowance -= if self.paced(now, self.members[node].set) { work } else { 0.0 };
-        let m = &mut self.members[node];
-        m.out.insert((key, dispatch), now);
-        (m.credit, m.credit_at) = (credit - work, now);
-        true
-    }
-
     /// A dispatch is out for longer than usual: the member may be silent.
     fn overdue(&mut self, now: Tenths, key: u64, dispatch: u32) {
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed) else { return };
