--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod dialling;
+mod events;
 mod gate;
 mod slow_start;
 
@@ -91,6 +92,7 @@
     scarce: Decay,
     sessions: Sessions,
     clock: MemberClock,
+    events: Vec<Event>,
     stale: ByAge,
     list_fails: u32,
     node_checks: bool,
@@ -401,7 +403,9 @@
                 Phase::Removed => removal_binds || m.shut,
             };
             if fresh || e.started > m.started {
-                m.state = if self.clock.now(m.heard) < e.started { State::Unknown } else { m.state };
+                if self.clock.now(m.heard) < e.started {
+                    self.set_state(node, State::Unknown, StateReason::Restarted);
+                }
                 self.restarted(now, e.started, node);
                 // Danger: every router that starts, or meets a new member, asks it at once; hundreds started
                 // together are a herd of dials and probes. Where routers are more than ten (the fleet's least
@@ -492,12 +496,16 @@
         let m = &mut self.members[node];
         m.been_primary |= primary;
         let no_primary = if m.state == State::TransportError { m.state } else { State::TopologyReject };
-        m.state = if primary { State::Healthy } else { no_primary };
-        let Some(set) = self.sets.get_mut(&m.set).filter(|_| primary) else { return };
+        let number = m.set;
+        self.set_state(node, if primary { State::Healthy } else { no_primary }, StateReason::Role);
+        let Some(set) = self.sets.get_mut(&number).filter(|_| primary) else { return };
         (set.broken_rounds, set.round_at) = (0, 0);
         // One primary a set: whoever was held for it before is a replica by now, or broken.
-        for &other in set.nodes.iter().filter(|n| **n != node) {
-            self.members[other].state = self.members[other].state.max(State::Unknown);
+        let members = &self.members;
+        let healthy = |n: &Node| *n != node && members[*n].state == State::Healthy;
+        let superseded: Vec<Node> = set.nodes.iter().copied().filter(healthy).collect();
+        for other in superseded {
+            self.set_state(other, State::Unknown, StateReason::Superseded);
         }
     }
 
@@ -516,16 +524,16 @@
         // Danger: the list names members that do not exist. One that was never met is not asked again soon.
         let doublings = if m.met { m.fails.saturating_sub(1).min(6) } else { 6 };
         let at = now + self.rng.jittered((PAUSE << doublings).min(BACKOFF_MAX));
-        (m.state, m.fails, m.retry_at) = (State::TransportError, m.fails + 1, at);
+        (m.fails, m.retry_at) = (m.fails + 1, at);
+        self.set_state(node, State::TransportError, StateReason::Broken);
     }
 
     /// A broken member has answered; one that was seen to die is cold now.
     fn recover(&mut self, now: Tenths, node: Node) {
-        let m = &mut self.members[node];
-        if m.state == State::TransportError {
-            m.state = State::Unknown;
+        if self.members[node].state == State::TransportError {
+            self.set_state(node, State::Unknown, StateReason::Recovered);
             let at = self.clock.now(now);
-            m.died.then(|| self.restarted(now, at, node));
+            self.members[node].died.then(|| self.restarted(now, at, node));
         }
     }
 
@@ -574,7 +582,7 @@
             if self.agenda.first().is_some_and(|(at, _)| *at <= now) {
                 match self.agenda.pop_first()?.1 {
                     Task::Settle(key) => self.settle(now, key),
-                    Task::GiveUp(key) => self.give_up(now, key),
+                    Task::GiveUp(key) => self.give_up(now, key, GaveUp::Deadline),
                     Task::Overdue(key, dispatch) => self.overdue(now, key, dispatch),
                     Task::Look(set) => _ = self.dirty.insert(set),
                     Task::Ask(node) => self.probe(now, node),
@@ -597,17 +605,19 @@
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
         let ran = cmd.maybe_ran.is_some_and(|(at, _)| self.repeatable_for(now, cmd, at) <= 0);
         let late = cmd.patience.min(cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths);
-        if cmd.attempts() >= self.groups.places[cmd.kind].attempts
-            || ran
-            || cmd.hopeless
-            || now + self.tick >= cmd.ends
-        {
-            return self.give_up(now, key);
+        let reasons = [
+            (now + self.tick >= cmd.ends, GaveUp::Deadline),
+            (ran, GaveUp::MayHaveRun),
+            (cmd.hopeless, GaveUp::Errors),
+            (cmd.attempts() >= self.groups.places[cmd.kind].attempts, GaveUp::Attempts),
+        ];
+        if let Some((_, reason)) = reasons.into_iter().find(|(met, _)| *met) {
+            return self.give_up(now, key, reason);
         }
         let set = self.sets.entry(cmd.set).or_default();
         set.waiting.resize(self.groups.places.len(), BTreeSet::new());
         if !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key))) && late <= now {
-            return self.give_up(now, key);
+            return self.give_up(now, key, GaveUp::NoRoom);
         }
         self.dirty.insert(cmd.set);
         self.settle_at(late.max(now + self.tick), key);
@@ -621,7 +631,7 @@
     }
 
     /// The final answer of a command that is given up: throttled where a repeat is harmless, else failed.
-    fn give_up(&mut self, now: Tenths, key: u64) {
+    fn give_up(&mut self, now: Tenths, key: u64, reason: GaveUp) {
         let Some(cmd) = self.open.get(&key) else { return };
         if cmd.closed || (!cmd.out.is_empty() && now < cmd.ends) {
             return;
@@ -629,7 +639,9 @@
         let group = &self.groups.places[cmd.kind];
         let throttle = Decision::Throttle { command: cmd.id.clone(), hold_off: group.hold_off };
         let fail = Decision::Fail { command: cmd.id.clone() };
+        let (command, attempts) = (cmd.id.clone(), cmd.attempts());
         self.ready.push_back(if self.is_harmless_to_repeat(cmd) { throttle } else { fail });
+        self.note(Event::GaveUp { command, reason, attempts });
         self.close(key);
     }
 
@@ -759,7 +771,7 @@
             (m.probing, m.asked_at) = (true, now);
             self.ready.push_back(Decision::Probe { node: m.id.clone() });
         } else if !allowed && m.state == State::TransportError {
-            m.state = State::Unknown;
+            self.set_state(node, State::Unknown, StateReason::NotAsked);
         }
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -340,7 +340,7 @@
     let mut r = router(&[]);
     open(&mut r, "write");
     r.open.get_mut(&0).unwrap().maybe_ran = ran;
-    r.give_up(NOW, 0);
+    r.give_up(NOW, 0, GaveUp::Deadline);
     assert_eq!(matches!(r.ready[0], Decision::Throttle { .. }), harmless);
 }
 
@@ -375,7 +375,7 @@
     let mut r =
         router(&[("permissions.retry_after", allowed), heeded, ("request_classes.0.late_value", late)]);
     open(&mut r, "any");
-    r.give_up(NOW, 0);
+    r.give_up(NOW, 0, GaveUp::Deadline);
     assert_eq!(r.ready[0], Decision::Throttle { command: "cmd".into(), hold_off: expected });
 }
 
@@ -1501,3 +1501,22 @@
         assert_eq!(r.clock.now(NOW), NOW, "one moves no clock");
     }
 }
+
+#[rstest]
+fn the_host_may_log_why_a_command_is_given_up_and_which_states_change() {
+    let mut r = router(&[]);
+    open(&mut r, "write");
+    r.learn_role(NOW, 0, true);
+    r.learn_role(NOW, 1, true);
+    r.open.get_mut(&0).unwrap().maybe_ran = Some((0, NOW));
+    r.settle(NOW, 0);
+    let state = |node: &str, from, to, reason| Event::State { node: node.into(), from, to, reason };
+    let expected = [
+        state("a", State::Unknown, State::Healthy, StateReason::Role),
+        state("b", State::Unknown, State::Healthy, StateReason::Role),
+        state("a", State::Healthy, State::Unknown, StateReason::Superseded),
+        Event::GaveUp { command: "cmd".into(), reason: GaveUp::MayHaveRun, attempts: 0 },
+    ];
+    assert_eq!(r.take_events(), expected);
+    assert_eq!(r.take_events(), []);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,3 +107,52 @@
     Forget { node: Id },
     WatchList,
 }
+
+/// What a router takes a member for: the paper's states, best first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemberState {
+    Healthy,
+    #[default]
+    Unknown,
+    TransportError,
+    TopologyReject,
+}
+
+/// Why a member's state changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StateReason {
+    /// An answer or a report named its role.
+    Role,
+    /// Another member of its set is the primary.
+    Superseded,
+    /// Connections there fail, or it is silent.
+    Broken,
+    /// It has answered again.
+    Recovered,
+    /// The list told of a new start.
+    Restarted,
+    /// It is broken, and probes that would tell more are not allowed.
+    NotAsked,
+}
+
+/// Why a command was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum GaveUp {
+    /// Its time is up.
+    Deadline,
+    /// No member took it in a time in which an answer was still worth waiting for.
+    NoRoom,
+    /// It has had all attempts that it may have.
+    Attempts,
+    /// It may have run, and may not run again.
+    MayHaveRun,
+    /// It erred where a further attempt does not help.
+    Errors,
+}
+
+/// What happened inside a router, for the log and the counters alone: nothing depends on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    GaveUp { command: Id, reason: GaveUp, attempts: u32 },
+    State { node: Id, from: MemberState, to: MemberState, reason: StateReason },
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,15 +9,7 @@
 /// A member's place in the router's table.
 pub(crate) type Node = usize;
 
-/// The paper's states, best first.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum State {
-    Healthy,
-    #[default]
-    Unknown,
-    TransportError,
-    TopologyReject,
-}
+pub(crate) use crate::interface::MemberState as State;
 
 /// How new a command group's data must be; a bound where there is one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
