Tests: a soak of real routers under troubles that overlap, judged from outside

Change: tests/soak: routers with system calls that fail, restarts, kills, reloads, stops, held-up clocks, wrong wall clocks, silent and resetting agents; members that hang, slow down, reset, garble, lag, drain, fail over, come up late; clients that leave, stop in the middle and burst.

--- /dev/null
+++ b/crates/router/tests/soak/troubles.rs
@@ -0,0 +1,220 @@
+//! Troubles that overlap in time, drawn from a seed: each begins, lasts for a while and ends.
+
+use super::common::faults::Fault;
+use super::draw::Draw;
+use super::members::{MEMBERS, Member, OF_A_SET, SETS};
+use super::routers::Router;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub struct World {
+    pub routers: Vec<Arc<Router>>,
+    pub members: Vec<Arc<Member>>,
+    pub version: Arc<AtomicU32>,
+    pub leaves: Arc<AtomicBool>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    SystemCalls,
+    WallClock,
+    HeldUp,
+    Stopped,
+    Restart,
+    Kill,
+    Reload,
+    AgentSilent,
+    AgentResets,
+    Hung,
+    Slow,
+    Resets,
+    Garbles,
+    LateDials,
+    Lag,
+    Drain,
+    Failover,
+    Leave,
+}
+
+const ALL: [Trouble; 18] = [
+    Trouble::SystemCalls,
+    Trouble::WallClock,
+    Trouble::HeldUp,
+    Trouble::Stopped,
+    Trouble::Restart,
+    Trouble::Kill,
+    Trouble::Reload,
+    Trouble::AgentSilent,
+    Trouble::AgentResets,
+    Trouble::Hung,
+    Trouble::Slow,
+    Trouble::Resets,
+    Trouble::Garbles,
+    Trouble::LateDials,
+    Trouble::Lag,
+    Trouble::Drain,
+    Trouble::Failover,
+    Trouble::Leave,
+];
+
+/// Each fault of a system call with how often it comes, in a million calls.
+const CALLS: [(Fault, u64); 14] = [
+    (Fault::ShortSend, 500_000),
+    (Fault::InterruptedSend, 200_000),
+    (Fault::RefusedSend, 50_000),
+    (Fault::StarvedSend, 30_000),
+    (Fault::ShortReceive, 500_000),
+    (Fault::InterruptedReceive, 200_000),
+    (Fault::RefusedReceive, 50_000),
+    (Fault::BrokenReceive, 3_000),
+    (Fault::FailedConnect, 500_000),
+    (Fault::InterruptedConnect, 500_000),
+    (Fault::FailedSocket, 300_000),
+    (Fault::FailedAccept, 200_000),
+    (Fault::InterruptedPoll, 300_000),
+    (Fault::InterruptedRead, 300_000),
+];
+
+impl World {
+    /// Plays troubles, two or three at a time, until the span is over; all have ended then.
+    pub fn play(&self, seed: u64, span: Duration) {
+        let (begun, mut draw) = (Instant::now(), Draw::new(seed ^ 0x50a6));
+        thread::scope(|scope| {
+            while begun.elapsed() < span {
+                let trouble = ALL[draw.below(ALL.len() as u64) as usize];
+                let of_it = draw.below(u64::MAX);
+                scope.spawn(move || self.one(trouble, Draw::new(of_it), begun));
+                thread::sleep(Duration::from_millis(250 + draw.below(500)));
+            }
+        });
+    }
+
+    fn one(&self, trouble: Trouble, mut draw: Draw, begun: Instant) {
+        let lasts = Duration::from_millis(300 + draw.below(1_500));
+        let routers: Vec<&Arc<Router>> =
+            draw.some(self.routers.len(), 3).into_iter().map(|at| &self.routers[at]).collect();
+        let members: Vec<&Arc<Member>> =
+            draw.some(MEMBERS, 4).into_iter().map(|at| &self.members[at]).collect();
+        println!(
+            "{:>6} ms {trouble:?} for {lasts:?}: routers {:?}, members {:?}",
+            begun.elapsed().as_millis(),
+            routers.iter().map(|r| r.number).collect::<Vec<_>>(),
+            members.iter().map(|m| m.number).collect::<Vec<_>>()
+        );
+        let flag = |of: &dyn Fn(&Member) -> &AtomicBool| {
+            members.iter().for_each(|m| of(m).store(true, Relaxed));
+            thread::sleep(lasts);
+            members.iter().for_each(|m| of(m).store(false, Relaxed));
+        };
+        match trouble {
+            Trouble::SystemCalls => {
+                let calls = [CALLS[draw.below(14) as usize], CALLS[draw.below(14) as usize]];
+                let set = |often: bool| {
+                    for (router, (fault, rate)) in routers.iter().flat_map(|r| calls.map(|c| (r, c))) {
+                        router.faults.set(fault, if often { rate } else { 0 });
+                    }
+                };
+                println!("          {calls:?}");
+                set(true);
+                thread::sleep(lasts);
+                set(false);
+            }
+            Trouble::WallClock => {
+                let steps = [-3_600_000, -2_000, -1_000, 0, 1_000, 2_000, 3_600_000];
+                routers.iter().for_each(|r| r.faults.step_wall_clock(steps[draw.below(7) as usize]));
+            }
+            Trouble::HeldUp => {
+                routers.iter().for_each(|r| r.faults.set(Fault::HeldUp, 2_000));
+                thread::sleep(lasts);
+                routers.iter().for_each(|r| r.faults.set(Fault::HeldUp, 0));
+            }
+            Trouble::Stopped => {
+                for router in &routers {
+                    router.signal(libc::SIGSTOP);
+                    thread::sleep(Duration::from_millis(draw.below(150)));
+                    router.signal(libc::SIGCONT);
+                }
+            }
+            Trouble::Restart => {
+                routers.iter().take(2).for_each(|r| r.restart());
+            }
+            Trouble::Kill => {
+                let later = Duration::from_millis(draw.below(300));
+                routers.iter().take(2).for_each(|r| r.crash(later));
+            }
+            Trouble::Reload => {
+                for _ in 0..1 + draw.below(4) {
+                    routers.iter().for_each(|r| r.reload());
+                    thread::sleep(Duration::from_millis(draw.below(300)));
+                }
+            }
+            Trouble::AgentSilent | Trouble::AgentResets => {
+                let set = |is: bool| {
+                    for router in &routers {
+                        let agent = &router.agent;
+                        let what =
+                            if trouble == Trouble::AgentSilent { &agent.silent } else { &agent.resets };
+                        what.store(is, Relaxed);
+                    }
+                };
+                set(true);
+                thread::sleep(lasts);
+                set(false);
+            }
+            Trouble::Hung => flag(&|m| &m.faults.hung),
+            Trouble::Resets => flag(&|m| &m.faults.resets),
+            Trouble::Garbles => flag(&|m| &m.faults.garbles),
+            Trouble::Slow | Trouble::LateDials => {
+                let of = |m: &Member, ms: u64| match trouble {
+                    Trouble::Slow => m.faults.slow.store(ms, Relaxed),
+                    _ => m.faults.late.store(ms, Relaxed),
+                };
+                members.iter().for_each(|m| of(m, 50 + draw.below(400)));
+                thread::sleep(lasts);
+                members.iter().for_each(|m| of(m, 0));
+            }
+            Trouble::Lag => {
+                members.iter().for_each(|m| m.faults.lag.store(700 + draw.below(800), Relaxed));
+                thread::sleep(lasts);
+                members.iter().for_each(|m| m.faults.lag.store(20, Relaxed));
+            }
+            Trouble::Drain => {
+                let replicas = members.iter().filter(|m| !m.number.is_multiple_of(OF_A_SET)).take(2);
+                let replicas: Vec<_> = replicas.collect();
+                let set = |is: bool| {
+                    replicas.iter().for_each(|m| m.faults.drains.store(is, Relaxed));
+                    self.version.fetch_add(1, Relaxed);
+                };
+                set(true);
+                thread::sleep(lasts);
+                set(false);
+            }
+            Trouble::Failover => self.failover(draw.below(SETS as u64) as usize, lasts),
+            Trouble::Leave => {
+                self.leaves.store(true, Relaxed);
+                thread::sleep(Duration::from_millis(50));
+                self.leaves.store(false, Relaxed);
+            }
+        }
+    }
+
+    /// The primary dies, a replica takes over a moment later, and the old one comes back as a replica that lags.
+    fn failover(&self, set: usize, lasts: Duration) {
+        let of_set = &self.members[set * OF_A_SET..(set + 1) * OF_A_SET];
+        let Some(old) = of_set.iter().find(|m| m.primary.load(Relaxed)) else { return };
+        let Some(next) = of_set.iter().find(|m| !m.primary.load(Relaxed)) else { return };
+        if old.faults.down.swap(true, Relaxed) {
+            return;
+        }
+        old.becomes(false);
+        old.faults.lag.store(900, Relaxed);
+        thread::sleep(lasts / 2);
+        next.becomes(true);
+        thread::sleep(lasts / 2);
+        old.faults.down.store(false, Relaxed);
+        thread::sleep(Duration::from_millis(500));
+        old.faults.lag.store(20, Relaxed);
+    }
+}
