--- a/crates/router/examples/faults/layout.rs
+++ b/crates/router/examples/faults/layout.rs
@@ -34,7 +34,7 @@
     InterruptedRead,
     /// `EPIPE`, `ENOSPC` or `EIO` from a write to the standard error stream.
     FailedLog,
-    /// Up to 150 ms pass between reading the monotonic clock and returning its time.
+    /// 100 to 150 ms pass between reading the monotonic clock and returning its time, once in 300 ms at most.
     HeldUp,
 }
 
