Tests: control machines that cannot write for a while

Measured: the process ends at the first write that fails ('expected to write c1.kept'); with all three so, no configuration can be changed until somebody starts them.

--- a/crates/router/tests/configuration.rs
+++ b/crates/router/tests/configuration.rs
@@ -370,3 +370,29 @@
     six.cut("r1", false);
     assert_eq!(six.ask("r1", "one", LIMIT), Some(value()));
 }
+
+/// A disk that is full, or fails, for a while: nothing that was taken on is forgotten, and nothing is said before.
+#[rstest]
+fn machines_that_cannot_write_for_a_while_go_on_once_they_can() {
+    let six = Six::start();
+    six.publish(&six.with(&["one"]), "control: published: ");
+    six.all_serve("one");
+    // What is kept is written beside its place first, where a folder stands now.
+    let beside: Vec<PathBuf> = MACHINES.iter().map(|m| six.folder.join(format!("{m}.new"))).collect();
+    beside.iter().for_each(|folder| std::fs::create_dir(folder).expect("a folder"));
+    six.publish(&six.with(&["one", "two"]), "control: published: ");
+    six.until("it is seen", || MACHINES.iter().any(|m| six.log(m).contains("cannot write")));
+    sleep(Duration::from_secs(1));
+    for machine in MACHINES {
+        let state = six.fleet.state(&name(machine)).expect("a state");
+        assert!(matches!(state, State::Runs { .. }), "{machine}: {}", six.log(machine));
+    }
+    ROUTERS.iter().for_each(|r| assert_eq!(six.ask(r, "two", LIMIT), Some(unknown()), "{r}: not kept yet"));
+    beside.iter().for_each(|folder| std::fs::remove_dir(folder).expect("empty"));
+    // Another machine may write by now, that was never given the document.
+    six.until("two is served", || {
+        MACHINES.iter().for_each(|m| six.signal(m, "-HUP"));
+        sleep(Duration::from_secs(1));
+        ROUTERS.iter().all(|r| six.serves(r, "two"))
+    });
+}
