Control machines wait for their disk; the log in a package of its own

Cause: seen, a control machine ends where its record cannot be written once. Line at fault: decide() passed the error on, and run() ended by it, against the term that writes may fail for a while (ENOSPC, EIO) and what was taken on is still owed. The same mistake as the router's log beside it: eprintln in the machine's thread panics where nobody reads, which ends the process. Change: a machine that cannot keep what it must pulls no further decision, so that it says nothing, and writes again every 0.5 s. The log moves to crates/log (vetchkeel-log), which router and control machine share. Not mended: what was published at a writer that cannot write, and loses its term meanwhile, has to be published again, though it said 'published' (docs/ROADMAP.md).

--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -49,12 +49,12 @@
     thread.join().unwrap_or_else(|_| Err("the machine panicked".into()))
 }
 
-/// Until SIGTERM, with this check at the source. Exit code 2 and one line: wrong input, or what must be kept can't be.
+/// Until SIGTERM, with this check at the source. Exit code 2 and one line: wrong input.
 pub fn program(check: Check) -> ExitCode {
     match run(check) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("vetchkeel-control: {why}");
+            vetchkeel_log::log_always!("vetchkeel-control: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/control/src/program/host.rs
+++ b/crates/control/src/program/host.rs
@@ -8,10 +8,13 @@
 use vetchkeel_configuration::Order as Decision;
 use vetchkeel_configuration::{Document, Event, Kept, Machine, Tenths, Verdict};
 use vetchkeel_link::Waker;
+use vetchkeel_log::log_always;
 use vetchkeel_settings as settings;
 
 /// How long the thread sleeps at most.
 const LONGEST_SLEEP: Tenths = 2_000;
+/// What could not be kept is tried again after this.
+const KEEP_AGAIN: Tenths = 5_000;
 
 /// What a signal asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +46,8 @@
     control: Control,
     carrier: Carrier,
     machine: Machine,
+    /// What it took on is not on its disk: when that is tried again.
+    keep_at: Option<Tenths>,
 }
 
 /// The check at the source: what a router itself would check. The error is one line that says what was expected.
@@ -59,7 +64,7 @@
     let Some(bytes) = bytes else { return Ok(None) };
     let kept = Kept::from_bytes(&bytes);
     if kept.is_none() {
-        eprintln!(
+        log_always!(
             "control: {path} is cut or damaged, and not used: this machine starts as one that kept nothing"
         );
     }
@@ -80,15 +85,15 @@
         let machine = machine.map_err(|bad| bad.to_string())?;
         let fixed = control.others.iter().chain(&control.via).map(|(n, a)| (n.clone(), *a)).collect();
         let carrier = Carrier::bind(&me, (now / 10) as u64, control.address, fixed, now, seed)?;
-        eprintln!("control: {me} serves version {} on {}", machine.version(), control.address);
-        Ok(Host { clock, control, carrier, machine })
+        log_always!("control: {me} serves version {} on {}", machine.version(), control.address);
+        Ok(Host { clock, control, carrier, machine, keep_at: None })
     }
 
     pub fn waker(&self) -> Waker {
         self.carrier.waker()
     }
 
-    /// Until it is told to end, or can't keep what it must.
+    /// Until it is told to end.
     pub fn run(mut self, orders: &Receiver<Order>) -> Result<(), String> {
         loop {
             let now = self.clock.now();
@@ -96,7 +101,7 @@
                 match came {
                     Came::Message(from, message) => self.machine.heard(now, &from, message),
                     Came::Left(from) => self.machine.left(now, &from),
-                    Came::Unread(why) => eprintln!("control: {why}"),
+                    Came::Unread(why) => log_always!("control: {why}"),
                 }
             }
             while let Ok(order) = orders.try_recv() {
@@ -106,8 +111,10 @@
                     Order::End => return Ok(()),
                 }
             }
-            self.decide(now)?;
-            let due = [self.machine.wake_at(), self.carrier.wake_at()].into_iter().flatten().min();
+            self.decide(now);
+            // What the machine decides waits for its disk.
+            let decides_at = self.keep_at.or(self.machine.wake_at());
+            let due = [decides_at, self.carrier.wake_at()].into_iter().flatten().min();
             let now = self.clock.now();
             let sleep = due.map_or(LONGEST_SLEEP, |at| at.saturating_sub(now).clamp(0, LONGEST_SLEEP));
             let sleep = Duration::from_micros(sleep as u64 * 100);
@@ -115,21 +122,31 @@
         }
     }
 
-    fn decide(&mut self, now: Tenths) -> Result<(), String> {
+    /// Whether what was taken on is on the disk. Danger: a keeper that promised and forgot. Without its disk it says
+    /// nothing more until it has it back: what it decides waits.
+    fn keep(&mut self, now: Tenths) -> bool {
+        let path = &self.control.keep;
+        let kept = keep(path, &self.machine.kept().to_bytes());
+        if let Err(why) = &kept {
+            log_always!("control: cannot write {}, and says nothing until it can: {why}", path.display());
+        }
+        self.keep_at = kept.is_err().then_some(now + KEEP_AGAIN);
+        self.keep_at.is_none()
+    }
+
+    fn decide(&mut self, now: Tenths) {
+        if self.keep_at.is_some_and(|at| now < at || !self.keep(now)) {
+            return;
+        }
         while let Some(decision) = self.machine.next_decision(now) {
             match decision {
-                // Danger: a keeper that promised and forgot. Without its disk it must say nothing more.
-                Decision::Keep(_) => {
-                    let path = &self.control.keep;
-                    keep(path, &self.machine.kept().to_bytes())
-                        .map_err(|e| format!("expected to write {}: {e}", path.display()))?;
-                }
+                Decision::Keep(_) if !self.keep(now) => return,
+                Decision::Keep(_) => {}
                 Decision::Send { to, message } => self.carrier.send(now, &to, &message),
                 Decision::Verdict(verdict) => say_verdict(&verdict),
                 Decision::Tell(event) => say(&event),
             }
         }
-        Ok(())
     }
 
     fn document(&self) -> Result<Document, String> {
@@ -145,15 +162,15 @@
     fn publish(&mut self, now: Tenths) {
         let edits = match self.document() {
             Ok(document) => self.machine.document().edits_to(&document),
-            Err(why) => return eprintln!("control: nothing is published: {why}"),
+            Err(why) => return log_always!("control: nothing is published: {why}"),
         };
         let names: Vec<&str> = edits.iter().take(8).map(|e| e.name.as_str()).collect();
         let names = names.join(", ");
         match (edits.len(), self.machine.writes()) {
-            (0, Some(_)) => eprintln!("control: nothing is published: the document is the one in force"),
+            (0, Some(_)) => log_always!("control: nothing is published: the document is the one in force"),
             (count, _) => match self.machine.publish(now, edits) {
-                Ok(()) => eprintln!("control: published: {count} names changed: {names}"),
-                Err(why) => eprintln!("control: nothing is published: {why}"),
+                Ok(()) => log_always!("control: published: {count} names changed: {names}"),
+                Err(why) => log_always!("control: nothing is published: {why}"),
             },
         }
     }
@@ -166,7 +183,7 @@
         };
         let version = machine.version();
         let entries = || machine.ledger().iter();
-        eprintln!(
+        log_always!(
             "counters control: version={version} role={role} routers={} at={} linked={} refused={} served={} \
              messages_in={} bytes_in={} messages_out={} bytes_out={} unsent={}",
             machine.ledger().len(),
@@ -186,11 +203,11 @@
 fn say_verdict(verdict: &Verdict) {
     let Verdict { version, everywhere, at, behind, refused, silent } = verdict;
     if *everywhere {
-        return eprintln!("control: verdict: version {version} is in force everywhere: {at} routers");
+        return log_always!("control: verdict: version {version} is in force everywhere: {at} routers");
     }
     let names = |names: &[_]| names.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ");
     let refused: Vec<String> = refused.iter().map(|(name, why)| format!("{name} ({why})")).collect();
-    eprintln!(
+    log_always!(
         "control: verdict: version {version} is not in force everywhere: at it {at}; behind: {}; refused: {}; silent: {}",
         names(behind),
         refused.join(" "),
@@ -200,19 +217,21 @@
 
 fn say(event: &Event) {
     match event {
-        Event::Writing(epoch) => eprintln!("control: this machine writes, epoch {epoch}"),
-        Event::Stopped(epoch) => eprintln!("control: this machine does not write any more, epoch {epoch}"),
-        Event::Released(version) => eprintln!("control: version {version} is released"),
-        Event::Apart(_) => eprintln!("control: no writer is heard"),
-        Event::Joined(writer) => eprintln!("control: {writer} is heard and writes"),
-        Event::Settled => eprintln!("control: this keeper's word counts from now on"),
-        Event::Broken(version, bad) => eprintln!("control: {version} does not fit what is held: {bad}"),
-        Event::Forgotten(count) => eprintln!("control: {count} routers that were long silent are forgotten"),
-        Event::Uncounted(name) => eprintln!("control: no room in the ledger for {name}"),
-        Event::Full(name) => eprintln!("control: all places are taken: {name} is sent elsewhere"),
+        Event::Writing(epoch) => log_always!("control: this machine writes, epoch {epoch}"),
+        Event::Stopped(epoch) => log_always!("control: this machine does not write any more, epoch {epoch}"),
+        Event::Released(version) => log_always!("control: version {version} is released"),
+        Event::Apart(_) => log_always!("control: no writer is heard"),
+        Event::Joined(writer) => log_always!("control: {writer} is heard and writes"),
+        Event::Settled => log_always!("control: this keeper's word counts from now on"),
+        Event::Broken(version, bad) => log_always!("control: {version} does not fit what is held: {bad}"),
+        Event::Forgotten(count) => {
+            log_always!("control: {count} routers that were long silent are forgotten")
+        }
+        Event::Uncounted(name) => log_always!("control: no room in the ledger for {name}"),
+        Event::Full(name) => log_always!("control: all places are taken: {name} is sent elsewhere"),
         Event::Unpublished(edits) => {
             let names: Vec<&str> = edits.iter().map(|e| e.name.as_str()).collect();
-            eprintln!("control: not published, publish again at the writer: {}", names.join(", "));
+            log_always!("control: not published, publish again at the writer: {}", names.join(", "));
         }
     }
 }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -83,10 +83,10 @@
 #[macro_export]
 macro_rules! log {
     ($($part:tt)*) => {{
-        static GATE: $crate::log::Gate = $crate::log::Gate::new();
+        static GATE: $crate::Gate = $crate::Gate::new();
         match GATE.open() {
-            Some(0) => $crate::log::write_line(format_args!($($part)*)),
-            Some(left_out) => $crate::log::write_line(format_args!(
+            Some(0) => $crate::write_line(format_args!($($part)*)),
+            Some(left_out) => $crate::write_line(format_args!(
                 "{} ({left_out} more like this left out)",
                 format_args!($($part)*)
             )),
@@ -99,7 +99,7 @@
 #[macro_export]
 macro_rules! log_always {
     ($($part:tt)*) => {
-        $crate::log::write_line(format_args!($($part)*))
+        $crate::write_line(format_args!($($part)*))
     };
 }
 
--- a/crates/router/src/capture.rs
+++ b/crates/router/src/capture.rs
@@ -64,12 +64,12 @@
 #[cfg(feature = "capture")]
 mod on {
     use super::{Asked, End};
-    use crate::log;
     use std::fs::File;
     use std::path::Path;
     use std::sync::Arc;
     use vetchkeel::{Id, Tenths};
     use vetchkeel_capture::{Ending, Record, Recorder, RecorderLimits};
+    use vetchkeel_log::log;
     use vetchkeel_operator::OperatorFile;
 
     /// What is known of an open command; none where nothing is captured.
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -10,7 +10,6 @@
 use crate::invariants::Violation;
 use crate::keys::{ClientKey, CommandKey};
 use crate::leaving::has_gone;
-use crate::log;
 use crate::reasons::ClientClose;
 use crate::transient::{Backoff, is_transient};
 use calloop::generic::Generic;
@@ -23,6 +22,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use vetchkeel::Tenths;
+use vetchkeel_log::log;
 use vetchkeel_pgwire::{self as pgwire, LONGEST, Opening, Unreadable};
 
 /// How long a client may take from connecting to its first whole query, and over any message that it has begun; to
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -6,13 +6,13 @@
 use crate::deadlines::Due;
 use crate::invariants::{Begun as AttemptBegun, History, Invariants};
 use crate::keys::{ClientKey, CommandKey, Statement, Work};
-use crate::log;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use vetchkeel::{
     Command, Decision, DispatchEnd, Ending, Entry, Event, Id, Note, Report, Router, Tenths, Told,
 };
+use vetchkeel_log::log;
 use vetchkeel_pgwire as pgwire;
 
 /// The longest wait that is believed of a client: an hour, so that sums of times stay in range.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -90,13 +90,14 @@
     use super::host::{Host, Order};
     use super::view::{Told, View, Word};
     use super::{file, name_of};
-    use crate::{Program, log};
+    use crate::Program;
     use calloop::LoopHandle;
     use calloop::ping::make_ping;
     use calloop::timer::{TimeoutAction, Timer};
     use std::path::Path;
     use std::time::Duration;
     use vetchkeel_link::Waker;
+    use vetchkeel_log::log;
     use vetchkeel_membership::Change;
 
     /// Changes that wait for the loop; at the bound the view is told whole as soon as there is room.
@@ -272,7 +273,7 @@
             }
             let (v, c) = (&self.view, &self.counters);
             let works = self.joined.as_ref().is_some_and(|j| !j.over && !j.watch.is_hung());
-            crate::log_always!(
+            vetchkeel_log::log_always!(
                 "counters fleet: works={} alive={} suspect={} dead={} gone={} doubt={} joined={} restarted={} \
                  suspected={} returned={} died={} left={} doubted={} raised={} superseded={} crowded={} wholes={} \
                  hung={} stopped={}",
@@ -296,7 +297,7 @@
                 c.hung,
                 c.stopped
             );
-            crate::log_always!("fleet view:{v}");
+            vetchkeel_log::log_always!("fleet view:{v}");
         }
     }
 
--- a/crates/router/src/fleet/configuration.rs
+++ b/crates/router/src/fleet/configuration.rs
@@ -5,7 +5,7 @@
 mod host;
 
 use super::duty::{Ended, Outside, Pulse, Watch};
-use crate::{Program, log};
+use crate::Program;
 use calloop::LoopHandle;
 use calloop::ping::make_ping;
 use calloop::timer::{TimeoutAction, Timer};
@@ -15,6 +15,7 @@
 use vetchkeel::Told;
 use vetchkeel_configuration::{Name, Version};
 use vetchkeel_link::Waker;
+use vetchkeel_log::log;
 
 /// Words that wait for the loop, and answers that wait for the thread: one version is put in force at a time.
 const WORDS: usize = 16;
@@ -71,7 +72,7 @@
         log!("configuration: the thread has ended: {why}; what is in force stays until the next start");
         if !self.serves {
             // Nobody was let in yet, and nothing would let anybody in.
-            crate::log_always!(
+            vetchkeel_log::log_always!(
                 "vetchkeel-router: expected to hear the control machines, or to find what was kept: {why}"
             );
             std::process::exit(2);
@@ -82,7 +83,7 @@
         let Some(joined) = &self.joined else { return };
         let Seen { holds, machine, silent_since, refused, why, unkept } = &self.seen;
         let none = || "none".to_owned();
-        crate::log_always!(
+        vetchkeel_log::log_always!(
             "counters configuration: works={} serves={} in_force={} told={holds} machine={} silent_since_ms={} \
              applied={} refused={refused} unkept={unkept} hung={}",
             u8::from(!joined.over && !joined.watch.is_hung()),
@@ -94,7 +95,7 @@
             self.hung
         );
         if *refused > 0 {
-            crate::log_always!("configuration: last refused: {why}");
+            vetchkeel_log::log_always!("configuration: last refused: {why}");
         }
     }
 }
--- a/crates/router/src/fleet/configuration/host.rs
+++ b/crates/router/src/fleet/configuration/host.rs
@@ -2,8 +2,8 @@
 //! decided here.
 
 use super::file::Held;
+use crate::Clock;
 use crate::fleet::duty::Inside;
-use crate::{Clock, log};
 use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use vetchkeel_configuration::{Decision, Document, Name, Notice, Subscriber, Version, whole};
 use vetchkeel_control::{Came, Carrier, found, keep};
 use vetchkeel_link::Waker;
+use vetchkeel_log::log;
 
 /// How long the thread sleeps at most: so often it beats.
 const LONGEST_SLEEP: Tenths = 2_000;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -13,7 +13,6 @@
 mod keys;
 mod leaving;
 mod limits;
-mod log;
 mod nodes;
 mod reasons;
 mod startup;
@@ -45,6 +44,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use transient::is_local;
 use vetchkeel::{Tenths, Told};
+use vetchkeel_log::log;
 use watch::Watch;
 
 /// After SIGTERM the process is let live for the longest wait, as far as that counts, and for as long as new
@@ -331,8 +331,8 @@
 
     fn print_counters(&mut self) {
         self.counters.open = self.open_commands();
-        crate::log_always!("{}", self.counters);
-        crate::log_always!("counters violations: {}", self.invariants.violations);
+        vetchkeel_log::log_always!("{}", self.counters);
+        vetchkeel_log::log_always!("counters violations: {}", self.invariants.violations);
         self.fleet.print();
         self.configuration.print();
     }
@@ -367,7 +367,7 @@
 }
 
 fn run() -> Result<(), String> {
-    log::log_panics();
+    vetchkeel_log::log_panics();
     // Danger: a reload that is told to all ends whoever has just been started and does not heed it yet.
     let heeded = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
     let signals = Signals::new(&heeded).map_err(|e| e.to_string())?;
@@ -414,7 +414,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            crate::log_always!("vetchkeel-router: {why}");
+            vetchkeel_log::log_always!("vetchkeel-router: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -7,7 +7,6 @@
 use crate::deadlines::Due;
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
 use crate::keys::{CommandKey, ConnKey, Statement, Work};
-use crate::log;
 use crate::reasons::MemberClose;
 use crate::transient::{Backoff, is_local, is_transient};
 use crate::{Program, tenths};
@@ -21,6 +20,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use vetchkeel::{Ending, Id, Tenths, Told};
+use vetchkeel_log::log;
 use vetchkeel_pgwire as pgwire;
 
 /// What a node sends behind its answer, or the end, comes within this time. Both are written one after the
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -2,7 +2,6 @@
 
 use crate::Program;
 use crate::deadlines::Due;
-use crate::log;
 use crate::nodes::dial;
 use crate::transient::{Backoff, is_transient};
 use calloop::generic::Generic;
@@ -13,6 +12,7 @@
 use std::rc::Rc;
 use vetchkeel::{Entry, Phase, Tenths};
 use vetchkeel_discovery::{Sheet, Watched, ask, sheet};
+use vetchkeel_log::log;
 
 /// Danger: what a silent watch misses counts as told 6 s after it fell silent. While nothing changes an empty line
 /// comes every 2 s; 1 s later the watch is broken, so that two may be asked for, and fail to answer, by then.
