Router: an accept that finds no descriptor makes room for the client

Cause: seen, a client without its answer for 10 s where the system grants 48 descriptors of 1,024 told. Checked: accept says EMFILE, while dozens of clients that ask for nothing more stay. Line at fault: accept made room only at the limit it was told, and put off any other error. Change: EMFILE makes room as the limit does.

--- a/crates/router/src/clients/crowd.rs
+++ b/crates/router/src/clients/crowd.rs
@@ -48,13 +48,8 @@
         self.deadlines.clear(Due::Accept);
         for _ in 0..ACCEPTED_MOST {
             // Nobody is sent away for a client that does not come: one above the limit shows that more want in.
-            if self.at_limit() {
-                // What it has sent meanwhile is taken in before anybody is closed for another.
-                let way = self.clients.gives_way(self.now, false);
-                way.into_iter().for_each(|key| self.read_client(key));
-                if !self.make_room(false) {
-                    return self.accept_later();
-                }
+            if self.at_limit() && !self.make_room_for_a_client() {
+                return self.accept_later();
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -63,6 +58,8 @@
                 }
                 Err(e) if is_transient(&e) => return self.look_again(),
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                // Danger: the system may grant fewer descriptors than this process was told.
+                Err(e) if e.raw_os_error() == Some(libc::EMFILE) && self.make_room_for_a_client() => {}
                 Err(e) => {
                     log!("cannot accept: {e}");
                     return self.accept_later();
@@ -88,6 +85,13 @@
         }
     }
 
+    /// Closes whoever gives way, after what it has sent meanwhile was taken in.
+    fn make_room_for_a_client(&mut self) -> bool {
+        let way = self.clients.gives_way(self.now, false);
+        way.into_iter().for_each(|key| self.read_client(key));
+        self.make_room(false)
+    }
+
     /// Clients hold their part and more is not free: what nodes don't use of theirs is lent, but for a spare part.
     fn at_limit(&self) -> bool {
         let (clients, limits) = (self.clients.count(), self.limits);
