--- a/crates/router/tests/configuration.rs
+++ b/crates/router/tests/configuration.rs
@@ -202,8 +202,12 @@
         while let Err(e) = stream.peek(&mut [0]) {
             match e.kind() {
                 // A wait with a time-out ends early where the test's own process was held up.
-                ErrorKind::Interrupted if began.elapsed() < wait => {}
-                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => return None,
+                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+                    if began.elapsed() < wait => {}
+                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => {
+                    println!("{of} says nothing for {:?}:\n{}", began.elapsed(), self.log(of));
+                    return None;
+                }
                 _ => panic!("{of}, {group}: {e}\n{}", self.log(of)),
             }
         }
