--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -50,6 +50,8 @@
 /// After SIGTERM the process is let live for the longest wait, as far as that counts, and for as long as new
 /// clients may still come.
 const STILL_COMING: Tenths = 7_000;
+/// The front still brings in new ones for 0.4 s: what is told to come to them holds, however short the waits are.
+const COMING_MOST: Tenths = 4_500;
 const LONGEST_WAIT: Tenths = 30_000;
 /// What is left of that when nothing more is taken, what no command taken from then on may use, when whoever has
 /// waited since before is answered, and when the process ends, whether or not all clients have closed by then. A router
@@ -277,7 +279,7 @@
                 self.fleet.leave();
                 let lives = STILL_COMING + self.longest_wait.min(LONGEST_WAIT);
                 self.stopping = Some(self.now + lives);
-                let last = lives - LAST_MARGIN;
+                let last = (lives - LAST_MARGIN).max(COMING_MOST);
                 // Danger: past the last nothing is read, so whoever still comes in must be heard before.
                 let stop = STILL_COMING.max(lives - LAST_TAKEN).min(last);
                 self.deadlines.set(Due::Stop, self.now + stop);
--- a/crates/router/tests/soak/clients.rs
+++ b/crates/router/tests/soak/clients.rs
@@ -74,7 +74,9 @@
         let comment = format!("/* id={id},c={name},d={wait},cluster={set} */");
         let text = match class {
             Class::Order | Class::Save => {
-                format!(r"INSERT INTO records (k, v) VALUES ('k', '\x01') RETURNING v {comment}")
+                // Some are longer than a socket takes at once.
+                let value = "01".repeat(if draw.below(8) == 0 { 20_000 } else { 1 });
+                format!(r"INSERT INTO records (k, v) VALUES ('k', '\x{value}') RETURNING v {comment}")
             }
             _ => format!("SELECT v FROM records WHERE k = 'k' {comment}"),
         };
--- a/crates/router/tests/soak/main.rs
+++ b/crates/router/tests/soak/main.rs
@@ -51,7 +51,7 @@
     let members: Vec<_> = (0..MEMBERS).map(|number| Member::start(number, ledger.clone())).collect();
     let start = |number| {
         let agent = Agent::start(number, &members, &version, &ledger);
-        Router::start(number, seed * 1_000 + number as u64, agent, ledger.clone())
+        Router::start(number, seed, agent, ledger.clone())
     };
     let routers: Vec<Arc<Router>> = (0..count).map(start).collect();
     let (ends, leaves) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
--- a/crates/router/tests/soak/members.rs
+++ b/crates/router/tests/soak/members.rs
@@ -148,7 +148,11 @@
         while self.faults.hung.load(Relaxed) {
             thread::sleep(Duration::from_millis(20));
         }
-        let value = if self.faults.garbles.load(Relaxed) { b"D\0\0\0\x05x".to_vec() } else { row("v") };
+        let value = if self.faults.garbles.load(Relaxed) {
+            b"D\0\0\0\x05x".to_vec()
+        } else {
+            row(&"v".repeat(if id.ends_with('7') { 50_000 } else { 1 }))
+        };
         Some([note, value, ready()].concat())
     }
 }
--- a/crates/router/tests/soak/routers.rs
+++ b/crates/router/tests/soak/routers.rs
@@ -2,8 +2,8 @@
 //! for system calls that fail.
 
 use super::agents::Agent;
-use super::common::configuration;
 use super::common::faults::Faults;
+use super::common::{configuration, with_pieces};
 use super::ledger::Ledger;
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom};
@@ -37,11 +37,21 @@
         {"name":"save","semantics":"token","group":"all","window_ms":400.0,"hard_limit_ms":1500.0,"aim_ms":600.0,
             "late_value":0.5,"importance":3.0}]}"#;
 
+/// What a fleet may be told instead, drawn by the seed of its play: nothing, no leave to cancel, none to probe, and
+/// few descriptors without leave to cancel.
+const VARIANTS: [&[(&str, &str)]; 4] = [
+    &[],
+    &[(r#""cancel":true"#, r#""cancel":false"#), (r#""max_attempts":6"#, r#""max_attempts":2"#)],
+    &[(r#""may_probe":true"#, r#""may_probe":false"#)],
+    &[(r#""cancel":true"#, r#""cancel":false"#), (r#""sockets":1024"#, r#""sockets":56"#)],
+];
+
 pub struct Router {
     pub number: usize,
     pub address: SocketAddr,
     pub agent: Arc<Agent>,
     pub faults: Faults,
+    variant: &'static [(&'static str, &'static str)],
     /// Counts its processes that were killed: what these had in hand is excused.
     pub killed: AtomicU32,
     process: Mutex<Option<Child>>,
@@ -54,14 +64,15 @@
 }
 
 impl Router {
-    pub fn start(number: usize, seed: u64, agent: Arc<Agent>, ledger: Arc<Ledger>) -> Arc<Router> {
+    pub fn start(number: usize, play: u64, agent: Arc<Agent>, ledger: Arc<Ledger>) -> Arc<Router> {
         let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
         let name = format!("vetchkeel-soak-{}-{number}", std::process::id());
         let router = Arc::new(Router {
             number,
             address: free,
             agent,
-            faults: Faults::new(seed),
+            faults: Faults::new(play * 1_000 + number as u64),
+            variant: VARIANTS[play as usize % VARIANTS.len()],
             killed: AtomicU32::new(0),
             process: Mutex::new(None),
             replacing: Mutex::new(()),
@@ -81,7 +92,8 @@
         let text = configuration(agent, 1024, 192, "null");
         let (head, _) = text.split_once(r#""settings":"#).expect("settings");
         let head = head.replace("127.0.0.1:0", &self.address.to_string());
-        std::fs::write(&self.config, format!(r#"{head}"settings":{SETTINGS}}}"#)).expect("a temporary file");
+        let text = with_pieces(format!(r#"{head}"settings":{SETTINGS}}}"#), self.variant);
+        std::fs::write(&self.config, text).expect("a temporary file");
     }
 
     fn run(&self) {
