--- a/crates/router/tests/freshness/cluster.rs
+++ b/crates/router/tests/freshness/cluster.rs
@@ -27,6 +27,8 @@
 pub struct Member {
     pub address: SocketAddr,
     history: Mutex<History>,
+    /// Since when it takes work and answers nothing; its probes are answered with the report from before.
+    hangs_since: Mutex<Option<Instant>>,
 }
 
 impl Member {
@@ -41,6 +43,20 @@
     pub fn go_on(&self) {
         self.history().go_on(Instant::now());
     }
+
+    fn hangs_since(&self) -> Option<Instant> {
+        *self.hangs_since.lock().expect("no panic")
+    }
+
+    fn hang(&self, since: Option<Instant>) {
+        *self.hangs_since.lock().expect("no panic") = since;
+    }
+
+    fn wait_until_it_works(&self) {
+        while self.hangs_since().is_some() {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
 }
 
 /// What the cluster is like.
@@ -78,6 +94,7 @@
             Arc::new(Member {
                 address: listener.local_addr().expect("bound"),
                 history: Mutex::new(History::new(LAG)),
+                hangs_since: Mutex::default(),
             })
         };
         let members: Vec<_> = listeners.iter().map(member).collect();
@@ -119,6 +136,23 @@
         self.members[to].history().begin_reign(Instant::now());
     }
 
+    /// The primary hangs: nothing is committed and nobody applies until another is elected. It comes back as a replica that
+    /// applies after a while.
+    pub fn hang(&self, primary: usize, to: usize, detected: Duration, lasts: Duration, catches_up: Duration) {
+        let (old, now) = (&self.members[primary], Instant::now());
+        old.hang(Some(now));
+        old.history().end_reign(now);
+        self.members.iter().for_each(|member| member.pause());
+        thread::sleep(detected);
+        self.members[to].history().begin_reign(Instant::now());
+        let others = self.members.iter().enumerate().filter(|(at, _)| *at != primary && *at != to);
+        others.for_each(|(_, member)| member.go_on());
+        thread::sleep(lasts.saturating_sub(detected));
+        old.hang(None);
+        thread::sleep(catches_up);
+        old.go_on();
+    }
+
     /// A read is about to be sent that has to see this.
     pub fn expect(&self, id: &str, need: Need) {
         self.needs.lock().expect("no panic").insert(id.to_owned(), need);
@@ -183,10 +217,11 @@
             let now = Instant::now();
             let periods = (now - self.clock.0).as_micros() / REPORT_PERIOD.as_micros();
             let made = self.clock.0 + REPORT_PERIOD * periods as u32;
+            let made = member.hangs_since().map_or(made, |since| made.min(since - REPORT_PERIOD / 4));
             let history = member.history();
             let (position, primary) = (history.position(made), history.is_primary(made));
             let report = format!("x0={:.4},x1={}", self.unix_ms(position) / 1_000.0, primary as u8);
-            return ([row(&report), ready()].concat(), (!primary).then_some(now));
+            return ([row(&report), ready()].concat(), (!primary).then_some(made));
         }
         let id = statement.split_once("id=").and_then(|(_, rest)| rest.split(',').next()).unwrap_or_default();
         let read = !statement.contains("c=order");
@@ -198,6 +233,7 @@
             self.deliveries.lock().expect("no panic").insert(format!("{id}@{}", member.address), stale);
         }
         thread::sleep(WORK);
+        member.wait_until_it_works();
         let (now, history) = (Instant::now(), member.history());
         let primary = history.is_primary(now);
         if !read && primary {
--- a/crates/router/tests/freshness/main.rs
+++ b/crates/router/tests/freshness/main.rs
@@ -24,6 +24,8 @@
 const SPAN: Duration = Duration::from_secs(6);
 const CLIENTS: usize = 12;
 const MEMBERS: usize = 3;
+/// The number of the first set, as the list has it.
+const FIRST_SET: usize = 2;
 /// How long clients wait, in milliseconds.
 const PATIENT: [u64; 2] = [2_000, 2_001];
 const IMPATIENT: [u64; 2] = [150, 900];
@@ -56,18 +58,23 @@
     ]
 }
 
-/// A router beside the cluster, whose list never tells of a new primary.
+/// A router beside the clusters, each a set of its own, whose list never tells of a new primary.
 fn router(
-    cluster: &Cluster,
+    clusters: &[&Cluster],
     habits: Habits,
     semantics: &str,
     faults: &Faults,
     extra: &[(&str, &str)],
 ) -> Router {
-    let entry = |(at, member): (usize, &Arc<cluster::Member>)| {
-        entry_at(&format!("s-{at}"), member.address, "ready", if at == 0 { "primary" } else { "replica" })
+    let entry = |set: usize, at: usize, member: &cluster::Member| {
+        let role = if at == 0 { "primary" } else { "replica" };
+        let entry = entry_at(&format!("s-{set}-{at}"), member.address, "ready", role);
+        entry.replace(r#""cell":2"#, &format!(r#""cell":{}"#, FIRST_SET + set))
     };
-    let entries: Vec<String> = cluster.members.iter().enumerate().map(entry).collect();
+    let of_set = |(set, cluster): (usize, &&Cluster)| -> Vec<String> {
+        cluster.members.iter().enumerate().map(|(at, member)| entry(set, at, member)).collect()
+    };
+    let entries: Vec<String> = clusters.iter().enumerate().flat_map(of_set).collect();
     let known = list(41, true, &entries);
     let discovery = Discovery::acting(move |_, asked| {
         asked.begin();
@@ -92,6 +99,7 @@
 struct Session<'a> {
     router: SocketAddr,
     cluster: &'a Cluster,
+    set: usize,
     bound: Duration,
     waits: [u64; 2],
     number: usize,
@@ -113,7 +121,8 @@
         };
         need.into_iter().for_each(|need| self.cluster.expect(&id, need));
         let wait = self.waits[0] + self.draw.below(self.waits[1] - self.waits[0]);
-        let comment = format!("/* id={id},c={class},t=acme,d={wait},cluster=2 */");
+        let set = self.set;
+        let comment = format!("/* id={id},c={class},t=acme,d={wait},cluster={set} */");
         let key = format!("k{}", self.number);
         let statement = if class == "order" {
             format!(r"INSERT INTO records (k, v) VALUES ('{key}', '\x01') RETURNING v {comment}")
@@ -148,7 +157,7 @@
 /// Clients at the router for as long as `trouble` goes on.
 fn play(
     router: &Router,
-    cluster: &Cluster,
+    clusters: &[&Cluster],
     habits: Habits,
     waits: [u64; 2],
     trouble: impl FnOnce(Instant),
@@ -156,7 +165,8 @@
     let (ends, address) = (AtomicBool::new(false), router.address);
     let session = |number: usize| Session {
         router: address,
-        cluster,
+        cluster: clusters[number % clusters.len()],
+        set: FIRST_SET + number % clusters.len(),
         bound: habits.bound,
         waits,
         number,
@@ -172,7 +182,8 @@
             .collect();
         trouble(Instant::now() + SPAN);
         ends.store(true, Relaxed);
-        let mut all = Outcome { at_replicas: cluster.at_replicas.load(Relaxed), ..Outcome::default() };
+        let at_replicas = clusters.iter().map(|cluster| cluster.at_replicas.load(Relaxed)).sum();
+        let mut all = Outcome { at_replicas, ..Outcome::default() };
         for client in clients {
             let one = client.join().expect("no panic");
             (all.asked, all.served) = (all.asked + one.asked, all.served + one.served);
@@ -218,6 +229,46 @@
     }
 }
 
+/// The primary hangs by turns, while its probes are answered, and others are elected.
+fn hang_primaries(cluster: &Cluster, seed: u64, until: Instant) {
+    let mut draw = Draw::new(seed);
+    draw.below(1);
+    let mut primary = 0;
+    while Instant::now() < until {
+        thread::sleep(milliseconds(300 + draw.below(400)));
+        let to = (primary + 1 + draw.below(MEMBERS as u64 - 1) as usize) % MEMBERS;
+        let [detected, lasts, catches_up] = [1_500 + draw.below(2_000), draw.below(1_500), draw.below(600)];
+        let lasts = milliseconds(detected + lasts);
+        cluster.hang(primary, to, milliseconds(detected), lasts, milliseconds(catches_up));
+        primary = to;
+    }
+}
+
+/// The report from before the hang says what is no longer so, and its age is not known. Another set's primary hangs a little
+/// later, so that nobody tells the time.
+#[rstest]
+#[case::commits_alone_tell_positions(300, false)]
+fn a_primary_that_hangs_makes_no_replica_look_fresh(#[case] bound: u64, #[case] tells_position: bool) {
+    let habits = Habits {
+        bound: milliseconds(bound),
+        held_back: Duration::ZERO,
+        tells_position,
+        greets_with_role: false,
+    };
+    let (one, other) = (Cluster::start(MEMBERS, habits), Cluster::start(MEMBERS, habits));
+    let (clusters, faults) = ([&*one, &*other], Faults::new(1));
+    let router = router(&clusters, habits, "pure", &faults, &[]);
+    let outcome = play(&router, &clusters, habits, IMPATIENT, |until| {
+        let until = until + SPAN;
+        thread::scope(|scope| {
+            scope.spawn(|| hang_primaries(&one, 1, until));
+            hang_primaries(&other, 2, until);
+        });
+    });
+    assert!(outcome.stale.is_empty(), "{:?}", outcome.stale);
+    assert!(outcome.served * 10 >= outcome.asked * 4, "{outcome:?}");
+}
+
 /// The router waits before one in so many of its writes to members.
 #[rstest]
 #[case::pure("pure", 300, false)]
@@ -235,10 +286,10 @@
         greets_with_role: false,
     };
     let (cluster, faults) = (Cluster::start(MEMBERS, habits), Faults::new(1));
-    let router = router(&cluster, habits, semantics, &faults, &[]);
+    let router = router(&[&cluster], habits, semantics, &faults, &[]);
     faults.set(Fault::HeldSend, 125_000);
     let outcome =
-        play(&router, &cluster, habits, PATIENT, |until| pause_replicas(&cluster, habits.bound, until));
+        play(&router, &[&cluster], habits, PATIENT, |until| pause_replicas(&cluster, habits.bound, until));
     assert!(outcome.stale.is_empty(), "{:?}", outcome.stale);
     assert!(outcome.served * 10 >= outcome.asked * 8, "{outcome:?}");
 }
@@ -260,8 +311,8 @@
         greets_with_role: false,
     };
     let (cluster, faults) = (Cluster::start(MEMBERS, habits), Faults::new(1));
-    let router = router(&cluster, habits, "pure", &faults, &[]);
-    let outcome = play(&router, &cluster, habits, PATIENT, |until| {
+    let router = router(&[&cluster], habits, "pure", &faults, &[]);
+    let outcome = play(&router, &[&cluster], habits, PATIENT, |until| {
         hand_round(&cluster, milliseconds(500), until);
     });
     assert!(outcome.stale.is_empty(), "{:?}", outcome.stale);
@@ -284,9 +335,9 @@
     };
     let (cluster, faults) = (Cluster::start(MEMBERS, habits), Faults::new(1));
     faults.step_wall_clock(wrong);
-    let router = router(&cluster, habits, "pure", &faults, &[]);
+    let router = router(&[&cluster], habits, "pure", &faults, &[]);
     let outcome =
-        play(&router, &cluster, habits, PATIENT, |until| pause_replicas(&cluster, habits.bound, until));
+        play(&router, &[&cluster], habits, PATIENT, |until| pause_replicas(&cluster, habits.bound, until));
     assert!(outcome.stale.is_empty(), "{:?}", outcome.stale);
     assert!(outcome.served * 10 >= outcome.asked * 9, "{outcome:?}");
     assert!(outcome.at_replicas as usize * 10 >= outcome.served * 4, "{outcome:?}");
@@ -329,12 +380,12 @@
     let cluster = Cluster::start(MEMBERS, habits);
     println!("seed {seed}: {habits:?}, wall clock {wrong} ms, {semantics}, {extra:?}, waits {waits:?}");
     faults.step_wall_clock(wrong);
-    let router = router(&cluster, habits, semantics, &faults, extra);
+    let router = router(&[&cluster], habits, semantics, &faults, extra);
     faults.set(Fault::HeldSend, sends);
     faults.set(Fault::HeldUp, clocks);
     faults.set(Fault::ShortReceive, receives);
     faults.set(Fault::ShortSend, short_sends);
-    let outcome = play(&router, &cluster, habits, waits, |until| {
+    let outcome = play(&router, &[&cluster], habits, waits, |until| {
         thread::scope(|scope| {
             scope.spawn(|| {
                 if pauses {
