Router: the members' clock goes by what is proven to be new, never by a report of unknown age

Cause: Evidence::of_primary took a position for the present as of when it was asked for (answers), or up to 1 s before (reports, REPORT_AGE). A member that hangs answers probes with the report from before the hang, a primary that stands still tells the position from before, so both lower the offset without end; three of these, of one member or of several, made contradict() set the clock back, and every bound was held against it: every replica looked fresher, at all routers alike.

Class: a word of unknown age may lower the time that every bound is held against.

Change: src/progress.rs dates a primary's position by when an earlier one was asked for; one that does not advance proves nothing. Commits are dated by their own request. Where the host's time is the members' nothing moves the clock. A report from before its member broke brings no primary back (Healthy/TransportError ten times a second beside a hang). What a primary told is no replica's position; a replica that tells less than before is believed. An answer that says replica bars itself though written in the tenth of a millisecond of its decision; an answer is judged once more with the clock as known then. The log names whose word moved the clock, reads that are served with little to spare, reports from before; counters of the same; a line's time stands behind it, and any wall clock has a text (one before 1970 would have panicked).

Test replaced: a position told as the primary was kept as the replica's (a_position_yet_to_come_is_none, case past); it must now be 0 in a note. a_host_whose_time_is_theirs_needs_no_bounds now holds evidence against the clock as well.

--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -1,17 +1,22 @@
 //! The log: lines on the standard error stream, which never hold up the loop and never fail. Each place that logs may
 //! write a few lines a second; what was left out is counted and said with its next line. What the stream doesn't take
-//! at once is lost, and counted too. A line begins with its time by this machine's wall clock, in UTC.
+//! at once is lost, and counted too. A line ends with its time by this machine's wall clock, in UTC: that clock may be
+//! wrong, and whoever sorts or groups lines does so by their beginning.
 
 use std::fmt::Arguments;
-use std::io::{Write, stderr};
+use std::io::{ErrorKind, Write, stderr};
 use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Enough to see what happens; no service depends on it.
 pub const LINES_A_SECOND: u32 = 5;
 /// What a pipe that says it has room takes whole (`PIPE_BUF`). Longer lines are cut.
 const LONGEST: usize = 4_096;
+/// So often a look at the stream is made again that a signal ended.
+const LOOKS_MOST: usize = 8;
+/// The first second that has no date of four digits for its year.
+const YEAR_10000: Duration = Duration::from_secs(253_402_300_800);
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
 /// Lines lost since the last one that was written.
@@ -56,9 +61,14 @@
 /// Whether the stream takes a line now. Danger: a pipe that nobody reads would hold up the process for ever.
 fn takes_a_line() -> bool {
     let mut asked = libc::pollfd { fd: libc::STDERR_FILENO, events: libc::POLLOUT, revents: 0 };
-    // SAFETY: the system reads and writes this one value.
-    let answered = unsafe { libc::poll(&mut asked, 1, 0) };
-    answered == 1 && asked.revents & libc::POLLOUT != 0
+    for _ in 0..LOOKS_MOST {
+        // SAFETY: the system reads and writes this one value.
+        let answered = unsafe { libc::poll(&mut asked, 1, 0) };
+        if answered >= 0 || std::io::Error::last_os_error().kind() != ErrorKind::Interrupted {
+            return answered == 1 && asked.revents & libc::POLLOUT != 0;
+        }
+    }
+    false
 }
 
 /// Writes a line, or several, as far as the stream takes it at once. Danger: `eprintln` panics where the stream is
@@ -77,9 +87,18 @@
     LOST.store(if written { 0 } else { lost + 1 }, Relaxed);
 }
 
-/// Writes a line behind its time.
+/// Writes a line with its time behind it.
 pub fn write_dated(text: Arguments) {
-    write_line(format_args!("{} {text}", humantime::format_rfc3339_millis(SystemTime::now())));
+    write_line(format_args!("{text} at {}", date(SystemTime::now())));
+}
+
+/// A time as text. Danger: a wall clock may be stepped to where dates have no text, and a line that panics is none.
+fn date(at: SystemTime) -> String {
+    match at.duration_since(UNIX_EPOCH) {
+        Ok(since) if since < YEAR_10000 => humantime::format_rfc3339_millis(at).to_string(),
+        Ok(since) => format!("{} s after 1970", since.as_secs()),
+        Err(before) => format!("{} s before 1970", before.duration().as_secs()),
+    }
 }
 
 /// Panics are logged like all else.
@@ -119,7 +138,8 @@
     };
 }
 
-/// Writes whatever one place says, however often, without a time: counters, and why a program ends.
+/// Writes whatever one place says, however often, without a time, as scripts read it: counters, where a program serves, and
+/// why it ends.
 #[macro_export]
 macro_rules! log_always {
     ($($part:tt)*) => {
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -13,7 +13,7 @@
     Command, Decision, DispatchEnd, Ending, Entry, Event, Id, Note, ProbeEnd, Report, Router, Tenths, Told,
     Written,
 };
-use vetchkeel_log::{log, log_up_to};
+use vetchkeel_log::{log, log_trace, log_up_to};
 use vetchkeel_pgwire as pgwire;
 
 /// The longest wait that is believed of a client: an hour, so that sums of times stay in range.
@@ -21,6 +21,10 @@
 /// Lines a second on members that change their state: without them nobody can tell why a command went where it did.
 const STATE_LINES: u32 = 100;
 
+/// A bounded read that is served with less than this to spare has a line, and so many of them in a second.
+const LITTLE_TO_SPARE: Tenths = 500;
+const AGE_LINES: u32 = 20;
+
 struct Taken {
     id: Id,
     /// Whom the final answer is owed; None once it is given or nobody waits for it.
@@ -316,6 +320,9 @@
                             "command {id}: the answer of attempt {dispatch} at {node} is not served: its data may be too old"
                         );
                     }
+                    if judged == Ending::Answered {
+                        self.log_data_age(&id, dispatch, &node);
+                    }
                     let (ending, took) = (judged, self.now - asked);
                     self.counters.dispatches.add(ending);
                     if ending == Ending::Answered {
@@ -342,6 +349,28 @@
         }
     }
 
+    /// A bounded read that a replica answers is counted, and logged if there was little to spare.
+    fn log_data_age(&mut self, id: &Id, dispatch: u32, node: &Id) {
+        let Some(age) = self.commands.router.data_age(self.now, id, dispatch) else { return };
+        let spare = age.bound - age.behind;
+        let ms = |tenths: Tenths| tenths as f64 / 10.0;
+        if spare < LITTLE_TO_SPARE {
+            self.counters.freshness.little_to_spare += 1;
+            log_up_to!(
+                AGE_LINES,
+                "command {id}: attempt {dispatch} at {node} is served with {} ms to spare: data up to {} ms old by {:?} heard {} ms before, members' clock ahead by {} ms, at most {}",
+                ms(spare),
+                ms(age.behind),
+                age.source,
+                ms(age.heard_before),
+                ms(age.clock_ahead),
+                ms(age.clock_ahead_most)
+            );
+        } else {
+            log_trace!("command {id}: attempt {dispatch} at {node} is served: {age:?}");
+        }
+    }
+
     /// Pulls decisions until there is none, and carries each out.
     pub fn decide(&mut self) {
         self.read_clock();
@@ -373,8 +402,17 @@
                     age / 10
                 );
             }
-            Event::Clock { offset } => {
-                log!("the members' clock is taken to be {} ms ahead of this one", offset as f64 / 10.0);
+            Event::Clock { offset, node } => {
+                self.counters.freshness.clock_moved += 1;
+                let ahead = offset as f64 / 10.0;
+                log!("the members' clock is taken to be {ahead} ms ahead of this one, by the word of {node}");
+            }
+            Event::ReportFromBefore { node, age } => {
+                self.counters.freshness.reports_from_before += 1;
+                log!(
+                    "node {node}: its report of {} ms ago is from before it broke: it stays broken",
+                    age / 10
+                );
             }
         }
     }
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -3,7 +3,7 @@
 use crate::reasons::{ClientClose, MemberClose, Tally};
 use std::collections::BTreeMap;
 use std::fmt;
-use vetchkeel::{Ending, GaveUp};
+use vetchkeel::{Ending, GaveUp, Written};
 
 #[derive(Debug, Default)]
 pub struct Counters {
@@ -31,6 +31,45 @@
     pub given_up: Tally<GaveUp>,
     pub dispatches: Endings,
     pub probes: Endings,
+    pub freshness: Freshness,
+}
+
+/// Reads that must see new data, by what became of them.
+#[derive(Debug, Default)]
+pub struct Freshness {
+    pub written_to_primaries: u64,
+    pub written_to_replicas: u64,
+    pub too_old_as_written: u64,
+    pub little_to_spare: u64,
+    pub clock_moved: u64,
+    pub reports_from_before: u64,
+}
+
+impl Freshness {
+    pub fn written(&mut self, written: Written) {
+        match written {
+            Written::Free => {}
+            Written::ToPrimary => self.written_to_primaries += 1,
+            Written::ToReplica { .. } => self.written_to_replicas += 1,
+            Written::TooOld { .. } => self.too_old_as_written += 1,
+        }
+    }
+}
+
+impl fmt::Display for Freshness {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            f,
+            "written_to_primaries={} written_to_replicas={} too_old_as_written={} little_to_spare={} \
+             clock_moved={} reports_from_before={}",
+            self.written_to_primaries,
+            self.written_to_replicas,
+            self.too_old_as_written,
+            self.little_to_spare,
+            self.clock_moved,
+            self.reports_from_before
+        )
+    }
 }
 
 /// How many ended in which way.
@@ -73,6 +112,7 @@
         )?;
         writeln!(f, "counters dispatches: {}", self.dispatches)?;
         writeln!(f, "counters probes: {}", self.probes)?;
+        writeln!(f, "counters freshness: {}", self.freshness)?;
         writeln!(f, "counters given up: {}", self.given_up)?;
         writeln!(f, "counters closed clients: {}", self.clients_closed)?;
         writeln!(f, "counters closed members: {}", self.members_closed)?;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -388,7 +388,7 @@
     let mut program = Program::new(start, listener, handle)?;
     if let Some((listener, _)) = &program.clients.listener {
         let address = listener.local_addr().map_err(|e| e.to_string())?;
-        log!("router {name} serves on {address}");
+        vetchkeel_log::log_always!("router {name} serves on {address}");
     }
     program.turn();
     let mut failed_rounds = 0;
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -455,6 +455,7 @@
             return;
         };
         let written = self.commands.attempt_written(now, command, number);
+        self.counters.freshness.written(written);
         let (id, node, after) = (self.commands.id(command), &conn.node, (now - since) / 10);
         log_trace!(
             "command {id}: attempt {number} at {node} is written {after} ms after it was decided: {written:?}"
--- a/crates/router/tests/freshness/main.rs
+++ b/crates/router/tests/freshness/main.rs
@@ -16,7 +16,6 @@
 use common::*;
 use rstest::rstest;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -200,7 +199,7 @@
 fn explain(router: &Router, stale: &[String]) {
     let ids: Vec<&str> = stale.iter().filter_map(|story| story.split('@').next()).collect();
     let named = |line: &String| ids.iter().any(|id| line.contains(&format!("command {id}:")));
-    let of_members = |line: &String| !ids.is_empty() && (line.contains(" node ") || line.contains("clock"));
+    let of_members = |line: &String| !ids.is_empty() && (line.contains("node ") || line.contains("clock"));
     let lines = router.log_so_far().into_iter().filter(|line| named(line) || of_members(line));
     lines.for_each(|line| println!("{line}"));
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,10 +36,12 @@
 /// How long a session's last write is remembered, once this many are.
 const SESSION_KEPT: Tenths = 60 * SECOND;
 const SESSIONS_LEAST: usize = 4096;
-/// A report is no older than this when it comes. For as long after the start a clock that no primary has borne out
-/// makes nobody warm.
-const REPORT_AGE: Tenths = SECOND;
+/// How long a report may take from being made to being handed on. For as long after the start a clock that no primary has
+/// borne out makes nobody warm.
+const REPORT_DELAY: Tenths = SECOND;
 const UNCONFIRMED_MOST: Tenths = SECOND;
+/// By how much the members' clock must have moved to be told of.
+const CLOCK_NEWS: Tenths = 20;
 /// A host may be held up for so long between reading its clock and writing (standing page).
 const HELD_UP: Tenths = 1_500;
 /// Until seen, an unhurried answer is taken to need this share of the response target.
@@ -98,6 +100,8 @@
     scarce: Decay,
     sessions: Sessions,
     clock: MemberClock,
+    /// What was last told of it.
+    clock_noted: Tenths,
     events: Vec<Event>,
     stale: ByAge,
     list_fails: u32,
@@ -235,10 +239,11 @@
         let out = self.open.get_mut(&key).and_then(|cmd| cmd.out.remove(&dispatch));
         let Some((node, sent)) = out else { return };
         let asked = now - took;
-        let note = self.past(now, asked, note);
-        let Some(cmd) = self.open.get_mut(&key) else { return };
-        let write = self.groups.places[cmd.kind].access == Access::Write;
         let answered = ending == Ending::Answered;
+        let write =
+            self.open.get(&key).is_some_and(|cmd| self.groups.places[cmd.kind].access == Access::Write);
+        let note = self.past(now, asked, node, note, write && answered);
+        let Some(cmd) = self.open.get_mut(&key) else { return };
         let unproven = matches!(
             ending,
             Ending::Error | Ending::TimedOut | Ending::Reset | Ending::CalledOff | Ending::TooOld
@@ -285,7 +290,8 @@
         m.written_as_primary.remove(&(key, dispatch));
         // The note of a write that went through is its commit, not the member's position.
         let told = if write && answered { 0 } else { note.position };
-        m.position = m.position.max(told);
+        self.learn_position(now, asked, node, Note { position: told, ..note });
+        let m = &mut self.members[node];
         let behind = self.clock.now(now) - told;
         (m.behind, m.behind_at) = if told > 0 { (behind, now) } else { (m.behind, m.behind_at) };
         let spoke = matches!(ending, Ending::Answered | Ending::Miss | Ending::Error | Ending::Full);
@@ -349,6 +355,10 @@
         let m = &mut self.members[node];
         m.probing = false;
         m.met |= ending == Ending::Answered;
+        if self.still_hangs(now, asked, node, report) {
+            return;
+        }
+        let m = &mut self.members[node];
         if ending != Ending::Answered && m.fails == 0 && m.state != State::TransportError {
             // One lost probe proves nothing: it is asked once more.
             m.fails = 1;
@@ -487,7 +497,7 @@
         // Danger: the list names members that do not exist. One that was never met is not asked again soon.
         let doublings = if m.met { m.fails.saturating_sub(1).min(6) } else { 6 };
         let at = now + self.rng.jittered((PAUSE << doublings).min(BACKOFF_MAX));
-        (m.fails, m.retry_at) = (m.fails + 1, at);
+        (m.fails, m.retry_at, m.broken_at) = (m.fails + 1, at, now);
         self.set_state(node, State::TransportError, StateReason::Broken);
     }
 
--- a/src/decide/evidence.rs
+++ b/src/decide/evidence.rs
@@ -13,67 +13,106 @@
 }
 
 impl Router {
-    /// What an answer's note proves by now: a position that is yet to come is none. The clock learns from it.
-    pub(super) fn past(&mut self, now: Tenths, asked: Tenths, note: Note) -> Note {
+    /// What an answer's note proves by now: a position that is yet to come is none. The clock learns from it. A commit
+    /// can't have been before the write was sent; any other position of a primary is dated by its progress.
+    pub(super) fn past(&mut self, now: Tenths, asked: Tenths, node: Node, note: Note, commit: bool) -> Note {
         if note.position <= 0 {
             return Note { position: 0, ..note };
         }
-        self.learn_clock(
-            now,
-            match note.primary {
-                Some(true) => Evidence::of_primary(note.position, asked, now, 0),
-                _ => Evidence::of_any(note.position, now),
-            },
-        );
+        let m = &mut self.members[node];
+        let since = match note.primary {
+            Some(true) if commit => Some(asked),
+            Some(true) if !m.roles.may_be_replica() => m.answered_positions.tells(note.position, asked),
+            _ => None,
+        };
+        self.learn_clock(now, node, Evidence::told(note.position, since, now, 0));
         let position = if self.clock.is_past(note.position, now) { note.position } else { 0 };
         Note { position, ..note }
     }
 
-    fn learn_clock(&mut self, now: Tenths, evidence: Evidence) {
-        if self.clock.learn(now, evidence) {
-            let offset = self.clock.now(now) - now;
-            self.note(Event::Clock { offset });
+    fn learn_clock(&mut self, now: Tenths, node: Node, evidence: Evidence) {
+        self.clock.learn(now, evidence);
+        let (offset, _) = self.clock.ahead(now);
+        // The bounds' slow drift is no news.
+        if (offset - self.clock_noted).abs() >= CLOCK_NEWS {
+            self.clock_noted = offset;
+            self.note(Event::Clock { offset, node: self.members[node].id.clone() });
         }
     }
 
-    /// A report that was asked for at `asked`, and was up to `REPORT_AGE` old by then.
+    /// A report that was asked for at `asked`. Danger: how old it is nobody says; a member that hangs hands on the one from
+    /// before for as long as it does.
     pub(super) fn learn_report(&mut self, now: Tenths, asked: Tenths, node: Node, report: Report) {
         if let Some(position) = report.position.filter(|position| *position > 0) {
-            let healthy = self.members[node].state == State::Healthy;
-            self.learn_clock(
-                now,
-                match report.primary.unwrap_or(healthy) {
-                    true => Evidence::of_primary(position, asked, now, REPORT_AGE),
-                    false => Evidence::of_any(position, now),
-                },
-            );
             let m = &mut self.members[node];
+            let primary = report.primary == Some(true) && !m.roles.may_be_replica();
+            let since = primary.then(|| m.reported_positions.tells(position, asked)).flatten();
+            self.learn_clock(now, node, Evidence::told(position, since, now, REPORT_DELAY));
             if self.clock.is_past(position, now) {
-                (m.position, m.checked_at) = (m.position.max(position), now);
+                let m = &mut self.members[node];
+                m.checked_at = now;
                 (m.behind, m.behind_at) = (m.behind(now).min(self.clock.now(now) - position), now);
+                if report.primary != Some(true) && position >= m.position {
+                    (m.position, m.position_heard) = (position, now);
+                    m.position_source = PositionSource::Report;
+                }
             }
         }
         self.learn_reported_role(now, asked, node, report);
     }
 
+    /// A position in the note of an answer. Danger: what a member told as the primary it may not have had as a replica, and
+    /// one that tells less than it told before has not what was believed of it.
+    pub(super) fn learn_position(&mut self, now: Tenths, asked: Tenths, node: Node, note: Note) {
+        let m = &mut self.members[node];
+        if note.position <= 0 || note.primary == Some(true) {
+            return;
+        }
+        if note.position >= m.position || asked >= m.position_heard {
+            (m.position, m.position_heard) = (note.position, now);
+            m.position_source = PositionSource::Answer;
+        }
+    }
+
     /// A report older than the last answer's note proves nothing against it; its position dates it.
     pub(super) fn learn_reported_role(&mut self, now: Tenths, asked: Tenths, node: Node, report: Report) {
         let position = report.position.unwrap_or(0);
         let newer = position > self.clock.now(self.members[node].noted_at);
         match report.primary {
             Some(true) => {
-                let said =
-                    if position > 0 { self.clock.earliest_here(now, position) } else { asked - REPORT_AGE };
-                let asked = asked.min(said);
-                self.learn_role(now, node, RoleClaim { primary: true, asked });
+                let asked = asked.min(self.reported_at(now, asked, position));
+                // Danger: one that hangs is asked, found well by its report from before, and hangs on.
+                if asked > self.members[node].broken_at {
+                    self.learn_role(now, node, RoleClaim { primary: true, asked });
+                }
             }
             Some(false) if newer => self.learn_role(now, node, RoleClaim { primary: false, asked }),
             // Danger: one that was demoted lags, so its report may look older than it is.
-            Some(false) => self.doubt(now, asked - REPORT_AGE, asked, node),
+            Some(false) => self.doubt(now, asked - REPORT_DELAY, asked, node),
             None => {}
         }
     }
 
+    /// The earliest time here at which a primary can have made a report: its position dates it, where there is one.
+    fn reported_at(&self, now: Tenths, asked: Tenths, position: Tenths) -> Tenths {
+        if position > 0 { self.clock.earliest_here(now, position) } else { asked - REPORT_DELAY }
+    }
+
+    /// Whether a broken member's report calls it a primary and is from before it broke: it answers probes, and may hang. Such
+    /// a one stays broken, and is asked again after a pause.
+    pub(super) fn still_hangs(&mut self, now: Tenths, asked: Tenths, node: Node, report: Report) -> bool {
+        let m = &self.members[node];
+        let position = report.position.filter(|position| *position > 0);
+        let dated = position.filter(|_| report.primary == Some(true) && m.state == State::TransportError);
+        let Some(made) = dated.map(|position| self.reported_at(now, asked, position)) else { return false };
+        if made > m.broken_at {
+            return false;
+        }
+        self.note(Event::ReportFromBefore { node: self.members[node].id.clone(), age: now - made });
+        self.members[node].retry_at = now + self.rng.jittered(PAUSE);
+        true
+    }
+
     /// A member has told its role by itself, as its connection was opened; that was begun at `asked`.
     pub fn role_told(&mut self, now: Tenths, node: &str, asked: Tenths, primary: bool) {
         if let Some(&node) = self.nodes.get(node) {
@@ -85,7 +124,7 @@
     /// that had said, before it was asked, that it is no primary any more.
     pub fn heard_replica(&mut self, now: Tenths, node: &str, asked: Tenths) {
         if let Some(&node) = self.nodes.get(node) {
-            self.doubt(now, asked - REPORT_AGE, asked, node);
+            self.doubt(now, asked - REPORT_DELAY, asked, node);
         }
     }
 
@@ -94,7 +133,10 @@
     fn doubt(&mut self, now: Tenths, said: Tenths, asked: Tenths, node: Node) {
         let m = &mut self.members[node];
         m.roles.claims_replica(said, now);
-        let since: Vec<_> = m.written_as_primary.extract_if(.., |_, written| *written > asked).collect();
+        m.answered_positions.ends();
+        m.reported_positions.ends();
+        // Danger: on a kept connection the write often has the very time at which it was decided.
+        let since: Vec<_> = m.written_as_primary.extract_if(.., |_, written| *written >= asked).collect();
         for ((key, dispatch), _) in since {
             self.open.get_mut(&key).into_iter().for_each(|cmd| _ = cmd.too_old.insert(dispatch));
         }
--- a/src/decide/evidence/tests.rs
+++ b/src/decide/evidence/tests.rs
@@ -89,3 +89,74 @@
     r.probe_ended(NOW + 200, "b", ProbeEnd { took: 150, ..probed(Ending::Answered, report) });
     assert_eq!(r.members[1].state, state);
 }
+
+/// Reports that a member which hangs hands on: what it told last, for as long as it does.
+#[rstest]
+#[case::one_member(&["a"])]
+#[case::three_that_hang_together(&["a", "b", "c"])]
+fn a_report_from_before_a_hang_moves_no_clock(#[case] hanging: &[&str]) {
+    let mut r = router(&[]);
+    for at in (0..50).map(|n| NOW + n * 1_000) {
+        for node in hanging {
+            let report = Report { primary: Some(true), position: Some(NOW - 1_000) };
+            r.probe_ended(at, node, probed(Ending::Answered, report));
+            assert_eq!(r.clock.latest(at), Some(at), "the clock is right");
+        }
+    }
+}
+
+/// A primary that stands still tells what was so as it stopped, in answers to what was asked since.
+#[rstest]
+fn an_answer_with_a_position_that_stands_still_moves_no_clock() {
+    let mut r = router(&[]);
+    for at in (0..20).map(|n| NOW + n * 100) {
+        let note = Note { primary: Some(true), position: NOW - 50 };
+        r.past(at + 10, at, 0, note, false);
+        assert_eq!(r.clock.latest(at + 10), Some(at + 10), "the clock is right");
+    }
+}
+
+/// Their clock is 1 s behind this one; a primary's positions go on, 20 ms from one request to the next.
+#[rstest]
+fn positions_that_go_on_correct_a_clock_that_is_ahead() {
+    let mut r = router(&[]);
+    r.clock = MemberClock::default();
+    for at in (0..5).map(|n| NOW + n * 200) {
+        let note = Note { primary: Some(true), position: at + 5 - SECOND };
+        r.past(at + 10, at, 0, note, false);
+    }
+    let latest = r.clock.latest(NOW + 1_000).expect("borne out") - NOW - 1_000;
+    assert!((-SECOND..-SECOND + 250).contains(&latest), "{latest}");
+}
+
+#[rstest]
+#[case::from_before(NOW - 100, State::TransportError)]
+#[case::made_since(NOW + 100, State::Healthy)]
+fn a_report_from_before_it_broke_brings_no_primary_back(#[case] made: Tenths, #[case] state: State) {
+    let mut r = router(&[]);
+    r.learn_role(NOW - 200, 0, claim(true, NOW - 200));
+    r.break_member(NOW, 0);
+    let report = Report { primary: Some(true), position: Some(made) };
+    r.probe_ended(NOW + 300, "a", ProbeEnd { took: 10, ..probed(Ending::Answered, report) });
+    assert_eq!(r.members[0].state, state);
+    let asked_again = r.members[0].retry_at <= NOW + 300 + 2 * PAUSE;
+    assert!(asked_again || state == State::Healthy, "soon");
+}
+
+#[rstest]
+fn a_position_told_as_the_primary_is_none_of_a_replica() {
+    let mut r = router(&[]);
+    r.learn_position(NOW, NOW - 10, 0, Note { primary: Some(true), position: NOW });
+    r.learn_report(NOW, NOW - 10, 0, Report { primary: Some(true), position: Some(NOW) });
+    assert_eq!(r.members[0].position, 0);
+}
+
+#[rstest]
+#[case::asked_later(NOW + 20, NOW - 500)]
+#[case::overtaken(NOW + 5, NOW)]
+fn a_replica_that_tells_less_than_before_is_believed(#[case] asked: Tenths, #[case] position: Tenths) {
+    let mut r = router(&[]);
+    r.learn_position(NOW + 10, NOW, 1, Note { primary: Some(false), position: NOW });
+    r.learn_position(NOW + 30, asked, 1, Note { primary: Some(false), position: NOW - 500 });
+    assert_eq!(r.members[1].position, position);
+}
--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -59,26 +59,46 @@
             self.members[node].written_as_primary.insert((key, dispatch), now);
             return Written::ToPrimary;
         }
-        if self.fresh_for(now, cmd, m) > 0 {
+        let fresh = self.fresh_for(now, cmd, m) > 0;
+        let (position, source, heard) = (m.position, m.position_source, m.position_heard);
+        let seen = Seen { written: now, position, source, heard };
+        let may_give_up = self.allows("permissions.cancel");
+        let Some(cmd) = self.open.get_mut(&key) else { return Written::Free };
+        cmd.seen.insert(dispatch, seen);
+        if fresh {
             return Written::ToReplica { behind };
         }
-        let may_give_up = self.allows("permissions.cancel");
-        self.open.get_mut(&key).into_iter().for_each(|cmd| _ = cmd.too_old.insert(dispatch));
+        cmd.too_old.insert(dispatch);
         Written::TooOld { behind, may_give_up }
     }
 
+    /// What an attempt at a replica with a bound may have seen, by all that is known now.
+    pub fn data_age(&self, now: Tenths, command: &str, dispatch: u32) -> Option<DataAge> {
+        let cmd = self.open.get(self.by_id.get(command)?)?;
+        let seen = cmd.seen.get(&dispatch)?;
+        let Access::Bounded(bound) = self.groups.places[cmd.kind].access else { return None };
+        let behind = self.clock.latest(seen.written)? - seen.position;
+        let (clock_ahead, clock_ahead_most) = self.clock.ahead(now);
+        let heard_before = seen.written - seen.heard;
+        Some(DataAge { bound, behind, source: seen.source, heard_before, clock_ahead, clock_ahead_most })
+    }
+
     /// Whether the data of an answer that has come may be passed on: its member was new enough as the attempt was written, by
-    /// all that is known now, and as the answer itself says.
+    /// all that is known now, and as the answer itself says. Danger: the members' clock may have turned out to be later
+    /// than it was taken to be as the attempt was written.
     pub fn may_serve(&self, command: &str, dispatch: u32, note: Note) -> bool {
         let Some(cmd) = self.by_id.get(command).and_then(|key| self.open.get(key)) else { return true };
         if !self.has_age(cmd) {
             return true;
         }
         let Some(&(_, sent)) = cmd.out.get(&dispatch) else { return true };
+        let seen = cmd.seen.get(&dispatch);
         let told = (note.primary == Some(false) && note.position > 0).then_some(note.position);
-        let old = match (self.groups.places[cmd.kind].access, told, self.clock.latest(sent)) {
-            (Access::Bounded(bound), Some(position), Some(sent)) => position + bound < sent,
-            (Access::Session, Some(position), _) => position < cmd.needs,
+        let positions = seen.map(|seen| seen.position).into_iter().chain(told);
+        let latest = self.clock.latest(seen.map_or(sent, |seen| seen.written));
+        let old = match (self.groups.places[cmd.kind].access, latest) {
+            (Access::Bounded(bound), Some(latest)) => positions.min().is_some_and(|p| p + bound < latest),
+            (Access::Session, _) => told.is_some_and(|position| position < cmd.needs),
             _ => false,
         };
         !old && !cmd.too_old.contains(&dispatch)
--- a/src/decide/freshness/tests.rs
+++ b/src/decide/freshness/tests.rs
@@ -52,6 +52,7 @@
 
 #[rstest]
 #[case::asked_before_the_write(NOW - 1, false)]
+#[case::asked_in_the_moment_of_the_write(NOW + 10, false)]
 #[case::asked_after_the_write(NOW + 11, true)]
 fn word_of_a_replica_that_may_be_older_than_the_write_bars_the_answer(
     #[case] asked: Tenths,
@@ -82,6 +83,21 @@
     assert_eq!(r.may_serve("cmd", 0, note), served);
 }
 
+/// What was known of the members' time at the write may turn out to be wrong until the answer comes.
+#[rstest]
+#[case::as_it_was_taken_to_be(0, true)]
+#[case::later_than_it_was_taken_to_be(500, false)]
+fn an_answer_is_judged_by_what_is_known_of_the_clock_as_it_comes(
+    #[case] later: Tenths,
+    #[case] served: bool,
+) {
+    let mut r = reading(&[]);
+    r.members[1].position = NOW - 2_800;
+    assert_eq!(r.attempt_written(NOW, "cmd", 0), Written::ToReplica { behind: 2_800 });
+    r.clock.learn(NOW + 100, Evidence::of_any(NOW + 100 + later, NOW + 100));
+    assert_eq!(answered(&r), served);
+}
+
 #[rstest]
 #[case::replayable("pure", true)]
 #[case::mutating("side_effect", false)]
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1461,8 +1461,8 @@
 #[rstest]
 #[case::never(None, false, false)]
 #[case::by_an_answer(Some(0), false, true)]
-#[case::by_a_report_that_may_be_old(Some(REPORT_AGE), false, false)]
-#[case::by_a_report_where_the_clock_is_theirs(Some(REPORT_AGE), true, true)]
+#[case::by_a_report_that_may_be_old(Some(REPORT_DELAY), false, false)]
+#[case::by_a_report_where_the_clock_is_theirs(Some(REPORT_DELAY), true, true)]
 fn a_bounded_read_needs_a_clock_that_a_primary_has_borne_out(
     #[case] age: Option<Tenths>,
     #[case] exact: bool,
@@ -1517,6 +1517,8 @@
         r.open.get_mut(&0).unwrap().out.insert(0, (1, NOW - 100));
         let end = DispatchEnd { note: Note { primary, position: told }, ..ended(Ending::Answered, primary) };
         r.dispatch_ended(NOW, "cmd", end);
+        // What it tells as the primary says nothing of it as a replica.
+        let want = if primary == Some(true) { 0 } else { want };
         assert_eq!(r.members[1].position, want, "{primary:?} in a note");
         let mut r = router(&[]);
         r.probe_ended(NOW, "b", probed(Ending::Answered, Report { primary, position: Some(told) }));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,6 +102,28 @@
     },
 }
 
+/// What a replica's position was known by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PositionSource {
+    #[default]
+    Answer,
+    Report,
+}
+
+/// What an attempt at a replica may have seen, and by what that is known. For the log and the counters alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DataAge {
+    /// How old the data may be, and are at the most, as the attempt was written.
+    pub bound: Tenths,
+    pub behind: Tenths,
+    pub source: PositionSource,
+    /// How long ago, at the write, the position had been heard.
+    pub heard_before: Tenths,
+    /// By how much the members' clock is taken to be ahead, and may be at the most.
+    pub clock_ahead: Tenths,
+    pub clock_ahead_most: Tenths,
+}
+
 /// One line of the member list.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -198,8 +220,14 @@
         node: Id,
         age: Tenths,
     },
-    /// The members' clock is taken to be ahead of this one by so much.
+    /// The members' clock is taken to be ahead of this one by so much, by this member's word.
     Clock {
         offset: Tenths,
+        node: Id,
+    },
+    /// A probe was answered with a report from before the member broke, so long ago: it is not taken for well.
+    ReportFromBefore {
+        node: Id,
+        age: Tenths,
     },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 mod decide;
 mod interface;
 mod member_clock;
+mod progress;
 mod roles;
 mod state;
 mod told;
--- a/src/member_clock.rs
+++ b/src/member_clock.rs
@@ -2,9 +2,10 @@
 //!
 //! Positions and starts are Unix times by the members' clocks. A router's own Unix time is one reading of its wall clock
 //! at the start, which may be wrong by seconds or by an hour, carried on by the monotonic clock. What a primary says of
-//! its position bounds the offset, as it is positioned at the present (Cristian's algorithm): asked at `asked` and
-//! heard at `heard` on this router's clock, `position` lies between. Bounds are intersected (Marzullo's algorithm), so
-//! the narrowest count. No other evidence moves the clock.
+//! its position bounds the offset (Cristian's algorithm): if the position was the present at some time after `since` and was
+//! heard at `heard` on this router's clock, it lies between. Bounds are intersected (Marzullo's algorithm), so the
+//! narrowest count. No other evidence moves the clock. Danger: a clock that is set back makes every replica look fresher, at
+//! all routers alike; so nothing may bound the offset from above whose age is not proven.
 
 use crate::interface::Tenths;
 
@@ -35,12 +36,21 @@
 }
 
 impl Evidence {
-    /// A primary that was asked at `asked` gave this position by `heard`; it was known there for `age` at most.
-    pub(crate) fn of_primary(position: Tenths, asked: Tenths, heard: Tenths, age: Tenths) -> Evidence {
-        let most = position.saturating_sub(asked).saturating_add(age + READING);
+    /// A position, heard at `heard`, that was the present there at some time after `since`, give or take `delay`: a commit
+    /// that was asked for then, or a primary's position that has advanced since (`Progress`).
+    pub(crate) fn of_primary(position: Tenths, since: Tenths, heard: Tenths, delay: Tenths) -> Evidence {
+        let most = position.saturating_sub(since).saturating_add(delay + READING);
         Evidence { most, ..Evidence::of_any(position, heard) }
     }
 
+    /// A position that was told by `heard`; since when it has been the present at some moment, where that is proven.
+    pub(crate) fn told(position: Tenths, since: Option<Tenths>, heard: Tenths, delay: Tenths) -> Evidence {
+        match since {
+            Some(since) => Evidence::of_primary(position, since, heard, delay),
+            None => Evidence::of_any(position, heard),
+        }
+    }
+
     /// Nobody has applied what is yet to come.
     pub(crate) fn of_any(position: Tenths, heard: Tenths) -> Evidence {
         Evidence { least: position.saturating_sub(heard + READING), most: Tenths::MAX }
@@ -97,7 +107,12 @@
 
     /// The latest that it may be there; None as long as no primary has borne the clock out.
     pub(crate) fn latest(&self, now: Tenths) -> Option<Tenths> {
-        self.confirmed.then_some(now.saturating_add(self.latest_offset(now)))
+        self.is_confirmed().then_some(now.saturating_add(self.latest_offset(now)))
+    }
+
+    /// By how much it is taken to be ahead, and may be at the most.
+    pub(crate) fn ahead(&self, now: Tenths) -> (Tenths, Tenths) {
+        (self.offset, self.latest_offset(now))
     }
 
     /// The earliest time here at which it can have been this time there, as far as is known by now.
@@ -109,7 +124,7 @@
     /// late as the bounds allow, whatever it says itself.
     fn latest_offset(&self, now: Tenths) -> Tenths {
         let bounds = self.bounds.widened(self.drift(now));
-        let proven = if self.exact || !bounds.is_of_primary() { self.offset } else { bounds.most - TRUSTED };
+        let proven = if bounds.is_of_primary() { bounds.most - TRUSTED } else { self.offset };
         self.against
             .iter()
             .map(|e| e.least.saturating_add(READING))
@@ -121,9 +136,9 @@
         self.exact = true;
     }
 
-    /// Whether a primary has borne it out.
+    /// Whether a primary has borne it out, or it is theirs.
     pub(crate) fn is_confirmed(&self) -> bool {
-        self.confirmed
+        self.confirmed || self.exact
     }
 
     /// Whether a position may have been reached by now, as far as is known.
@@ -134,6 +149,9 @@
     /// Takes evidence in, now. A corrected clock is as late as the evidence allows: positions then rather look old. True
     /// if the offset in use changes.
     pub(crate) fn learn(&mut self, now: Tenths, evidence: Evidence) -> bool {
+        if self.exact {
+            return false;
+        }
         let before = self.offset;
         let drift = self.drift(now);
         self.bounds = self.bounds.widened(drift);
--- a/src/member_clock/tests.rs
+++ b/src/member_clock/tests.rs
@@ -77,9 +77,14 @@
 
 #[rstest]
 fn a_host_whose_time_is_theirs_needs_no_bounds() {
-    let mut clock = clock(&[Evidence::of_primary(NOW - 3_000, NOW, HEARD, 10_000)]);
+    let mut clock = MemberClock::default();
     clock.is_theirs();
     assert_eq!(clock.latest(NOW), Some(NOW));
+    let standing_still = Evidence::of_primary(NOW - 3_000, NOW, HEARD, 0);
+    [evidence(9_000), Evidence::of_any(NOW + 9_000, NOW)].iter().chain(&[standing_still; 5]).for_each(|e| {
+        assert!(!clock.learn(NOW, *e), "nothing moves it: {e:?}");
+    });
+    assert_eq!(clock.latest(NOW), Some(NOW));
 }
 
 /// A report of a primary where their clock is ahead by so much; it was this old when it was heard.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! What a router holds. Nothing is decided here: `decide` alone reads and changes it.
 
 use crate::decay::Mean;
-use crate::interface::{Id, Tenths};
+use crate::interface::{Id, PositionSource, Tenths};
+use crate::progress::Progress;
 use crate::roles::Roles;
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
@@ -104,8 +105,15 @@
     pub roles: Roles,
     /// Attempts that see what a primary has, by command and number, with the time at which each was written there.
     pub written_as_primary: BTreeMap<(u64, u32), Tenths>,
-    /// Proven: all commits up to here are applied.
+    /// Proven: all commits up to here are applied. Told as a replica; the last word of it that counted was heard then.
     pub position: Tenths,
+    pub position_heard: Tenths,
+    pub position_source: PositionSource,
+    /// The positions that it tells as the primary, in answers and in reports.
+    pub answered_positions: Progress,
+    pub reported_positions: Progress,
+    /// When it was last taken for broken.
+    pub broken_at: Tenths,
     pub checked_at: Tenths,
     /// How far behind it was at the last word of it, and when that came.
     pub behind: Tenths,
@@ -220,6 +228,8 @@
     pub out: BTreeMap<u32, (Node, Tenths)>,
     /// Attempts whose answers may be older than it may see.
     pub too_old: BTreeSet<u32>,
+    /// What attempts that were written to replicas may see.
+    pub seen: BTreeMap<u32, Seen>,
     /// The first dispatch that may have run.
     pub maybe_ran: Option<(Node, Tenths)>,
     pub tried: Vec<Node>,
@@ -230,6 +240,15 @@
     pub closed: bool,
 }
 
+/// What an attempt may see: when its last byte was written, and up to when its member had applied all by then.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Seen {
+    pub written: Tenths,
+    pub position: Tenths,
+    pub source: PositionSource,
+    pub heard: Tenths,
+}
+
 impl Open {
     /// Dispatches that count as attempts.
     pub(crate) fn attempts(&self) -> u32 {
--- a/tests/stale_reads/main.rs
+++ b/tests/stale_reads/main.rs
@@ -84,6 +84,7 @@
 /// One trouble beside replicas that lag, all else as it should be.
 #[rstest]
 #[case::primaries_hang(Trouble::PrimaryHangs, 3, 20, 300, 25)]
+#[case::primaries_pause(Trouble::PrimaryPauses, 3, 150, 100, 2)]
 #[case::hand_overs(Trouble::HandOver, 3, 20, 300, 25)]
 #[case::replicas_hang(Trouble::ReplicaHangs, 3, 20, 300, 25)]
 #[case::replicas_lag(Trouble::ReplicaLags, 3, 20, 300, 25)]
