Router: a commit that looks yet to come is remembered; a primary is asked for the time it is not known by

And since two reports are needed to date one, a router that only reads would never learn the members' time.

Change: such a commit counts as late as the members' clock may be; so does a token left out. While the clock is not borne out, the primary that a bounded read goes to is asked for its report, every 100 ms at most. Freshness tests have primaries that stand still and are handed over, positions told, late answers.

--- a/crates/router/tests/freshness/cluster.rs
+++ b/crates/router/tests/freshness/cluster.rs
@@ -60,7 +60,7 @@
 }
 
 /// What the cluster is like.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Habits {
     /// How old a bounded read's data may be.
     pub bound: Duration,
@@ -68,6 +68,8 @@
     pub held_back: Duration,
     /// Every answer tells a position, not those of writes alone.
     pub tells_position: bool,
+    /// It is the position of when the command was taken, in a pause that of its beginning; else of when it is answered.
+    pub position_as_taken: bool,
     /// A connection's greeting tells the role as well.
     pub greets_with_role: bool,
 }
@@ -153,6 +155,13 @@
         old.go_on();
     }
 
+    /// The primary stands still for a while, its position too.
+    pub fn stand_still(&self, primary: usize, lasts: Duration) {
+        self.members[primary].hang(Some(Instant::now()));
+        thread::sleep(lasts);
+        self.members[primary].hang(None);
+    }
+
     /// A read is about to be sent that has to see this.
     pub fn expect(&self, id: &str, need: Need) {
         self.needs.lock().expect("no panic").insert(id.to_owned(), need);
@@ -232,6 +241,7 @@
             self.at_replicas.fetch_add(replica as u64, Relaxed);
             self.deliveries.lock().expect("no panic").insert(format!("{id}@{}", member.address), stale);
         }
+        let taken = member.hangs_since().unwrap_or(arrived);
         thread::sleep(WORK);
         member.wait_until_it_works();
         let (now, history) = (Instant::now(), member.history());
@@ -240,7 +250,8 @@
             self.commits.lock().expect("no panic").insert(id.to_owned(), now);
             *self.last_commit.lock().expect("no panic") = Some(now);
         }
-        let position = self.unix_ms(history.position(now));
+        let as_of = if self.habits.position_as_taken && read { taken } else { now };
+        let position = self.unix_ms(history.position(as_of));
         let position = if read { position.floor() } else { position.ceil() };
         let role = parameter("role", if primary { "primary" } else { "replica" });
         let tells = self.habits.tells_position || (!read && primary);
--- a/crates/router/tests/freshness/main.rs
+++ b/crates/router/tests/freshness/main.rs
@@ -246,13 +246,19 @@
 /// The report from before the hang says what is no longer so, and its age is not known. Another set's primary hangs a little
 /// later, so that nobody tells the time.
 #[rstest]
-#[case::commits_alone_tell_positions(300, false)]
-fn a_primary_that_hangs_makes_no_replica_look_fresh(#[case] bound: u64, #[case] tells_position: bool) {
+#[case::commits_alone_tell_positions(300, false, 0)]
+#[case::positions_told(300, true, 0)]
+#[case::late_answers(150, true, 300)]
+fn a_primary_that_hangs_makes_no_replica_look_fresh(
+    #[case] bound: u64,
+    #[case] tells_position: bool,
+    #[case] held_back: u64,
+) {
     let habits = Habits {
         bound: milliseconds(bound),
-        held_back: Duration::ZERO,
+        held_back: milliseconds(held_back),
         tells_position,
-        greets_with_role: false,
+        ..Habits::default()
     };
     let (one, other) = (Cluster::start(MEMBERS, habits), Cluster::start(MEMBERS, habits));
     let (clusters, faults) = ([&*one, &*other], Faults::new(1));
@@ -268,6 +274,53 @@
     assert!(outcome.served * 10 >= outcome.asked * 4, "{outcome:?}");
 }
 
+/// The primary stands still again and again, for less time than its failure takes to be seen, and is handed over now and then.
+fn stand_still_by_turns(cluster: &Cluster, until: Instant) {
+    let mut draw = Draw::new(5);
+    draw.below(1);
+    let mut primary = 0;
+    while Instant::now() < until {
+        for _ in 0..1 + draw.below(3) {
+            thread::sleep(milliseconds(50 + draw.below(100)));
+            cluster.stand_still(primary, milliseconds(100 + draw.below(200)));
+        }
+        let next = (primary + 1 + draw.below(MEMBERS as u64 - 1) as usize) % MEMBERS;
+        cluster.hand_over(primary, next);
+        primary = next;
+    }
+}
+
+/// All replicas together stop applying for longer than the bound, so that reads go to the primary.
+fn pause_all_replicas(cluster: &Cluster, bound: Duration, until: Instant) {
+    while Instant::now() < until {
+        cluster.members.iter().for_each(|member| member.pause());
+        thread::sleep(bound + milliseconds(400));
+        cluster.members.iter().for_each(|member| member.go_on());
+        thread::sleep(milliseconds(150));
+    }
+}
+
+/// Answers tell the position of when the read was taken, in a pause that of its beginning.
+#[rstest]
+fn a_primary_that_stands_still_makes_no_replica_look_fresh() {
+    let habits = Habits {
+        bound: milliseconds(300),
+        tells_position: true,
+        position_as_taken: true,
+        ..Habits::default()
+    };
+    let (cluster, faults) = (Cluster::start(MEMBERS, habits), Faults::new(1));
+    let router = router(&[&cluster], habits, "pure", &faults, &[]);
+    let outcome = play(&router, &[&cluster], habits, PATIENT, |until| {
+        thread::scope(|scope| {
+            scope.spawn(|| pause_all_replicas(&cluster, habits.bound, until + SPAN));
+            stand_still_by_turns(&cluster, until + SPAN);
+        });
+    });
+    assert!(outcome.stale.is_empty(), "{:?}", outcome.stale);
+    assert!(outcome.served * 10 >= outcome.asked * 8, "{outcome:?}");
+}
+
 /// The router waits before one in so many of its writes to members.
 #[rstest]
 #[case::pure("pure", 300, false)]
@@ -278,12 +331,7 @@
     #[case] bound: u64,
     #[case] tells_position: bool,
 ) {
-    let habits = Habits {
-        bound: milliseconds(bound),
-        held_back: Duration::ZERO,
-        tells_position,
-        greets_with_role: false,
-    };
+    let habits = Habits { bound: milliseconds(bound), tells_position, ..Habits::default() };
     let (cluster, faults) = (Cluster::start(MEMBERS, habits), Faults::new(1));
     let router = router(&[&cluster], habits, semantics, &faults, &[]);
     faults.set(Fault::HeldSend, 125_000);
@@ -307,7 +355,7 @@
         bound: milliseconds(bound),
         held_back: milliseconds(held_back),
         tells_position,
-        greets_with_role: false,
+        ..Habits::default()
     };
     let (cluster, faults) = (Cluster::start(MEMBERS, habits), Faults::new(1));
     let router = router(&[&cluster], habits, "pure", &faults, &[]);
@@ -326,12 +374,7 @@
 #[case::ahead(300)]
 #[case::far_ahead(5_000)]
 fn a_wall_clock_that_is_a_little_wrong_costs_no_replica_and_no_fresh_data(#[case] wrong: i64) {
-    let habits = Habits {
-        bound: milliseconds(300),
-        held_back: Duration::ZERO,
-        tells_position: false,
-        greets_with_role: false,
-    };
+    let habits = Habits { bound: milliseconds(300), tells_position: false, ..Habits::default() };
     let (cluster, faults) = (Cluster::start(MEMBERS, habits), Faults::new(1));
     faults.step_wall_clock(wrong);
     let router = router(&[&cluster], habits, "pure", &faults, &[]);
@@ -356,6 +399,7 @@
         bound: milliseconds([100, 150, 200, 300, 500][draw.below(5) as usize]),
         held_back: milliseconds([0, 200, 600, 1_000][draw.below(4) as usize]),
         tells_position: draw.below(2) == 0,
+        position_as_taken: seed.is_multiple_of(2),
         greets_with_role: false,
     };
     let faults = Faults::new(seed);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -200,7 +200,9 @@
                 self.sessions.written(&command.session, self.clock.now(now) - SESSION_KEPT)
             }
             (Access::Session, Some(0)) => 0,
-            (Access::Session, age) => now + 1 - age.unwrap_or(0),
+            (Access::Session, Some(age)) => now + 1 - age,
+            // Danger: what is not told counts as written just now, as late as that may be by the members' clock.
+            (Access::Session, None) => now + 1 + self.clock.ahead(now).1,
             _ => now + 1,
         };
         let work = group.target as f64;
@@ -255,7 +257,10 @@
         if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
             // Danger: sessions come and go for ever. One not remembered counts as written that long ago.
             let old = self.clock.now(now) - SESSION_KEPT;
-            self.sessions.write(session, note.position + 1, old, SESSIONS_LEAST);
+            // Danger: a commit that a wrong clock takes for yet to come would leave its session without one.
+            let known = note.position > 0;
+            let commit = if known { note.position } else { now + self.clock.ahead(now).1 };
+            self.sessions.write(session, commit + 1, old, SESSIONS_LEAST);
         }
         // Danger: commands that err at any member take others' turns. Whether a dispatch after an error is
         // answered tells them from members that err; only beside the latter is one more worth it.
@@ -859,9 +864,19 @@
             return None;
         }
         // No replica qualifies or has room: the primary, as far as that leaves room for writes.
-        let spared =
-            |p: &Node| self.members[*p].spare_at <= now && self.has_room(now, *p, PRIMARY_SPARE, 0.0);
-        self.primary(number).filter(spared)
+        let primary = self.primary(number)?;
+        self.ask_for_time(now, primary);
+        let spared = self.members[primary].spare_at <= now && self.has_room(now, primary, PRIMARY_SPARE, 0.0);
+        spared.then_some(primary)
+    }
+
+    /// Danger: beside reads alone, whose answers need not tell a position, nothing ever bears the members' clock out. Two
+    /// reports of a primary whose position went on in between do.
+    fn ask_for_time(&mut self, now: Tenths, primary: Node) {
+        let m = &self.members[primary];
+        if !self.node_checks && !self.clock.is_confirmed() && m.asked_at + PAUSE <= now {
+            self.probe(now, primary);
+        }
     }
 
     /// A read that may outlast the tightest bound, at twice its unhurried time.
--- a/src/decide/freshness/tests.rs
+++ b/src/decide/freshness/tests.rs
@@ -121,3 +121,29 @@
     assert!(!r.offer(NOW + PAUSE, 1, 0));
     assert_eq!(r.next_decision(NOW + PAUSE), Some(Decision::Probe { node: "a".into() }));
 }
+
+/// Beside reads alone only reports tell the members' time.
+#[rstest]
+#[case::not_yet_borne_out(MemberClock::default(), true)]
+#[case::borne_out(confirmed(), false)]
+fn a_primary_is_asked_for_the_time_until_the_clock_is_borne_out(
+    #[case] clock: MemberClock,
+    #[case] asks: bool,
+) {
+    let mut r = router(&[]);
+    r.clock = clock;
+    while r.next_decision(NOW).is_some() {}
+    (1..3).for_each(|n| r.members[n].shut = true);
+    open(&mut r, "bounded");
+    r.learn_role(NOW, 0, claim(true, NOW));
+    (r.members[0].probing, r.members[0].asked_at) = (false, NOW - PAUSE);
+    assert!(r.offer(NOW, 1, 0), "the primary serves it");
+    let decisions: Vec<Decision> = std::iter::from_fn(|| r.next_decision(NOW)).collect();
+    assert_eq!(decisions.contains(&Decision::Probe { node: "a".into() }), asks, "{decisions:?}");
+}
+
+fn confirmed() -> MemberClock {
+    let mut clock = MemberClock::default();
+    clock.learn(NOW, Evidence::of_primary(NOW, NOW, NOW, 0));
+    clock
+}
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -553,6 +553,33 @@
     assert_eq!(r.open[&0].needs, needs);
 }
 
+/// This router's clock is behind theirs: a commit looks as if it were yet to come.
+#[rstest]
+#[case::a_little(1_500)]
+#[case::an_hour(3_600 * SECOND)]
+fn a_commit_that_looks_yet_to_come_is_remembered(#[case] ahead: Tenths) {
+    let mut r = router(&[("family_info.token_mode", "remembered")]);
+    r.clock = MemberClock::default();
+    open(&mut r, "write");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.session, cmd.out) = (Some("s".into()), BTreeMap::from([(0, (0, NOW - 100))]));
+    let note = Note { primary: Some(true), position: NOW - 20 + ahead };
+    r.dispatch_ended(NOW, "cmd", DispatchEnd { note, ..ended(Ending::Answered, None) });
+    assert!(r.sessions.written(&Some("s".into()), 0) > NOW - 20 + ahead);
+}
+
+/// A session whose last write is not told: it may be of just now, by the members' clock.
+#[rstest]
+fn a_token_that_is_left_out_is_as_late_as_the_members_clock_may_be() {
+    let mut r = router(&[("family_info.token_mode", "carried")]);
+    r.clock.learn(NOW, Evidence::of_any(NOW + SECOND, NOW));
+    let (id, command_group) = ("x".into(), "session".into());
+    let (customer, time_left, token_age, session, repeat) = (None, 9_000, None, None, false);
+    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat };
+    r.command_arrived(NOW, cmd).unwrap();
+    assert!(r.open[&0].needs > NOW + SECOND);
+}
+
 #[rstest]
 #[case::warm(0, 0.0, 0.0, true)]
 #[case::credit_left(NOW - 10, 2_500.0, 0.0, true)]
