--- a/src/decide/freshness/tests.rs
+++ b/src/decide/freshness/tests.rs
@@ -133,10 +133,10 @@
     let mut r = router(&[]);
     r.clock = clock;
     while r.next_decision(NOW).is_some() {}
+    r.members.iter_mut().for_each(|m| (m.probing, m.asked_at) = (false, NOW - PAUSE));
     (1..3).for_each(|n| r.members[n].shut = true);
     open(&mut r, "bounded");
     r.learn_role(NOW, 0, claim(true, NOW));
-    (r.members[0].probing, r.members[0].asked_at) = (false, NOW - PAUSE);
     assert!(r.offer(NOW, 1, 0), "the primary serves it");
     let decisions: Vec<Decision> = std::iter::from_fn(|| r.next_decision(NOW)).collect();
     assert_eq!(decisions.contains(&Decision::Probe { node: "a".into() }), asks, "{decisions:?}");
