--- a/src/decide/slow_start.rs
+++ b/src/decide/slow_start.rs
@@ -28,7 +28,8 @@
     /// while this machine's clock may be ahead, one that has just started looks warm.
     pub(super) fn age(&self, now: Tenths, m: &Member) -> Tenths {
         let known = now - m.start_known;
-        let trusted = self.clock.is_confirmed() || now - self.began > UNCONFIRMED_MOST;
+        let unrefuted = now - self.began > UNCONFIRMED_MOST && !self.clock.is_contradicted();
+        let trusted = self.clock.is_confirmed() || unrefuted;
         if trusted { known.max(self.clock.now(now) - m.started) } else { known }
     }
 
--- a/src/member_clock.rs
+++ b/src/member_clock.rs
@@ -14,7 +14,10 @@
 /// So many pieces of evidence that contradict the clock, and agree, correct it. Danger: one position that was spoilt on
 /// its way would.
 const AGREE: usize = 3;
-/// What is kept of it; the oldest goes.
+/// And they must have come over at least so long, with nothing in between that refutes them. Danger: whatever stands still
+/// for a moment and is dated wrongly tells the same several times at its end.
+const AGREE_OVER: Tenths = 5_000;
+/// What is kept of it: the first and the last ones.
 const KEPT: usize = 8;
 /// By how much the clock may be behind theirs without a look at the bounds: a part of the 50 ms that the operators' pages grant.
 const TRUSTED: Tenths = 300;
@@ -95,8 +98,8 @@
     /// What is left of the offset by all that has borne it out, as of then.
     bounds: Evidence,
     bounds_at: Tenths,
-    /// Evidence against it that no evidence for it refutes.
-    against: Vec<Evidence>,
+    /// Evidence against it that no evidence for it refutes, and when that came.
+    against: Vec<(Tenths, Evidence)>,
 }
 
 impl MemberClock {
@@ -127,7 +130,7 @@
         let proven = if bounds.is_of_primary() { bounds.most - TRUSTED } else { self.offset };
         self.against
             .iter()
-            .map(|e| e.least.saturating_add(READING))
+            .map(|(_, e)| e.least.saturating_add(READING))
             .fold(self.offset.max(proven), Tenths::max)
     }
 
@@ -141,6 +144,11 @@
         self.confirmed || self.exact
     }
 
+    /// Whether evidence against it waits for more that agrees.
+    pub(crate) fn is_contradicted(&self) -> bool {
+        !self.against.is_empty()
+    }
+
     /// Whether a position may have been reached by now, as far as is known.
     pub(crate) fn is_past(&self, position: Tenths, now: Tenths) -> bool {
         position <= self.now(now) + READING
@@ -177,20 +185,22 @@
         // Danger: a report that may be a second old says nothing against an answer that is not. What is refuted goes.
         if evidence.is_of_primary() {
             self.confirmed = true;
-            self.against.retain(|e| e.and(&evidence).is_possible());
+            self.against.retain(|(_, e)| e.and(&evidence).is_possible());
         }
     }
 
     fn contradict(&mut self, now: Tenths, evidence: Evidence) {
-        let agreed = self.against.iter().fold(evidence, |all, e| all.and(e));
+        let agreed = self.against.iter().fold(evidence, |all, (_, e)| all.and(e));
         if !agreed.is_possible() {
             self.against.clear();
         }
         if self.against.len() == KEPT {
-            self.against.remove(0);
+            self.against.remove(1);
         }
-        self.against.push(evidence);
-        if agreed.is_possible() && agreed.is_of_primary() && self.against.len() >= AGREE {
+        self.against.push((now, evidence));
+        let over = now - self.against[0].0;
+        let enough = self.against.len() >= AGREE && over >= AGREE_OVER;
+        if agreed.is_possible() && agreed.is_of_primary() && enough {
             self.offset = agreed.late_side();
             (self.bounds, self.bounds_at) = (agreed, now);
             (self.confirmed, self.corrected) = (true, true);
--- a/src/member_clock/tests.rs
+++ b/src/member_clock/tests.rs
@@ -10,9 +10,12 @@
     Evidence::of_primary(NOW + 100 + ahead, NOW, HEARD, 0)
 }
 
+/// A clock that learned these, the last at NOW, over long enough for a correction.
 fn clock(evidence: &[Evidence]) -> MemberClock {
     let mut clock = MemberClock::default();
-    evidence.iter().for_each(|e| _ = clock.learn(NOW, *e));
+    for (at, e) in evidence.iter().enumerate() {
+        clock.learn(NOW - AGREE_OVER * (evidence.len() - 1 - at) as Tenths, *e);
+    }
     clock
 }
 
@@ -39,6 +42,21 @@
     assert_eq!(clock.now(NOW) - NOW, latest);
 }
 
+/// What comes in a burst may have one cause, and be refuted by what comes next.
+#[rstest]
+#[case::in_a_burst(AGREE_OVER - 1, 0)]
+#[case::over_long_enough(AGREE_OVER, -2_000)]
+fn a_correction_takes_its_time(#[case] over: Tenths, #[case] offset: Tenths) {
+    let mut clock = clock(&[evidence(0)]);
+    let standing_still = Evidence::of_primary(NOW - 2_000, NOW, HEARD, 0);
+    (0..20).for_each(|at| _ = clock.learn(NOW + at * over / 19, standing_still));
+    let found = clock.now(NOW) - NOW;
+    assert!((offset..=offset + 100).contains(&found), "{found}");
+    let mut refuted = clock.clone();
+    refuted.learn(NOW + over + 1, evidence(0));
+    assert!(refuted.against.is_empty() || offset != 0, "{refuted:?}");
+}
+
 #[rstest]
 fn one_spoilt_position_is_doubted_and_then_forgotten() {
     let mut clock = clock(&[evidence(0), evidence(36_000_000)]);
