--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,6 +18,9 @@
 mod evidence;
 mod freshness;
 mod gate;
+mod health;
+mod reads;
+mod search;
 mod slow_start;
 
 const SECOND: Tenths = 10_000;
@@ -487,34 +490,6 @@
         self.agenda.insert((now + wait, Task::Watch));
     }
 
-    /// Danger: a member that takes no more connections (full table, squeezed limit) is taken for dead. One
-    /// that refuses at once is probed; while that is answered it keeps its state and gets a growing pause.
-    fn refused(&mut self, now: Tenths, node: Node) {
-        let m = &mut self.members[node];
-        m.refused += 1;
-        m.shy_until = now + self.rng.jittered((PAUSE / 8) << m.refused.min(5));
-        m.refused.is_power_of_two().then(|| self.agenda.insert((now, Task::Ask(node))));
-    }
-
-    /// Danger: a broken send must demote its member before the next pick, or the sticky rule picks it again.
-    fn break_member(&mut self, now: Tenths, node: Node) {
-        let m = &mut self.members[node];
-        // Danger: the list names members that do not exist. One that was never met is not asked again soon.
-        let doublings = if m.met { m.fails.saturating_sub(1).min(6) } else { 6 };
-        let at = now + self.rng.jittered((PAUSE << doublings).min(BACKOFF_MAX));
-        (m.fails, m.retry_at, m.broken_at) = (m.fails + 1, at, now);
-        self.set_state(node, State::TransportError, StateReason::Broken);
-    }
-
-    /// A broken member has answered; one that was seen to die is cold now.
-    fn recover(&mut self, now: Tenths, node: Node) {
-        if self.members[node].state == State::TransportError {
-            self.set_state(node, State::Unknown, StateReason::Recovered);
-            let at = self.clock.now(now);
-            self.members[node].died.then(|| self.restarted(now, at, node));
-        }
-    }
-
     /// True for a customer whose part of this router's recent traffic is above its share.
     fn beyond_share(&mut self, now: Tenths, customer: &str) -> bool {
         self.all_traffic.add(now, USUAL_HALF, 1.0);
@@ -686,233 +661,11 @@
         sent
     }
 
-    /// Danger: reads wait for a primary that may be a replica by now, and nothing else asks it.
-    fn ask_for_role(&mut self, now: Tenths, node: Node) {
-        let m = &self.members[node];
-        if m.state == State::Healthy && m.roles.may_be_replica() && m.asked_at + PAUSE <= now {
-            self.probe(now, node);
-        }
-    }
-
-    fn primary(&self, number: i64) -> Option<Node> {
-        let healthy = |n: &&Node| self.members[**n].state == State::Healthy && !self.members[**n].shut;
-        self.sets.get(&number)?.nodes.iter().find(healthy).copied()
-    }
-
-    /// The walk of a held write: by state, listed role, rotated ids. One write of a set scouts for all.
-    fn scout(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
-        let can_probe = self.allows("permissions.may_probe");
-        let set = self.sets.get_mut(&number)?;
-        let cmd = self.open.get_mut(&key)?;
-        let group = &self.groups.places[cmd.kind];
-        let (write, most) = (group.access == Access::Write, group.attempts);
-        if !write || set.scout.is_some_and(|s| s != key) || set.round_at > now {
-            return None;
-        }
-        let open = |m: &Member| match m.state {
-            // Where probes are allowed they find out, and a write is not risked. Danger: on a slow way probes
-            // and new connections fail, and a working primary stays out of reach: the listed one is tried.
-            State::TransportError => (!can_probe || m.listed_primary) && m.retry_at <= now,
-            State::TopologyReject => !can_probe || m.noted_at + 5 * PAUSE < now,
-            _ => true,
-        };
-        let walk = set.nodes.iter().map(|n| (&self.members[*n], *n)).filter(|(m, n)| {
-            !m.shut && open(m) && !cmd.tried.contains(n) && cmd.attempts() < most.div_ceil(2)
-        });
-        let ranked = walk.map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
-        // One that this machine can't dial just now is waited for.
-        let (paused, ready): (Vec<_>, Vec<_>) = ranked.partition(|r| self.members[r.4].dial_at > now);
-        if let Some((.., node)) = ready.into_iter().min() {
-            cmd.tried.push(node);
-            set.scout = Some(key);
-            return Some(node);
-        }
-        if !paused.is_empty() {
-            return None;
-        }
-        // The round is over: misses cost the fixed pause, transport errors a backoff with equal jitter.
-        cmd.tried.clear();
-        set.scout = None;
-        let broken = std::mem::take(&mut cmd.broken_round);
-        set.broken_rounds = if broken { set.broken_rounds + 1 } else { 0 };
-        let base = (PAUSE << (set.broken_rounds.clamp(1, 7) - 1)).min(BACKOFF_MAX);
-        self.sets.get_mut(&number)?.round_at = now + if broken { self.rng.jittered(base) } else { PAUSE };
-        None
-    }
-
-    /// While no primary is known, probes look for it, one a pause, where none was asked for longest.
-    fn seek(&mut self, now: Tenths, number: i64) {
-        let Some(set) = self.sets.get_mut(&number).filter(|s| s.seek_at <= now) else { return };
-        set.seek_at = now + PAUSE;
-        let open = self.sets[&number].nodes.iter().copied().filter(|n| {
-            let m = &self.members[*n];
-            !m.shut && !m.probing && (m.state != State::TransportError || self.rested(now, m))
-        });
-        // Danger: one that never answers is asked for ever. A probe without an answer counts too.
-        let last = |m: &Member| m.asked_at.max(m.checked_at);
-        if let Some(node) = open.min_by_key(|n| (last(&self.members[*n]), self.members[*n].tie)) {
-            self.probe(now, node);
-        }
-    }
-
-    fn probe(&mut self, now: Tenths, node: Node) {
-        let allowed = self.allows("permissions.may_probe");
-        let m = &mut self.members[node];
-        if allowed && !m.probing && !m.shut {
-            (m.probing, m.asked_at) = (true, now);
-            self.ready.push_back(Decision::Probe { node: m.id.clone() });
-        } else if !allowed && m.state == State::TransportError {
-            self.set_state(node, State::Unknown, StateReason::NotAsked);
-        }
-    }
-
-    /// Danger: standing checks by all routers of all members outgrow the commands. A member is asked only
-    /// for a waiting read: a broken one after its backoff, else by its position's age, far behind less often.
-    fn ask_due(&self, now: Tenths, m: &Member) -> bool {
-        let behind = (self.clock.now(m.checked_at) - m.position - self.tightest).clamp(0, 2 * SECOND);
-        let rest = if m.position == 0 { PAUSE } else { PAUSE.max(self.tightest / 2).max(behind / 4) };
-        if m.state == State::TransportError { self.rested(now, m) } else { m.checked_at + rest <= now }
-    }
-
-    /// Danger: a set whose members were all out of reach is turned away until the longest rest is over, 10 s
-    /// after they are back. While none of it works, each is asked again after two seconds.
-    fn rested(&self, now: Tenths, m: &Member) -> bool {
-        let works = |n: &Node| !self.members[*n].shut && self.members[*n].state != State::TransportError;
-        let none = |set: &MemberSet| !set.nodes.iter().any(works);
-        m.retry_at <= now || (m.asked_at + 2 * SECOND <= now && self.sets.get(&m.set).is_some_and(none))
-    }
-
-    /// Danger: a primary that is slow, not crowded, is spared until it idles; nobody else takes its writes.
-    fn has_room(&self, now: Tenths, node: Node, part: f64, least: f64) -> bool {
-        let (m, out) = (&self.members[node], self.members[node].out.len() as f64);
-        m.dial_at <= now
-            && ((m.shy_until <= now && out < (m.window * part).max(1.0)) || (m.refused == 0 && out < least))
-    }
-
     /// The usual latency of a command group's answers.
     fn usual(&self, now: Tenths, kind: usize) -> f64 {
         let group = &self.groups.places[kind];
         group.latency.read(now, USUAL_HALF, group.target as f64 * USUAL_GUESS)
     }
-
-    /// Takes turns over the replicas that are fresh enough and have room; a slow one has less room.
-    fn pick_reader(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
-        let cmd = &self.open[&key];
-        // Danger: long reads stop a replica applying. They keep to the first by id; the others stay fresh.
-        let long = self.outlasts(cmd.kind);
-        let set = self.sets.get(&number)?;
-        // Danger: a list with names that are no members. One listed later that never answered is only asked,
-        // when its turn comes, while others work, and nothing waits for it.
-        let works =
-            |m: &Member| m.met && !m.shut && !matches!(m.state, State::Healthy | State::TransportError);
-        let known = set.nodes.iter().any(|n| works(&self.members[*n]));
-        let (mut best, mut ask, mut meet) = (None::<(f64, usize, Node)>, None, None);
-        let (mut top, mut first, mut count) = (0.0f64, None, 0.0);
-        for &node in &set.nodes {
-            let m = &self.members[node];
-            top = top.max(m.turn);
-            if m.shut || m.state == State::Healthy {
-                continue;
-            }
-            let strange = known && !m.met;
-            if m.state != State::TransportError && !strange {
-                (count, first) = (count + 1.0, first.or(Some(node)));
-            }
-            if m.state == State::TransportError || strange || self.fresh_for(now, cmd, m) <= 0 {
-                let first: &mut Option<(f64, usize, Node)> = if strange { &mut meet } else { &mut ask };
-                let sooner = first.is_none_or(|a| (m.turn, m.tie) < (a.0, a.1));
-                let due = !m.probing && sooner && self.ask_due(now, m);
-                *first = if due { Some((m.turn, m.tie, node)) } else { *first };
-                continue;
-            }
-            let sooner = best.is_none_or(|b| (m.turn, m.tie) < (b.0, b.1));
-            if sooner && self.has_room(now, node, 1.0, 0.0) && self.lawful_for(now, key, node) > 0 {
-                best = Some((m.turn, m.tie, node));
-            }
-            if long {
-                break;
-            }
-        }
-        let ask = ask.filter(|a| best.is_none_or(|b| a.0 <= b.0));
-        ask.into_iter().for_each(|(.., node)| self.probe(now, node));
-        if let Some((.., node)) = meet.filter(|m| best.or(ask).is_none_or(|b| m.0 <= b.0)) {
-            self.members[node].turn = top + TURN_MOST;
-            self.probe(now, node);
-        }
-        if let Some((.., node)) = best {
-            // Danger: long reads on top of an even part of the rest crowd the first. Its turns cost more.
-            let part = self.long_work.read(now, SHARE_HALF) / self.read_work.read(now, SHARE_HALF).max(1.0);
-            let even = long || first != Some(node);
-            let cost = if even { 1.0 } else { 1.0 / (1.0 - count * part).max(1.0 / TURN_MOST) };
-            let crosses = !is(&self.told, "zone", &self.members[node].zone);
-            let price =
-                if crosses { self.number("penalties.cross_zone", 0.0) * 100.0 * CROSSING } else { 0.0 };
-            let m = &mut self.members[node];
-            m.turn = m.turn.max(top - TURN_MOST) + cost * (1.0 + price);
-            return Some(node);
-        }
-        // Danger: where routers are many, hardly any replica's position is known when a read comes, and all
-        // reads crowd the primaries. One being checked is waited for, for half a usual latency at most.
-        let wait = (self.usual(now, self.open[&key].kind) / 2.0) as Tenths;
-        let checked = |n: &Node| {
-            let m = &self.members[*n];
-            let works = !matches!(m.state, State::Healthy | State::TransportError) && (m.met || !known);
-            let asked = m.probing && now < m.asked_at + wait;
-            works && asked && self.fresh_for(now, &self.open[&key], m) <= 0
-        };
-        if self.sets[&number].nodes.iter().any(checked) {
-            return None;
-        }
-        // No replica qualifies or has room: the primary, as far as that leaves room for writes.
-        let primary = self.primary(number)?;
-        self.ask_for_time(now, primary);
-        let spared = self.members[primary].spare_at <= now && self.has_room(now, primary, PRIMARY_SPARE, 0.0);
-        spared.then_some(primary)
-    }
-
-    /// Danger: beside reads alone, whose answers need not tell a position, nothing ever bears the members' clock out. Two
-    /// reports of a primary whose position went on in between do.
-    fn ask_for_time(&mut self, now: Tenths, primary: Node) {
-        let m = &self.members[primary];
-        if !self.node_checks && !self.clock.is_confirmed() && m.asked_at + PAUSE <= now {
-            self.probe(now, primary);
-        }
-    }
-
-    /// A read that may outlast the tightest bound, at twice its unhurried time.
-    fn outlasts(&self, kind: usize) -> bool {
-        let time = self.groups.places[kind].target as f64 * USUAL_GUESS * 2.0;
-        self.groups.places[kind].access == Access::Any && time > self.tightest as f64
-    }
-
-    /// A dispatch is out for longer than usual: the member may be silent.
-    fn overdue(&mut self, now: Tenths, key: u64, dispatch: u32) {
-        let Some(cmd) = self.open.get(&key).filter(|c| !c.closed) else { return };
-        let Some(&(node, sent)) = cmd.out.get(&dispatch) else { return };
-        let (number, target) = (cmd.set, self.groups.places[cmd.kind].target);
-        let usual = (self.usual(now, cmd.kind) as Tenths).max(self.tick);
-        let m = &self.members[node];
-        let late = m.unheard + m.out.values().filter(|at| **at + 2 * usual < now).count();
-        // Danger: a member that takes work and answers nothing (hung, cut off). Told from one heavy command
-        // or one lost answer by others that are overdue beside it; until then it is only checked.
-        let (silent, ask) = (m.heard < sent, m.checked_at < sent && now - sent > 4 * usual);
-        if silent && m.state != State::TransportError {
-            if late >= 3 || (late >= 2 && now - sent > 7 * usual) {
-                self.break_member(now, node);
-                self.dirty.insert(number);
-            }
-            // Danger: heavy commands that each earn a probe. One that was answered since the send is enough.
-            ask.then(|| self.probe(now, node));
-        }
-        // Danger: lost answers fill windows that nothing empties. Past its target at a member that answers
-        // others, or probes, a dispatch counts as lost; so may a heavy one.
-        let m = &mut self.members[node];
-        if now - sent > target.max(4 * usual) && (!silent || m.checked_at > sent) {
-            m.unheard += m.out.remove(&(key, dispatch)).is_some() as usize * silent as usize;
-            self.dirty.insert(number);
-        }
-        self.agenda.insert((now + 2 * usual, Task::Overdue(key, dispatch)));
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/decide/search.rs
@@ -0,0 +1,85 @@
+//! How a primary is found: the walk of one held write, and probes beside it.
+
+use super::*;
+
+impl Router {
+    /// Danger: reads wait for a primary that may be a replica by now, and nothing else asks it.
+    pub(super) fn ask_for_role(&mut self, now: Tenths, node: Node) {
+        let m = &self.members[node];
+        if m.state == State::Healthy && m.roles.may_be_replica() && m.asked_at + PAUSE <= now {
+            self.probe(now, node);
+        }
+    }
+
+    pub(super) fn primary(&self, number: i64) -> Option<Node> {
+        let healthy = |n: &&Node| self.members[**n].state == State::Healthy && !self.members[**n].shut;
+        self.sets.get(&number)?.nodes.iter().find(healthy).copied()
+    }
+
+    /// The walk of a held write: by state, listed role, rotated ids. One write of a set scouts for all.
+    pub(super) fn scout(&mut self, now: Tenths, number: i64, key: u64) -> Option<Node> {
+        let can_probe = self.allows("permissions.may_probe");
+        let set = self.sets.get_mut(&number)?;
+        let cmd = self.open.get_mut(&key)?;
+        let group = &self.groups.places[cmd.kind];
+        let (write, most) = (group.access == Access::Write, group.attempts);
+        if !write || set.scout.is_some_and(|s| s != key) || set.round_at > now {
+            return None;
+        }
+        let open = |m: &Member| match m.state {
+            // Where probes are allowed they find out, and a write is not risked. Danger: on a slow way probes
+            // and new connections fail, and a working primary stays out of reach: the listed one is tried.
+            State::TransportError => (!can_probe || m.listed_primary) && m.retry_at <= now,
+            State::TopologyReject => !can_probe || m.noted_at + 5 * PAUSE < now,
+            _ => true,
+        };
+        let walk = set.nodes.iter().map(|n| (&self.members[*n], *n)).filter(|(m, n)| {
+            !m.shut && open(m) && !cmd.tried.contains(n) && cmd.attempts() < most.div_ceil(2)
+        });
+        let ranked = walk.map(|(m, n)| (m.state, !m.listed_primary, !m.met, m.tie, n));
+        // One that this machine can't dial just now is waited for.
+        let (paused, ready): (Vec<_>, Vec<_>) = ranked.partition(|r| self.members[r.4].dial_at > now);
+        if let Some((.., node)) = ready.into_iter().min() {
+            cmd.tried.push(node);
+            set.scout = Some(key);
+            return Some(node);
+        }
+        if !paused.is_empty() {
+            return None;
+        }
+        // The round is over: misses cost the fixed pause, transport errors a backoff with equal jitter.
+        cmd.tried.clear();
+        set.scout = None;
+        let broken = std::mem::take(&mut cmd.broken_round);
+        set.broken_rounds = if broken { set.broken_rounds + 1 } else { 0 };
+        let base = (PAUSE << (set.broken_rounds.clamp(1, 7) - 1)).min(BACKOFF_MAX);
+        self.sets.get_mut(&number)?.round_at = now + if broken { self.rng.jittered(base) } else { PAUSE };
+        None
+    }
+
+    /// While no primary is known, probes look for it, one a pause, where none was asked for longest.
+    pub(super) fn seek(&mut self, now: Tenths, number: i64) {
+        let Some(set) = self.sets.get_mut(&number).filter(|s| s.seek_at <= now) else { return };
+        set.seek_at = now + PAUSE;
+        let open = self.sets[&number].nodes.iter().copied().filter(|n| {
+            let m = &self.members[*n];
+            !m.shut && !m.probing && (m.state != State::TransportError || self.rested(now, m))
+        });
+        // Danger: one that never answers is asked for ever. A probe without an answer counts too.
+        let last = |m: &Member| m.asked_at.max(m.checked_at);
+        if let Some(node) = open.min_by_key(|n| (last(&self.members[*n]), self.members[*n].tie)) {
+            self.probe(now, node);
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Tenths, node: Node) {
+        let allowed = self.allows("permissions.may_probe");
+        let m = &mut self.members[node];
+        if allowed && !m.probing && !m.shut {
+            (m.probing, m.asked_at) = (true, now);
+            self.ready.push_back(Decision::Probe { node: m.id.clone() });
+        } else if !allowed && m.state == State::TransportError {
+            self.set_state(node, State::Unknown, StateReason::NotAsked);
+        }
+    }
+}
