--- /dev/null
+++ b/crates/log/examples/lines.rs
@@ -0,0 +1,11 @@
+//! Writes so many lines to the log, as `tests/streams.rs` asks, and says on the standard output that it got to its end.
+
+use vetchkeel_log::log_up_to;
+
+const NO_LIMIT: u32 = u32::MAX;
+
+fn main() {
+    let count: usize = std::env::args().nth(1).and_then(|count| count.parse().ok()).unwrap_or(1);
+    (0..count).for_each(|number| log_up_to!(NO_LIMIT, "line {number}"));
+    println!("done");
+}
--- a/tests/stale_reads/main.rs
+++ b/tests/stale_reads/main.rs
@@ -8,7 +8,7 @@
 mod members;
 mod play;
 
-use conditions::{Conditions, MILLISECOND, Trouble};
+use conditions::{Conditions, MILLISECOND, SECOND, Trouble};
 use draw::Draw;
 use play::{Outcome, Play};
 use rstest::rstest;
@@ -81,6 +81,30 @@
     assert!(total.at_replicas * 100 >= total.reads * AT_REPLICAS_LEAST, "{total:?}");
 }
 
+/// Wall clocks that are wrong at the start by seconds or an hour: no old data, and replicas go on serving.
+#[rstest]
+#[case::behind(-5)]
+#[case::ahead(5)]
+#[case::an_hour_behind(-3_600)]
+#[case::an_hour_ahead(3_600)]
+fn wall_clocks_far_off_serve_no_old_data_and_cost_no_replica(#[case] seconds: Tenths) {
+    let total = play_all(|seed| {
+        let mut draw = Draw::new(seed);
+        let drawn = Conditions::draw(&mut draw);
+        let conditions = Conditions {
+            sets: 2,
+            bound: 300 * MILLISECOND,
+            wall_clocks: vec![seconds * SECOND, 0],
+            writes: 25,
+            rate: 20,
+            ..drawn
+        };
+        Play::under(conditions, draw)
+    });
+    assert!(total.broken.is_empty(), "seeds with stale reads: {:?}", total.broken);
+    assert!(total.at_replicas * 100 >= total.reads * AT_REPLICAS_LEAST, "{total:?}");
+}
+
 /// One trouble beside replicas that lag, all else as it should be.
 #[rstest]
 #[case::primaries_hang(Trouble::PrimaryHangs, 3, 20, 300, 25)]
