--- a/crates/router/tests/soak/members.rs
+++ b/crates/router/tests/soak/members.rs
@@ -22,7 +22,7 @@
 /// What is wrong with a member just now.
 #[derive(Default)]
 pub struct Faults {
-    /// Takes work and answers nothing.
+    /// Takes work and answers nothing; probes are answered with the report from before.
     pub hung: AtomicBool,
     /// Answers so much later, in milliseconds.
     pub slow: AtomicU64,
@@ -45,6 +45,8 @@
     pub way: ProxyFaults,
     pub faults: Faults,
     history: Mutex<History>,
+    /// When the report was made that it hands on while it hangs.
+    report_made: Mutex<Option<Instant>>,
     /// Whose its connections are, by the port that they come from.
     links: Mutex<HashMap<u16, Arc<Link>>>,
     clock: (Instant, Duration),
@@ -61,6 +63,7 @@
             way: ProxyFaults::default(),
             faults: Faults::default(),
             history: Mutex::new(History::new(LAG)),
+            report_made: Mutex::default(),
             links: Mutex::default(),
             clock: (Instant::now(), unix),
             ledger,
@@ -130,12 +133,23 @@
     }
 
     fn report(&self) -> Vec<u8> {
-        let (now, history) = (Instant::now(), self.history());
-        let position = self.unix_ms(history.position(now));
-        let primary = history.is_primary(now) as u8;
+        let made = self.report_made();
+        let history = self.history();
+        let position = self.unix_ms(history.position(made));
+        let primary = history.is_primary(made) as u8;
         [row(&format!("x0={}.{:03},x1={primary}", position / 1000, position % 1000)), ready()].concat()
     }
 
+    /// It hangs, or works again.
+    pub fn hang(&self, hangs: bool) {
+        *self.report_made.lock().expect("no panic") = hangs.then(Instant::now);
+        self.faults.hung.store(hangs, Relaxed);
+    }
+
+    fn report_made(&self) -> Instant {
+        self.report_made.lock().expect("no panic").unwrap_or_else(Instant::now)
+    }
+
     /// The answer to a command; None where the connection ends instead.
     fn execute(&self, statement: &str, stream: &TcpStream) -> Option<Vec<u8>> {
         let (_, comment) = statement.split_once("/* ")?;
--- a/crates/router/tests/soak/troubles.rs
+++ b/crates/router/tests/soak/troubles.rs
@@ -41,11 +41,12 @@
     Lag,
     Drain,
     Failover,
+    HangFailover,
     Handovers,
     Leave,
 }
 
-const ALL: [Trouble; 23] = [
+const ALL: [Trouble; 24] = [
     Trouble::SystemCalls,
     Trouble::WallClock,
     Trouble::HeldUp,
@@ -67,6 +68,7 @@
     Trouble::Lag,
     Trouble::Drain,
     Trouble::Failover,
+    Trouble::HangFailover,
     Trouble::Handovers,
     Trouble::Leave,
 ];
@@ -81,6 +83,7 @@
         Trouble::Lag,
         Trouble::Handovers,
         Trouble::Failover,
+        Trouble::HangFailover,
     ],
     &[Trouble::Restart, Trouble::Kill, Trouble::Reload, Trouble::Hung, Trouble::Drain, Trouble::WallClock],
     &ALL,
@@ -110,6 +113,8 @@
 const APPLIES: Duration = Duration::from_millis(80);
 const HANDOVER: Duration = Duration::from_millis(30);
 const REIGN: Duration = Duration::from_millis(400);
+/// A primary that hangs is given up after this and more.
+const DETECTED: Duration = Duration::from_millis(1_200);
 
 fn demote(primary: &Member) {
     let (now, mut history) = (Instant::now(), primary.history());
@@ -209,7 +214,11 @@
                 thread::sleep(lasts);
                 set(false);
             }
-            Trouble::Hung => flag(&|m| &m.faults.hung),
+            Trouble::Hung => {
+                members.iter().for_each(|m| m.hang(true));
+                thread::sleep(lasts);
+                members.iter().for_each(|m| m.hang(false));
+            }
             Trouble::Resets => flag(&|m| &m.faults.resets),
             Trouble::Garbles => flag(&|m| &m.faults.garbles),
             Trouble::Cuts => flag(&|m| &m.way.cuts),
@@ -251,6 +260,7 @@
                 set(false);
             }
             Trouble::Failover => self.failover(draw.below(SETS as u64) as usize, lasts),
+            Trouble::HangFailover => self.hang_failover(draw.below(SETS as u64) as usize, lasts),
             Trouble::Handovers => self.handovers(draw.below(SETS as u64) as usize, lasts),
             Trouble::Leave => {
                 self.leaves.store(true, Relaxed);
@@ -278,6 +288,23 @@
         old.history().go_on(Instant::now());
     }
 
+    /// The primary hangs while its probes are answered with its report from before; a replica takes over after a while, and the
+    /// old one comes back as a replica that lags.
+    fn hang_failover(&self, set: usize, lasts: Duration) {
+        let of_set = &self.members[set * OF_A_SET..(set + 1) * OF_A_SET];
+        let Some(_alone) = self.changing[set].try_lock().ok() else { return };
+        let Some(old) = of_set.iter().find(|m| m.is_primary()) else { return };
+        let Some(next) = of_set.iter().find(|m| !m.is_primary()) else { return };
+        old.hang(true);
+        demote(old);
+        thread::sleep(DETECTED + lasts / 2);
+        next.history().begin_reign(Instant::now());
+        thread::sleep(lasts / 2);
+        old.hang(false);
+        thread::sleep(Duration::from_millis(500));
+        old.history().go_on(Instant::now());
+    }
+
     /// The primary is handed on again and again; each former one applies nothing until the next.
     fn handovers(&self, set: usize, lasts: Duration) {
         let of_set = &self.members[set * OF_A_SET..(set + 1) * OF_A_SET];
