Judge: a bounded read's arrival is known to within a tick, as a commit's was already

Traced: client 0's read 471 lies between its lines of 8.0 and 11.8 s; 1.95 s behind the hang of 8.30 s is 10.25 s, where the router hears that the member is elected (TopologyReject to Healthy at 10.254) and writes to it. The judge dates an arrival by the system's ticks, up to 10 ms early (TICK), and so before the election; for commits it looked a tick further, for bounds it did not. Ruled out: a write as to a replica (there is no line for it, and its position was 1.9 s old), a clock that moved (no line).

Change: for bounds it looks a tick further too; what a member had in between counts, a replica that applies nothing gains nothing by it. A test of the judge.

Measured: the test's case in the tick fails on the judge before, both pass now.

--- a/crates/router/tests/common/history.rs
+++ b/crates/router/tests/common/history.rs
@@ -108,7 +108,7 @@
     pub fn stale(&self, router: usize, at: Instant, need: Need) -> Option<Duration> {
         let position = self.position(at);
         let lacks = match need {
-            Need::Within(bound) => at > position + bound + AGE_SLACK,
+            Need::Within(bound) => at > self.position(at + TICK) + bound + AGE_SLACK,
             Need::UpTo(commit) => !self.is_primary(at) && self.position(at + TICK) < commit,
         };
         let reigned = self.reigns.iter().any(|reign| reign.from <= at);
--- a/crates/router/tests/freshness/main.rs
+++ b/crates/router/tests/freshness/main.rs
@@ -12,7 +12,7 @@
 use cluster::{Cluster, Habits};
 use common::draw::Draw;
 use common::faults::*;
-use common::history::Need;
+use common::history::{History, Need};
 use common::*;
 use rstest::rstest;
 use std::net::SocketAddr;
@@ -321,6 +321,21 @@
     assert!(outcome.served * 10 >= outcome.asked * 8, "{outcome:?}");
 }
 
+/// The judge's own: a read that came just behind an election, dated up to a tick before it, saw what the new primary had; one
+/// that came earlier did not.
+#[rstest]
+#[case::in_the_tick(4, false)]
+#[case::before(11, true)]
+fn an_arrival_is_judged_within_the_tick_by_which_it_is_dated(#[case] early: u64, #[case] stale: bool) {
+    let begun = Instant::now();
+    let mut history = History::new(milliseconds(5));
+    history.pause(begun);
+    let elected = begun + milliseconds(2_000);
+    history.begin_reign(elected);
+    let found = history.stale(0, elected - milliseconds(early), Need::Within(milliseconds(300)));
+    assert_eq!(found.is_some(), stale, "{found:?}");
+}
+
 /// The router waits before one in so many of its writes to members.
 #[rstest]
 #[case::pure("pure", 300, false)]
