Router: a session's read that waits sees what its session wrote meanwhile

Cause: `command_arrived` took what a session's read must see once, as the read came in. A write of the session that was answered while the read waited for a connection, a check or room did not count for it: `fresh_for`, `may_write`, `attempt_written` and `may_serve` all held the old position against the replica.

Doubled answers were not played in told time. By reading: clocks do not enter, positions are compared with positions.

Change: `session_wrote` raises what the session's open reads must see. What was written before is judged by what it had to see then (`Seen::needs`). Reads of sessions that a replica serves with under 50 ms to spare have a line and count, as bounded ones.

--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use vetchkeel::{
-    Command, Decision, DispatchEnd, Ending, Entry, Event, Id, Note, ProbeEnd, Report, Router, Tenths, Told,
-    Written,
+    Command, DataNeed, Decision, DispatchEnd, Ending, Entry, Event, Id, Note, ProbeEnd, Report, Router,
+    Tenths, Told, Written,
 };
 use vetchkeel_log::{log, log_trace, log_up_to};
 use vetchkeel_pgwire as pgwire;
@@ -21,7 +21,7 @@
 /// Lines a second on members that change their state: without them nobody can tell why a command went where it did.
 const STATE_LINES: u32 = 100;
 
-/// A bounded read that is served with less than this to spare has a line, and so many of them in a second.
+/// A read that a replica serves with less than this to spare has a line, and so many of them in a second.
 const LITTLE_TO_SPARE: Tenths = 500;
 const AGE_LINES: u32 = 20;
 
@@ -349,18 +349,21 @@
         }
     }
 
-    /// A bounded read that a replica answers is counted, and logged if there was little to spare.
+    /// A read of a bound or of a session that a replica answers is counted, and logged if there was little to spare.
     fn log_data_age(&mut self, id: &Id, dispatch: u32, node: &Id) {
         let Some(age) = self.commands.router.data_age(self.now, id, dispatch) else { return };
-        let spare = age.bound - age.behind;
+        let spare = age.spare();
         let ms = |tenths: Tenths| tenths as f64 / 10.0;
         if spare < LITTLE_TO_SPARE {
             self.counters.freshness.little_to_spare += 1;
+            let data = match age.need {
+                DataNeed::Bound(_) => format!("data up to {} ms old", ms(age.behind)),
+                DataNeed::Session => "data newer than its session's last write".into(),
+            };
             log_up_to!(
                 AGE_LINES,
-                "command {id}: attempt {dispatch} at {node} is served with {} ms to spare: data up to {} ms old by {:?} heard {} ms before, members' clock ahead by {} ms, at most {}",
+                "command {id}: attempt {dispatch} at {node} is served with {} ms to spare: {data} by {:?} heard {} ms before, members' clock ahead by {} ms, at most {}",
                 ms(spare),
-                ms(age.behind),
                 age.source,
                 ms(age.heard_before),
                 ms(age.clock_ahead),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -258,13 +258,12 @@
         idled.into_iter().for_each(|age| self.stale.add(now, SHARE_HALF, age, broke));
         cmd.broken_round |= matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::TimedOut);
         if let (true, true, Some(session)) = (write, answered, cmd.session.clone()) {
-            // Danger: sessions come and go for ever. One not remembered counts as written that long ago.
-            let old = self.clock.now(now) - SESSION_KEPT;
             // Danger: a commit that a wrong clock takes for yet to come would leave its session without one.
             let known = note.position > 0;
             let commit = if known { note.position } else { now + self.clock.ahead(now).1 };
-            self.sessions.write(session, commit + 1, old, SESSIONS_LEAST);
+            self.session_wrote(now, session, commit + 1);
         }
+        let Some(cmd) = self.open.get_mut(&key) else { return };
         // Danger: commands that err at any member take others' turns. Whether a dispatch after an error is
         // answered tells them from members that err; only beside the latter is one more worth it.
         let (again, erred) = (cmd.erred, ending == Ending::Error);
--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -46,6 +46,22 @@
         if fresh { Tenths::MAX } else { 0 }
     }
 
+    /// A session's write was answered; a read of it has to see all up to `needs`. Danger: reads of the session that came in before
+    /// the answer, and still wait to be sent, have to see it too.
+    pub(super) fn session_wrote(&mut self, now: Tenths, session: String, needs: Tenths) {
+        if is(&self.told, "family_info.token_mode", "remembered") {
+            let places = &self.groups.places;
+            let reads = |cmd: &&mut Open| places[cmd.kind].access == Access::Session;
+            let waiting = self.open.values_mut().filter(reads);
+            waiting
+                .filter(|cmd| cmd.session.as_ref() == Some(&session))
+                .for_each(|cmd| cmd.needs = cmd.needs.max(needs));
+        }
+        // Danger: sessions come and go for ever. One not remembered counts as written that long ago.
+        let old = self.clock.now(now) - SESSION_KEPT;
+        self.sessions.write(session, needs, old, SESSIONS_LEAST);
+    }
+
     /// The host has written an attempt's last byte, no later than `now` by a clock that it read behind the write. Danger: any
     /// time may pass between a decision and its write, and a bound counts from the last byte. What is not new enough by
     /// then is not served; the host need not wait for it where it may give it up.
@@ -61,9 +77,9 @@
         }
         let fresh = self.fresh_for(now, cmd, m) > 0;
         let (position, source, heard) = (m.position, m.position_source, m.position_heard);
-        let seen = Seen { written: now, position, source, heard };
         let may_give_up = self.allows("permissions.cancel");
         let Some(cmd) = self.open.get_mut(&key) else { return Written::Free };
+        let seen = Seen { written: now, needs: cmd.needs, position, source, heard };
         cmd.seen.insert(dispatch, seen);
         if fresh {
             return Written::ToReplica { behind };
@@ -72,15 +88,20 @@
         Written::TooOld { behind, may_give_up }
     }
 
-    /// What an attempt at a replica with a bound may have seen, by all that is known now.
+    /// What an attempt at a replica may have seen, by all that is known now.
     pub fn data_age(&self, now: Tenths, command: &str, dispatch: u32) -> Option<DataAge> {
         let cmd = self.open.get(self.by_id.get(command)?)?;
         let seen = cmd.seen.get(&dispatch)?;
-        let Access::Bounded(bound) = self.groups.places[cmd.kind].access else { return None };
-        let behind = self.clock.latest(seen.written)? - seen.position;
+        let (need, behind) = match self.groups.places[cmd.kind].access {
+            Access::Bounded(bound) => {
+                (DataNeed::Bound(bound), self.clock.latest(seen.written)? - seen.position)
+            }
+            Access::Session => (DataNeed::Session, seen.needs - seen.position),
+            _ => return None,
+        };
         let (clock_ahead, clock_ahead_most) = self.clock.ahead(now);
         let heard_before = seen.written - seen.heard;
-        Some(DataAge { bound, behind, source: seen.source, heard_before, clock_ahead, clock_ahead_most })
+        Some(DataAge { need, behind, source: seen.source, heard_before, clock_ahead, clock_ahead_most })
     }
 
     /// Whether the data of an answer that has come may be passed on: its member was new enough as the attempt was written, by
@@ -98,7 +119,10 @@
         let latest = self.clock.latest(seen.map_or(sent, |seen| seen.written));
         let old = match (self.groups.places[cmd.kind].access, latest) {
             (Access::Bounded(bound), Some(latest)) => positions.min().is_some_and(|p| p + bound < latest),
-            (Access::Session, _) => told.is_some_and(|position| position < cmd.needs),
+            (Access::Session, _) => {
+                let needs = seen.map_or(cmd.needs, |seen| seen.needs);
+                told.is_some_and(|position| position < needs)
+            }
             _ => false,
         };
         !old && !cmd.too_old.contains(&dispatch)
--- a/src/decide/freshness/tests.rs
+++ b/src/decide/freshness/tests.rs
@@ -147,3 +147,51 @@
     clock.learn(NOW, Evidence::of_primary(NOW, NOW, NOW, 0));
     clock
 }
+
+/// A session's write is answered at NOW + 20, with its commit at NOW + 10.
+fn session_writes(r: &mut Router) {
+    r.next_key = 1;
+    let (id, command_group, session) = ("w".into(), "write".into(), Some("s".into()));
+    let (customer, time_left, token_age) = (None, 9_000, None);
+    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat: false };
+    r.command_arrived(NOW, cmd).unwrap();
+    let key = r.by_id["w"];
+    r.open.get_mut(&key).unwrap().out.insert(0, (0, NOW));
+    let note = Note { primary: Some(true), position: NOW + 10 };
+    r.dispatch_ended(NOW + 20, "w", DispatchEnd { note, ..ended(Ending::Answered, None) });
+}
+
+#[rstest]
+#[case::remembered("remembered", "s", false)]
+#[case::of_another_session("remembered", "t", true)]
+#[case::carried_by_the_client("carried", "s", true)]
+fn a_read_that_waits_sees_what_its_session_writes_meanwhile(
+    #[case] mode: &str,
+    #[case] session: &str,
+    #[case] lawful: bool,
+) {
+    let mut r = router(&[("family_info.token_mode", mode)]);
+    open(&mut r, "session");
+    let read = r.open.get_mut(&0).unwrap();
+    (read.session, read.needs) = (Some(session.into()), NOW - 100);
+    read.out.insert(0, (1, NOW));
+    r.members[1].position = NOW - 50;
+    session_writes(&mut r);
+    assert_eq!(r.may_write(NOW + 30, "cmd", 0), lawful);
+}
+
+/// What was written before is judged by what it had to see then.
+#[rstest]
+fn a_read_that_was_written_before_the_write_was_answered_is_served() {
+    let mut r = router(&[("family_info.token_mode", "remembered")]);
+    open(&mut r, "session");
+    let read = r.open.get_mut(&0).unwrap();
+    (read.session, read.needs) = (Some("s".into()), NOW - 100);
+    read.out.insert(0, (1, NOW));
+    r.members[1].position = NOW - 50;
+    r.attempt_written(NOW + 5, "cmd", 0);
+    session_writes(&mut r);
+    let note = Note { primary: Some(false), position: NOW - 50 };
+    assert!(r.may_serve("cmd", 0, note));
+    assert_eq!(r.data_age(NOW + 30, "cmd", 0).map(|age| age.spare()), Some(50));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,11 +110,20 @@
     Report,
 }
 
+/// How new data have to be that a replica serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DataNeed {
+    /// No older than this, as the attempt is written.
+    Bound(Tenths),
+    /// All that the session has written.
+    Session,
+}
+
 /// What an attempt at a replica may have seen, and by what that is known. For the log and the counters alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DataAge {
-    /// How old the data may be, and are at the most, as the attempt was written.
-    pub bound: Tenths,
+    pub need: DataNeed,
+    /// How old the data are at the most, as the attempt was written; of a session's read, how far behind its last write.
     pub behind: Tenths,
     pub source: PositionSource,
     /// How long ago, at the write, the position had been heard.
@@ -124,6 +133,16 @@
     pub clock_ahead_most: Tenths,
 }
 
+impl DataAge {
+    /// How much older the data might have been.
+    pub fn spare(&self) -> Tenths {
+        match self.need {
+            DataNeed::Bound(bound) => bound - self.behind,
+            DataNeed::Session => -self.behind,
+        }
+    }
+}
+
 /// One line of the member list.
 #[derive(Clone, Debug)]
 pub struct Entry {
--- a/src/state.rs
+++ b/src/state.rs
@@ -244,6 +244,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Seen {
     pub written: Tenths,
+    /// What its command had to see by then, where that is a session's read.
+    pub needs: Tenths,
     pub position: Tenths,
     pub source: PositionSource,
     pub heard: Tenths,
--- a/tests/stale_reads/conditions.rs
+++ b/tests/stale_reads/conditions.rs
@@ -47,10 +47,17 @@
     pub probes_held: Tenths,
     /// A router is held up before one in so many writes to members.
     pub writes_held_one_in: u64,
+    /// A connection takes up to this to open.
+    pub dials_take: Tenths,
+    /// One answer in so many is cut off behind its row.
+    pub answers_cut_one_in: u64,
     /// By how much each router's wall clock is ahead of the members'.
     pub wall_clocks: Vec<Tenths>,
     /// Of a hundred commands.
     pub writes: u64,
+    /// Of a hundred reads those that must see what their session wrote, and how many sessions a set has at a router.
+    pub session_reads: u64,
+    pub sessions: u64,
     /// Commands a second and router.
     pub rate: u64,
     pub semantics: &'static str,
@@ -75,10 +82,14 @@
             answers_held: draw.one_of(&[0, 0, 100, 300, 1_000]) * MILLISECOND,
             probes_held: draw.one_of(&[0, 0, 100, 300, 1_500]) * MILLISECOND,
             writes_held_one_in: draw.one_of(&[0, 0, 50]) as u64,
+            dials_take: 0,
+            answers_cut_one_in: 0,
             wall_clocks: (0..routers)
                 .map(|_| if right { 0 } else { draw.one_of(&wrong) * MILLISECOND })
                 .collect(),
             writes: draw.one_of(&[0, 10, 25, 25, 25]) as u64,
+            session_reads: 0,
+            sessions: 0,
             rate: draw.one_of(&[5, 20, 60]) as u64,
             semantics: ["pure", "pure", "side_effect"][draw.below(3) as usize],
             may_cancel: draw.below(4) > 0,
--- a/tests/stale_reads/main.rs
+++ b/tests/stale_reads/main.rs
@@ -1,4 +1,4 @@
-//! No bounded read is served from data that is too old, whatever members, ways and clocks do: routers of the module beside
+//! No bounded read is served from data that is too old, and none without what its session wrote, whatever members, ways and clocks do: routers of the module beside
 //! sets of members in told time, under a day as bad as those of the incidents of 2026-12-02, drawn from each seed.
 //!
 //!     STALE_READS_SEEDS=1..2001 cargo test --release --test stale_reads -- --nocapture
@@ -17,6 +17,8 @@
 
 /// Of the bounded reads that are served beside writes, with bounds of 300 ms and more, so many in a hundred go to replicas.
 const AT_REPLICAS_LEAST: u64 = 30;
+/// Of all that is served beside sessions, so many in a hundred are reads with something of their session to see.
+const SESSION_READS_LEAST: u64 = 20;
 /// Of all commands so many in a hundred are served.
 const SERVED_LEAST: u64 = 60;
 
@@ -34,6 +36,7 @@
     served: u64,
     reads: u64,
     at_replicas: u64,
+    session_reads: u64,
     served_stale: usize,
     sent_stale: u64,
     understated: u64,
@@ -45,6 +48,7 @@
     fn add(&mut self, seed: u64, play: &Play, outcome: &Outcome) {
         self.plays += 1;
         (self.asked, self.served) = (self.asked + outcome.asked, self.served + outcome.served);
+        self.session_reads += outcome.session_reads;
         self.served_stale += outcome.served_stale.len();
         self.sent_stale += outcome.sent_stale;
         self.understated += outcome.understated;
@@ -140,3 +144,28 @@
     assert!(total.broken.is_empty(), "seeds with stale reads: {:?}", total.broken);
     assert!(total.at_replicas * 100 >= total.reads * AT_REPLICAS_LEAST, "{total:?}");
 }
+
+/// A read of a session sees what was answered to it by the time it is written, also while it waited for a connection or for
+/// room (the operators' day `throng+brink+mass-14` of cairo-tiles, seed 1303: data 51 ms older than the session's last write).
+#[rstest]
+#[case::kept_connections(0, 0)]
+#[case::slow_dials(400, 0)]
+#[case::answers_cut(0, 10)]
+#[case::slow_dials_and_answers_cut(400, 10)]
+fn a_read_sees_what_its_session_wrote(#[case] dials_take: Tenths, #[case] answers_cut_one_in: u64) {
+    let total = play_all(|seed| {
+        let mut draw = Draw::new(seed);
+        let drawn = Conditions::draw(&mut draw);
+        let conditions = Conditions {
+            dials_take: dials_take * MILLISECOND,
+            answers_cut_one_in,
+            writes: 25,
+            session_reads: 60,
+            sessions: 3,
+            ..drawn
+        };
+        Play::under(conditions, draw)
+    });
+    assert!(total.broken.is_empty(), "seeds with stale reads: {:?}", total.broken);
+    assert!(total.session_reads * 100 >= total.served * SESSION_READS_LEAST, "{total:?}");
+}
--- a/tests/stale_reads/members.rs
+++ b/tests/stale_reads/members.rs
@@ -185,12 +185,21 @@
 
     /// Whether a router's read that comes now may not see what the member has.
     pub fn judge(&self, member: usize, router: usize, bound: Tenths) -> Option<Stale> {
+        self.stale(member, router, self.age(member)).filter(|stale| stale.age > bound + AGE_SLACK)
+    }
+
+    /// The same of a read that must see all up to this position, to the moment.
+    pub fn judge_session(&self, member: usize, router: usize, needs: Tenths) -> Option<Stale> {
+        self.stale(member, router, needs - self.all[member].position).filter(|stale| stale.age > 0)
+    }
+
+    /// What is too old by this much, unless it is the primary's, or of one that may be taken for the primary.
+    fn stale(&self, member: usize, router: usize, age: Tenths) -> Option<Stale> {
         let at = &self.all[member];
-        let age = self.age(member);
         let told = at.told_replica[router].is_some_and(|told| told + NEWS_SLACK < self.now);
         let excused = at.was_primary && !told;
         let stale = Stale { member, age, arrived: self.now, was_primary: at.was_primary };
-        (!at.primary && !excused && age > bound + AGE_SLACK).then_some(stale)
+        (!at.primary && !excused).then_some(stale)
     }
 }
 
--- a/tests/stale_reads/play.rs
+++ b/tests/stale_reads/play.rs
@@ -18,8 +18,36 @@
 const WAYS: u64 = 4;
 /// What the protocol page grants over a bound, less what the way to the member takes.
 const CLOCK_SLACK: Tenths = 45 * MILLISECOND;
-const READ: &str = "read";
-const WRITE: &str = "write";
+
+/// What a command asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Bounded,
+    /// It must see what its session has written.
+    Session,
+    Write,
+}
+
+impl Kind {
+    const ALL: [Kind; 3] = [Kind::Bounded, Kind::Write, Kind::Session];
+
+    /// Its command group's name, and the data it may see.
+    fn names(self) -> (&'static str, &'static str) {
+        match self {
+            Kind::Bounded => ("read", "bounded"),
+            Kind::Session => ("session-read", "session"),
+            Kind::Write => ("write", "write"),
+        }
+    }
+}
+
+/// A command that a router has in hand.
+#[derive(Clone, Debug)]
+struct OpenCommand {
+    kind: Kind,
+    session: Option<String>,
+    attempts: u32,
+}
 
 /// What one attempt is at its member.
 #[derive(Clone, Debug)]
@@ -28,7 +56,12 @@
     command: Id,
     number: u32,
     member: usize,
-    writes: bool,
+    kind: Kind,
+    session: Option<String>,
+    /// The position that it must see, by the answers that its router had had as it was written.
+    needs: Tenths,
+    /// When its member committed it, a write that went through.
+    committed: Tenths,
     position_as_taken: Tenths,
     stale: Option<Stale>,
 }
@@ -44,6 +77,7 @@
 enum Event {
     Arrive(usize),
     Wake(usize),
+    Connected(Attempt, Tenths),
     Write(Attempt, Tenths),
     Arrived(Attempt),
     Worked(Attempt),
@@ -84,8 +118,9 @@
 struct Host {
     router: Router,
     ahead: Tenths,
-    /// Open commands: whether they write, and attempts so far.
-    open: BTreeMap<Id, (bool, u32)>,
+    open: BTreeMap<Id, OpenCommand>,
+    /// The last commit of each session, by the answers that were heard.
+    commits: BTreeMap<String, Tenths>,
     /// Attempts out, with the time at which each was decided.
     out: BTreeMap<(Id, u32), Tenths>,
     woken_at: Tenths,
@@ -96,9 +131,11 @@
 pub struct Outcome {
     pub asked: u64,
     pub served: u64,
-    /// Bounded reads that were served, and those of them that a replica served.
+    /// Reads that were served, and those of them that a replica served.
     pub reads: u64,
     pub at_replicas: u64,
+    /// Reads of sessions that were served, with something to see.
+    pub session_reads: u64,
     pub served_stale: Vec<Stale>,
     pub sent_stale: u64,
     /// Writes to replicas whose data were older than the router took them for at the most.
@@ -128,16 +165,15 @@
 
 fn settings(conditions: &Conditions, me: usize) -> Told {
     let bound = conditions.bound / MILLISECOND;
+    let kinds = &Kind::ALL[..if conditions.session_reads > 0 { 3 } else { 2 }];
+    let reads: Vec<&str> = kinds.iter().map(|kind| kind.names().1).collect();
     let pairs = [
-        ("request_classes.count", "2".to_owned()),
-        ("family_info.class_read", "bounded,write".into()),
-        ("family_info.lag_allowed_ms", format!("{bound},0")),
+        ("request_classes.count", kinds.len().to_string()),
+        ("family_info.class_read", reads.join(",")),
+        ("family_info.token_mode", "remembered".into()),
+        ("family_info.lag_allowed_ms", format!("{bound},0,0")),
         ("family_info.server_checks", "none".into()),
         ("family_info.progress_told", conditions.positions_told.to_string()),
-        ("request_classes.0.name", READ.into()),
-        ("request_classes.0.semantics", conditions.semantics.into()),
-        ("request_classes.1.name", WRITE.into()),
-        ("request_classes.1.semantics", "side_effect".into()),
         ("permissions.cancel", conditions.may_cancel.to_string()),
         ("permissions.may_probe", "true".into()),
         ("permissions.retry_after", "true".into()),
@@ -148,8 +184,10 @@
         ("me", me.to_string()),
     ];
     let mut told: Told = pairs.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
-    for class in 0..2 {
-        for (name, value) in [("aim_ms", "600"), ("hard_limit_ms", "1500"), ("late_value", "0.5")] {
+    for (class, kind) in kinds.iter().enumerate() {
+        let semantics = if *kind == Kind::Write { "side_effect" } else { conditions.semantics };
+        let figures = [("aim_ms", "600"), ("hard_limit_ms", "1500"), ("late_value", "0.5")];
+        for (name, value) in [("name", kind.names().0), ("semantics", semantics)].into_iter().chain(figures) {
             told.insert(format!("request_classes.{class}.{name}"), value.into());
         }
     }
@@ -172,7 +210,8 @@
         };
         let entries: Vec<Entry> = (0..conditions.sets * SET_SIZE).map(entry).collect();
         router.members_changed(START + ahead, true, &entries);
-        Host { router, ahead, open: BTreeMap::new(), out: BTreeMap::new(), woken_at: 0 }
+        let (open, commits, out) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Host { router, ahead, open, commits, out, woken_at: 0 }
     }
 }
 
@@ -239,6 +278,7 @@
                 self.hosts[router].woken_at = 0;
                 self.decide(router);
             }
+            Event::Connected(attempt, until) => self.connected(attempt, until),
             Event::Write(attempt, until) => self.write(attempt, until),
             Event::Arrived(attempt) => self.attempt_arrives(attempt),
             Event::Worked(attempt) => self.attempt_worked(attempt),
@@ -260,21 +300,24 @@
 
     fn command_arrives(&mut self, router: usize) {
         self.commands += 1;
-        let writes = self.draw.below(100) < self.conditions.writes;
+        let kind = self.draw_kind();
         let id: Id = format!("c{}", self.commands).into();
+        let set = self.draw.below(self.conditions.sets as u64);
+        let session = (self.conditions.session_reads > 0)
+            .then(|| format!("set {set}, {}", self.draw.below(self.conditions.sessions)));
         let command = Command {
             id: id.clone(),
-            command_group: if writes { WRITE } else { READ }.to_owned(),
+            command_group: kind.names().0.to_owned(),
             customer: None,
-            set: self.draw.below(self.conditions.sets as u64) as i64,
+            set: set as i64,
             time_left: PATIENCE,
             token_age: None,
-            session: None,
+            session: session.clone(),
             repeat: false,
         };
         let now = self.now;
         let host = &mut self.hosts[router];
-        host.open.insert(id, (writes, 0));
+        host.open.insert(id, OpenCommand { kind, session, attempts: 0 });
         host.router.command_arrived(now + host.ahead, command).expect("a known group");
         self.outcome.asked += 1;
         let mean = SECOND / self.conditions.rate as Tenths;
@@ -283,6 +326,17 @@
         self.decide(router);
     }
 
+    fn draw_kind(&mut self) -> Kind {
+        let Conditions { writes, session_reads, .. } = self.conditions;
+        if self.draw.below(100) < writes {
+            Kind::Write
+        } else if session_reads > 0 && self.draw.below(100) < session_reads {
+            Kind::Session
+        } else {
+            Kind::Bounded
+        }
+    }
+
     // ---- routers ----
 
     fn decide(&mut self, router: usize) {
@@ -309,18 +363,33 @@
         match decision {
             Decision::Dispatch { command, node, limit, until } => {
                 let host = &mut self.hosts[router];
-                let Some((writes, count)) = host.open.get_mut(&command) else { return };
-                let (writes, number) = (*writes, *count);
-                *count += 1;
+                let Some(open) = host.open.get_mut(&command) else { return };
+                let (kind, session, number) = (open.kind, open.session.clone(), open.attempts);
+                open.attempts += 1;
                 let member = node[2..].parse().expect("a member's number");
                 host.out.insert((command.clone(), number), now);
                 let until = until.saturating_sub(host.ahead);
-                let attempt =
-                    Attempt { router, command, number, member, writes, position_as_taken: 0, stale: None };
+                let (needs, committed, position_as_taken, stale) = (0, 0, 0, None);
+                let attempt = Attempt {
+                    router,
+                    command,
+                    number,
+                    member,
+                    kind,
+                    session,
+                    needs,
+                    committed,
+                    position_as_taken,
+                    stale,
+                };
                 let one_in = self.conditions.writes_held_one_in;
                 let held = one_in > 0 && self.draw.below(one_in) == 0;
                 let held = if held { self.draw.up_to(0, HELD_UP_MOST) } else { 0 };
                 self.schedule(limit, Event::Limit(attempt.clone()));
+                if self.conditions.dials_take > 0 {
+                    let dial = self.draw.up_to(0, self.conditions.dials_take);
+                    return self.schedule(dial, Event::Connected(attempt, until));
+                }
                 self.schedule(held, Event::Write(attempt, until));
             }
             Decision::Throttle { command, .. } | Decision::Fail { command } => {
@@ -332,7 +401,10 @@
                     command,
                     number: dispatch,
                     member: 0,
-                    writes: false,
+                    kind: Kind::Bounded,
+                    session: None,
+                    needs: 0,
+                    committed: 0,
                     position_as_taken: 0,
                     stale: None,
                 };
@@ -352,7 +424,15 @@
         self.schedule(0, Event::Heard(attempt, Answer { ending, note: Note::default() }));
     }
 
-    fn write(&mut self, attempt: Attempt, until: Tenths) {
+    /// Its connection is open: it is written, if it still may be.
+    fn connected(&mut self, attempt: Attempt, until: Tenths) {
+        let host = &self.hosts[attempt.router];
+        let here = self.now + host.ahead;
+        let may = self.now <= until && host.router.may_write(here, &attempt.command, attempt.number);
+        if may { self.write(attempt, until) } else { self.attempt_ends_later(attempt, Ending::NeverSent) }
+    }
+
+    fn write(&mut self, mut attempt: Attempt, until: Tenths) {
         let now = self.now;
         let host = &mut self.hosts[attempt.router];
         if !host.out.contains_key(&(attempt.command.clone(), attempt.number)) {
@@ -363,8 +443,10 @@
         if now > until && !host.router.may_write(here, &attempt.command, attempt.number) {
             return self.attempt_ends_later(attempt, Ending::NeverSent);
         }
+        let commit = attempt.session.as_ref().and_then(|session| host.commits.get(session));
+        attempt.needs = commit.copied().unwrap_or(0);
         let written = host.router.attempt_written(here, &attempt.command, attempt.number);
-        if let Written::ToReplica { behind } = written {
+        if let (Written::ToReplica { behind }, Kind::Bounded) = (written, attempt.kind) {
             let age = self.members.age(attempt.member);
             self.outcome.understated += (age > behind + CLOCK_SLACK) as u64;
         }
@@ -391,6 +473,10 @@
             ending != Ending::Answered || host.router.may_serve(&attempt.command, attempt.number, note);
         let ending = if serves { ending } else { Ending::TooOld };
         let answered = ending == Ending::Answered;
+        if let (true, Kind::Write, Some(session)) = (answered, attempt.kind, &attempt.session) {
+            let last = host.commits.entry(session.clone()).or_insert(0);
+            *last = attempt.committed.max(*last);
+        }
         let waited_for = host.open.contains_key(&attempt.command);
         if answered {
             host.open.remove(&attempt.command);
@@ -413,9 +499,10 @@
 
     fn count(&mut self, attempt: &Attempt) {
         self.outcome.served += 1;
-        if !attempt.writes {
+        if attempt.kind != Kind::Write {
             self.outcome.reads += 1;
             self.outcome.at_replicas += !self.members.is_primary(attempt.member) as u64;
+            self.outcome.session_reads += (attempt.needs > 0) as u64;
             self.outcome.served_stale.extend(attempt.stale);
         }
     }
@@ -425,20 +512,27 @@
     fn attempt_arrives(&mut self, mut attempt: Attempt) {
         let member = attempt.member;
         attempt.position_as_taken = self.members.position(member);
-        if !attempt.writes {
-            attempt.stale = self.members.judge(member, attempt.router, self.conditions.bound);
+        let judged = match attempt.kind {
+            Kind::Bounded => Some(self.members.judge(member, attempt.router, self.conditions.bound)),
+            Kind::Session => Some(self.members.judge_session(member, attempt.router, attempt.needs)),
+            Kind::Write => None,
+        };
+        if let Some(stale) = judged {
+            attempt.stale = stale;
             self.outcome.sent_stale += attempt.stale.is_some() as u64;
         }
-        let work = self.draw.up_to(20, if attempt.writes { 400 } else { 300 });
+        let work = self.draw.up_to(20, if attempt.kind == Kind::Write { 400 } else { 300 });
         self.schedule(work, Event::Worked(attempt));
     }
 
-    fn attempt_worked(&mut self, attempt: Attempt) {
+    fn attempt_worked(&mut self, mut attempt: Attempt) {
         if !self.members.runs(attempt.member) {
             return self.waiting.push(attempt);
         }
         let (member, primary) = (attempt.member, self.members.is_primary(attempt.member));
-        let commits = attempt.writes && primary;
+        let writes = attempt.kind == Kind::Write;
+        let commits = writes && primary;
+        attempt.committed = if commits { self.now } else { 0 };
         let position = match (commits, self.conditions.position_as_taken) {
             (true, _) => self.now + MILLISECOND - 1,
             (_, true) => attempt.position_as_taken,
@@ -446,14 +540,25 @@
         };
         let told = commits || self.conditions.positions_told;
         let position = if told { position / MILLISECOND * MILLISECOND } else { 0 };
-        let ending = if attempt.writes && !primary { Ending::Miss } else { Ending::Answered };
-        self.members.answers(member, attempt.router);
-        let answer = Answer { ending, note: Note { primary: Some(primary), position } };
+        let ending = if writes && !primary { Ending::Miss } else { Ending::Answered };
+        let note = if self.is_cut() {
+            Note::default()
+        } else {
+            self.members.answers(member, attempt.router);
+            Note { primary: Some(primary), position }
+        };
+        let answer = Answer { ending, note };
         let way = self.draw.below(WAYS);
         let held = self.way(attempt.router, member, way) + self.draw.up_to(1, 10);
         self.schedule(held, Event::Heard(attempt, answer));
     }
 
+    /// Whether an answer ends behind its row, with nothing told.
+    fn is_cut(&mut self) -> bool {
+        let one_in = self.conditions.answers_cut_one_in;
+        one_in > 0 && self.draw.below(one_in) == 0
+    }
+
     /// How long a connection holds back what comes on it.
     fn way(&mut self, router: usize, member: usize, number: u64) -> Tenths {
         let held = self.draw.up_to(0, self.conditions.answers_held);
