Router: a cancel counts though its sender closes right behind it

Callers saw: a query that was cancelled went on, where the sender of the cancel closes at once, as many drivers do, and the router reads both together (after a hold-up, or under load).

Cause: `read_on` reads until nothing is left and took the end (or a reset) for the client's leaving before `advance` had looked at the bytes in hand. Found by a test of hold-ups whose sender went out of scope. A query or a startup packet before an end asks for nothing any more; a cancel is the one message that still counts.

Change: `client_closed` hears a whole cancel before it drops the connection.

A reset behind the cancel goes the same way, by reading; not played.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -271,7 +271,7 @@
                 return;
             }
             match (&*client.stream).read(&mut self.scratch) {
-                Ok(0) => return self.drop_client(key, ClientClose::Left),
+                Ok(0) => return self.client_closed(key, ClientClose::Left),
                 Ok(_) if matches!(client.stage, Stage::Ending | Stage::Told) => {}
                 Ok(read) => {
                     client.retry.reset();
@@ -284,7 +284,7 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if is_transient(&e) => return self.retry_client(key),
-                Err(_) => return self.drop_client(key, ClientClose::Broken),
+                Err(_) => return self.client_closed(key, ClientClose::Broken),
             }
             if !self.has_turn(key) {
                 return;
@@ -292,6 +292,17 @@
         }
     }
 
+    /// The client has sent its last. Danger: one that asks for a cancel may close right behind that, and both are read at once.
+    fn client_closed(&mut self, key: ClientKey, reason: ClientClose) {
+        let Some(client) = self.clients.table.get(key) else { return };
+        let opening = (client.stage == Stage::Opening).then(|| pgwire::opening(&client.input));
+        if let Some(Ok(Some((Opening::Cancel(whom), size)))) = opening {
+            let at = client.came(client.input.len() - size, self.now);
+            self.cancel(whom, at);
+        }
+        self.drop_client(key, reason);
+    }
+
     /// A system call on its connection failed for a moment. Danger: no event may tell when it succeeds.
     fn retry_client(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.get_mut(key) else { return };
--- a/crates/router/tests/leave.rs
+++ b/crates/router/tests/leave.rs
@@ -346,6 +346,21 @@
     assert_eq!((counters["left"], counters["answered"], counters["open"]), (1, 2, 0));
 }
 
+/// Its bytes and its end are read at once.
+#[rstest]
+fn a_cancel_whose_sender_closes_behind_it_ends_the_query() {
+    let (node, router) = but_for_the_first();
+    let (mut client, key) = Client::keyed(&router);
+    client.send(&query_bytes(&look("i1", 30_000)));
+    assert!(node.statement().contains("id=i1"));
+    router.stop();
+    let asks = Client::cancel(&router, &key);
+    asks.stream.shutdown(Shutdown::Write).expect("open");
+    delivered(&asks.stream);
+    router.signal("-CONT");
+    assert_eq!(client.answer(), Answer::Error("57014".into(), None));
+}
+
 #[rstest]
 fn a_cancel_with_a_wrong_secret_ends_nothing() {
     let (node, router) = but_for_the_first();
