Router: a turn whose writes are held up ends early, and what is owed is written first

Callers saw, with one write in ten held up by 0.10 to 0.15 s: final answers 0.9 to 1.0 s late ('Refused after 1.30 s of 344 ms'), half a message that stayed 3.5 to 3.9 s, a process killed before it had ended.

Cause: `steps` looks at its deadlines once, at its start, and `write_clients` then wrote all that waited, the latest first. Where many clients are ended in one moment (a crowd that rests: up to 78 'no whole query came in time' in one turn), each error's write may be held up, and the turn takes a second; a command whose time ends in it, and the error for half a message, wait for all of them. Ruled out: members (all three commands had been written or were waiting), the deadlines' order.

Change: the turn stops writing once the last look at what has come is over 50 ms old or a deadline is overdue, and goes on in the next (`is_behind`). Final answers and the errors for half a message take turns with everything else, each in its order (`clients/unsent.rs`).

--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -15,14 +15,16 @@
 
 /// Waits for events and takes them in; once more without waiting where that took long, as what came meanwhile is not known.
 pub fn poll(event_loop: &mut EventLoop<'static, Program>, program: &mut Program) -> calloop::Result<()> {
-    let mut wait = program.sleep();
-    for _ in 0..POLLS_MOST {
-        program.looked_at = program.clock.now();
-        event_loop.dispatch(wait, program)?;
-        if !program.is_behind() {
+    program.looked_at = program.clock.now();
+    event_loop.dispatch(program.sleep(), program)?;
+    let mut behind = program.is_behind();
+    for _ in 1..POLLS_MOST {
+        if !behind {
             break;
         }
-        wait = Some(Duration::ZERO);
+        program.looked_at = program.clock.now();
+        event_loop.dispatch(Some(Duration::ZERO), program)?;
+        behind = program.looked_long_ago();
     }
     Ok(())
 }
@@ -30,15 +32,18 @@
 impl Program {
     /// The last look was long ago, or a deadline is overdue: the process may have stood still. Danger: stopped and let go
     /// again, the poll ends without a look at what came meanwhile.
-    fn is_behind(&self) -> bool {
-        let now = self.clock.now();
-        now - self.looked_at > LOOK_MOST || self.deadlines.first().is_some_and(|at| at + OVERDUE < now)
+    pub fn is_behind(&self) -> bool {
+        self.looked_long_ago() || self.deadlines.first().is_some_and(|at| at + OVERDUE < self.clock.now())
+    }
+
+    fn looked_long_ago(&self) -> bool {
+        self.clock.now() - self.looked_at > LOOK_MOST
     }
 
     /// Asked before an attempt is written.
     pub fn catch_up(&mut self) {
         self.read_clock();
-        if self.now - self.looked_at > LOOK_MOST {
+        if self.looked_long_ago() {
             self.look_at_what_forbids();
             self.tell_news();
         }
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -3,6 +3,7 @@
 
 mod closing;
 mod crowd;
+mod unsent;
 
 use crate::Program;
 use crate::arrival::{CERTAIN, waited};
@@ -21,6 +22,7 @@
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
+use unsent::Unsent;
 use vetchkeel::Tenths;
 use vetchkeel_log::log;
 use vetchkeel_pgwire::{self as pgwire, LONGEST, Opening, Unreadable};
@@ -86,7 +88,7 @@
     /// How often it is still looked for who waits to be accepted.
     accept_looks: u32,
     /// Those with something to write.
-    unsent: Vec<ClientKey>,
+    unsent: Unsent,
     /// Those that have used up this turn: they are heard again in the next.
     later: Vec<ClientKey>,
     turn: u64,
@@ -368,6 +370,7 @@
         if matches!(client.stage, Stage::Ending | Stage::Told) {
             return;
         }
+        let begun = !client.input.is_empty();
         self.clients.held -= client.input.len();
         client.input = Vec::new();
         client.marks.clear();
@@ -378,6 +381,9 @@
         let mut answer = Vec::new();
         pgwire::error(&mut answer, true, sqlstate, why, None);
         self.send(key, answer);
+        if begun {
+            self.clients.unsent.push_owed(key);
+        }
     }
 
     fn open_with(&mut self, key: ClientKey, input: &[u8]) -> Result<Option<usize>, (&'static str, String)> {
@@ -501,10 +507,13 @@
         let Some(client) = self.clients.table.get_mut(key) else { return };
         client.command = None;
         client.quiet_since = self.now;
-        self.send(key, answer);
         let mut ready = Vec::new();
         pgwire::ready(&mut ready);
-        self.send(key, ready);
+        for bytes in [answer, ready] {
+            client.unsent += bytes.len();
+            client.output.push_back(bytes);
+        }
+        self.clients.unsent.push_owed(key);
     }
 
     /// Adds to what is written at the turn's end.
@@ -515,7 +524,7 @@
         self.clients.unsent.push(key);
     }
 
-    /// Writes what waits; what was held back behind it is taken up.
+    /// Writes what waits, for as long as the last look at what has come is not long ago; what was held back behind it is taken up.
     pub fn write_clients(&mut self) {
         while let Some(key) = self.clients.unsent.pop() {
             self.flush(key);
@@ -524,6 +533,9 @@
             if self.clients.listener.is_none() {
                 self.end_if_idle(key);
             }
+            if self.is_behind() {
+                return;
+            }
         }
     }
 
--- /dev/null
+++ b/crates/router/src/clients/unsent/tests.rs
@@ -0,0 +1,25 @@
+use super::*;
+use rstest::rstest;
+use slotmap::SlotMap;
+
+#[rstest]
+#[case::others_alone(0, 3, "ooo")]
+#[case::answers_alone(3, 0, "aaa")]
+#[case::by_turns(3, 4, "oaoaoao")]
+fn answers_and_others_take_turns_in_their_order(
+    #[case] answers: usize,
+    #[case] others: usize,
+    #[case] order: &str,
+) {
+    let mut keys = SlotMap::<ClientKey, char>::with_key();
+    let mut unsent = Unsent::default();
+    let told: Vec<ClientKey> = (0..answers).map(|_| keys.insert('a')).collect();
+    let rest: Vec<ClientKey> = (0..others).map(|_| keys.insert('o')).collect();
+    rest.iter().for_each(|key| unsent.push(*key));
+    told.iter().for_each(|key| unsent.push_owed(*key));
+    let popped: Vec<ClientKey> = std::iter::from_fn(|| unsent.pop()).collect();
+    assert_eq!(popped.iter().map(|key| keys[*key]).collect::<String>(), order);
+    let of = |kind| popped.iter().copied().filter(|key| keys[*key] == kind).collect::<Vec<_>>();
+    assert_eq!((of('a'), of('o')), (told, rest));
+    assert!(unsent.is_empty());
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -270,10 +270,14 @@
         self.write_nodes();
         // Danger: a list that came in this moment leaves decisions that no deadline wakes for.
         self.decide();
-        // What lies behind an answer becomes a command, and may be answered at once.
+        // What lies behind an answer becomes a command, and may be answered at once. Danger: a deadline that is due while
+        // writes are held up waits for this turn's end, so the rest is left to the next.
         while self.clients.has_unsent() {
             self.write_clients();
             self.decide();
+            if self.is_behind() {
+                break;
+            }
         }
     }
 
@@ -356,7 +360,8 @@
 
     /// Until when the loop may sleep.
     fn sleep(&self) -> Option<Duration> {
-        if !self.news.is_empty() || self.clients.has_later() || self.nodes.has_writable() {
+        let unfinished = self.nodes.has_writable() || self.clients.has_unsent();
+        if !self.news.is_empty() || self.clients.has_later() || unfinished {
             return Some(Duration::ZERO);
         }
         let wait = (self.deadlines.first()? - self.clock.now()).max(0);
--- a/crates/router/tests/soak/main.rs
+++ b/crates/router/tests/soak/main.rs
@@ -80,7 +80,9 @@
     if crowded {
         threads.extend(routers.iter().map(|router| clients::crowd(router.clone(), ends.clone())));
     }
-    let world = World { routers: routers.clone(), members, version, leaves, changing: Default::default() };
+    let held_sends = troubles::held_sends(seed);
+    let changing = Default::default();
+    let world = World { routers: routers.clone(), members, version, leaves, held_sends, changing };
     world.play(seed, span);
     thread::sleep(RECOVERS);
     let before = ledger.outcomes();
--- a/crates/router/tests/soak/troubles.rs
+++ b/crates/router/tests/soak/troubles.rs
@@ -14,6 +14,8 @@
     pub members: Vec<Arc<Member>>,
     pub version: Arc<AtomicU32>,
     pub leaves: Arc<AtomicBool>,
+    /// How often a write is held up while that is the trouble, in a million.
+    pub held_sends: u64,
     /// Held while a set changes its primary.
     pub changing: [Mutex<()>; SETS],
 }
@@ -107,8 +109,10 @@
     (Fault::InterruptedRead, 300_000),
 ];
 
-/// Held up before a write to a member, in a million.
+/// Held up before a gathered write, in a million; and at the seeds that play a machine that is far too busy.
 const HELD_SENDS: u64 = 20_000;
+const HELD_SENDS_OFTEN: u64 = 100_000;
+const OFTEN_ONE_IN: u64 = 3;
 /// How long a replica applies between two pauses, a set has no primary, and a primary stays one.
 const APPLIES: Duration = Duration::from_millis(80);
 const HANDOVER: Duration = Duration::from_millis(30);
@@ -116,6 +120,10 @@
 /// A primary that hangs is given up after this and more.
 const DETECTED: Duration = Duration::from_millis(1_200);
 
+pub fn held_sends(seed: u64) -> u64 {
+    if seed.is_multiple_of(OFTEN_ONE_IN) { HELD_SENDS_OFTEN } else { HELD_SENDS }
+}
+
 fn demote(primary: &Member) {
     let (now, mut history) = (Instant::now(), primary.history());
     history.end_reign(now);
@@ -177,7 +185,7 @@
                 routers.iter().for_each(|r| r.faults.set(Fault::HeldUp, 0));
             }
             Trouble::HeldSends => {
-                routers.iter().for_each(|r| r.faults.set(Fault::HeldSend, HELD_SENDS));
+                routers.iter().for_each(|r| r.faults.set(Fault::HeldSend, self.held_sends));
                 thread::sleep(lasts);
                 routers.iter().for_each(|r| r.faults.set(Fault::HeldSend, 0));
             }
