Module: a read with little time left waits for the check that is out

Cause: `settle` gives a waiting command up as NoRoom at its second look, one tick on, if what is left of its time is under ln 10 usual latencies. The usual latency has a half-life of 10 s, and the commands that it refuses bring no answers that would mend it. A read that must see new data waits for a member's check most of all, which takes a few milliseconds.

Change: while such a check is out (`check_is_out`, half a usual latency at most) and half the command's time is not over, the read waits. What has no check to wait for is given up as before, at once.

Test: `a_read_with_little_time_left_waits_for_the_check_that_is_out`, before red in the slow time and green in the usual one, after green in both. Looked at beside it: the pace (`in_pace`) also learns from what it lets through, and rises by the clock; windows are pauses below one, not refusals.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -568,10 +568,12 @@
         }
         let set = self.sets.entry(cmd.set).or_default();
         set.waiting.resize(self.groups.places.len(), BTreeSet::new());
-        if !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key))) && late <= now {
+        let number = cmd.set;
+        let has_waited = !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key)));
+        if has_waited && late <= now && !self.check_is_out(now, key) {
             return self.give_up(now, key, GaveUp::NoRoom);
         }
-        self.dirty.insert(cmd.set);
+        self.dirty.insert(number);
         self.settle_at(late.max(now + self.tick), key);
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1576,3 +1576,30 @@
     assert_eq!(r.take_events(), expected);
     assert_eq!(r.take_events(), []);
 }
+
+/// After a slow time the usual latency stays high for a while, and what has little time left is given up once it has waited. A check
+/// that is out when it comes is waited for all the same: its answer comes within a few milliseconds.
+#[rstest]
+#[case::in_a_slow_time(1_500.0)]
+#[case::in_a_usual_time(500.0)]
+fn a_read_with_little_time_left_waits_for_the_check_that_is_out(#[case] usual: f64) {
+    let mut r = router(&[]);
+    let kind = r.groups.named["bounded"];
+    (0..100).for_each(|_| r.groups.places[kind].latency.add(NOW, USUAL_HALF, usual));
+    r.members[2].shut = true;
+    (r.members[1].met, r.members[1].position, r.members[1].checked_at) = (true, NOW - 4_000, NOW - SECOND);
+    let (id, command_group, customer, time_left) = ("x".into(), "bounded".into(), None, 2_000);
+    let (set, token_age, session, repeat) = (1, None, None, false);
+    let cmd = Command { id, command_group, customer, set, time_left, token_age, session, repeat };
+    r.command_arrived(NOW, cmd).unwrap();
+    let mut decisions: Vec<Decision> = std::iter::from_fn(|| r.next_decision(NOW)).collect();
+    decisions.retain(|d| matches!(d, Decision::Probe { node } if &**node == "b"));
+    assert_eq!(decisions.len(), 1, "its position is asked for");
+    let refused = std::iter::from_fn(|| r.next_decision(NOW + 2 * r.tick)).next();
+    assert_eq!(refused, None, "not given up while the check is out");
+    let report = Report { primary: Some(false), position: Some(NOW) };
+    r.probe_ended(NOW + 30, "b", probed(Ending::Answered, report));
+    let sent = std::iter::from_fn(|| r.next_decision(NOW + 30))
+        .any(|d| matches!(d, Decision::Dispatch { node, .. } if &*node == "b"));
+    assert!(sent);
+}
