--- a/crates/router/tests/waits.rs
+++ b/crates/router/tests/waits.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::faults::*;
 use common::member::*;
 use common::*;
 use rstest::rstest;
@@ -91,6 +92,24 @@
     assert_eq!(client.answer(), Answer::Row("own".into()));
 }
 
+/// The system takes a statement in parts, and the process is held up between them: what came by then is taken for the answer.
+#[rstest]
+fn what_comes_between_two_parts_of_a_statement_is_no_answer() {
+    let (member, faults) = (Member::start(), Faults::new(3));
+    let router = without_probes_failing(&[("s-a", &member)], &[], &faults);
+    let mut client = ask(&router, "i1");
+    let mut link = member.dialled();
+    faults.set(Fault::ShortSend, ALWAYS);
+    faults.set(Fault::HeldSend, ALWAYS);
+    link.greet();
+    link.stream.peek(&mut [0]).expect("a part of it");
+    link.say(&[row("spare"), ready()].concat());
+    faults.none();
+    assert!(link.ended() < query_bytes(&order("i1", 30_000)).len(), "written on");
+    member.met().serve("id=i1", "own");
+    assert_eq!(client.answer(), Answer::Row("own".into()));
+}
+
 #[rstest]
 #[case::flood_behind_half_of_it(39, 0, error("40003"))]
 #[case::flood_behind_a_whole_one(53, 0, Answer::Row("r".into()))]
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -568,12 +568,10 @@
         }
         let set = self.sets.entry(cmd.set).or_default();
         set.waiting.resize(self.groups.places.len(), BTreeSet::new());
-        let number = cmd.set;
-        let has_waited = !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key)));
-        if has_waited && late <= now && !self.check_is_out(now, key) {
+        if !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key))) && late <= now {
             return self.give_up(now, key, GaveUp::NoRoom);
         }
-        self.dirty.insert(number);
+        self.dirty.insert(cmd.set);
         self.settle_at(late.max(now + self.tick), key);
     }
 
--- a/src/decide/reads.rs
+++ b/src/decide/reads.rs
@@ -48,7 +48,11 @@
     /// Whose turn it is: to be sent to, to be asked, to be met.
     fn look_at_readers(&self, now: Tenths, number: i64, key: u64, long: bool) -> Option<Readers> {
         let (cmd, set) = (&self.open[&key], self.sets.get(&number)?);
-        let known = self.has_known_reader(set);
+        // Danger: a list with names that are no members. One listed later that never answered is only asked,
+        // when its turn comes, while others work, and nothing waits for it.
+        let works =
+            |m: &Member| m.met && !m.shut && !matches!(m.state, State::Healthy | State::TransportError);
+        let known = set.nodes.iter().any(|n| works(&self.members[*n]));
         let mut found = Readers { known, ..Readers::default() };
         for &node in &set.nodes {
             let m = &self.members[node];
@@ -80,25 +84,6 @@
         Some(found)
     }
 
-    /// Danger: a list with names that are no members. One listed later that never answered is only asked,
-    /// when its turn comes, while others work, and nothing waits for it.
-    fn has_known_reader(&self, set: &MemberSet) -> bool {
-        let works =
-            |m: &Member| m.met && !m.shut && !matches!(m.state, State::Healthy | State::TransportError);
-        set.nodes.iter().any(|n| works(&self.members[*n]))
-    }
-
-    /// Whether a read that must see new data waits for a check that is out. Danger: after a slow time all that has little time left
-    /// would be given up a moment before the check's answer, for as long as the usual latency remembers.
-    pub(super) fn check_is_out(&self, now: Tenths, key: u64) -> bool {
-        let cmd = &self.open[&key];
-        let access = self.groups.places[cmd.kind].access;
-        let Some(set) = self.sets.get(&cmd.set) else { return false };
-        matches!(access, Access::Bounded(_) | Access::Session)
-            && now < cmd.patience
-            && self.waits_for_a_check(now, cmd.set, key, self.has_known_reader(set))
-    }
-
     /// Probes whoever's turn comes before that of the one that is sent to.
     fn ask_in_turn(&mut self, now: Tenths, found: &Readers) {
         let ask = found.ask.filter(|a| found.best.is_none_or(|b| a.0 <= b.0));
