--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -2,6 +2,7 @@
 //! ever written twice here; giving something up closes its connection.
 
 mod answer;
+mod job;
 
 use crate::commands::News;
 use crate::deadlines::Due;
@@ -14,10 +15,11 @@
 use answer::{Answer, believed};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use job::Job;
 use slotmap::SlotMap;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use vetchkeel::{Ending, Id, Tenths, Told, Written};
@@ -32,24 +34,6 @@
 /// Bytes of a connection from its opening, or its rest, to the end of an answer; a value has 64 KiB at most.
 const HEARD_MOST: usize = 256 * 1024;
 
-/// Something that one connection carries to its end.
-struct Job {
-    work: Work,
-    statement: Rc<Statement>,
-    /// What stands in place of the statement's wait; set when writing begins, and until it is written itself.
-    wait: Option<String>,
-    since: Tenths,
-    /// How long its connection had idled; None for a new one.
-    idled: Option<Tenths>,
-    limit_at: Tenths,
-    /// Until when its last byte may be written.
-    until: Tenths,
-    /// What a report's fields were called when it began.
-    fields: Rc<[String]>,
-    written: usize,
-    answer: Answer,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Dialling,
@@ -182,61 +166,6 @@
     }
 }
 
-impl Job {
-    /// Something of its answer has come.
-    fn begun(&self, conn: &Conn) -> bool {
-        self.answer.described || self.answer.code.is_some() || !conn.input.is_empty()
-    }
-
-    fn reached(&self, stage: Stage) -> Reached {
-        match stage {
-            Stage::Open if self.wait.is_some() && self.written == self.size() => Reached::Written,
-            Stage::Open => Reached::Writing,
-            _ => Reached::Dialling,
-        }
-    }
-
-    fn size(&self) -> usize {
-        let wait = self.wait.as_ref().map_or(0, String::len);
-        5 + self.statement.text.len() - self.statement.wait_at.len() + wait + 1
-    }
-
-    /// Danger: a statement that is held before its wait is written would tell a time that has passed. Its head has
-    /// told how long it is, so the wait stays as wide as it was.
-    fn tell_wait(&mut self, now: Tenths) {
-        let at = &self.statement.wait_at;
-        let width = match &self.wait {
-            Some(_) if at.is_empty() || self.written > 5 + at.start => return,
-            before => before.as_ref().map_or(0, String::len),
-        };
-        let left = (self.limit_at - now).max(10) / 10;
-        self.wait = Some(if at.is_empty() { String::new() } else { format!("{left:0width$}") });
-    }
-
-    /// Writes on; true once the last byte is written.
-    fn write(&mut self, mut stream: &TcpStream, now: Tenths) -> io::Result<bool> {
-        self.tell_wait(now);
-        let Statement { text, wait_at } = &*self.statement;
-        let size = self.size();
-        let wait = self.wait.as_deref().unwrap_or_default();
-        let head = pgwire::query_head(size - 6);
-        while self.written < size {
-            let (before, after) = (&text[..wait_at.start], &text[wait_at.end..]);
-            let mut slices = [&head[..], before, wait.as_bytes(), after, &[0]].map(IoSlice::new);
-            let mut left = &mut slices[..];
-            IoSlice::advance_slices(&mut left, self.written);
-            match stream.write_vectored(left) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(written) => self.written += written,
-                Err(e) if is_transient(&e) => return Ok(false),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-        Ok(true)
-    }
-}
-
 impl Program {
     pub fn probe(&mut self, node: &Id) {
         let limit_at = self.now + self.nodes.dial_limit;
