--- a/crates/router/tests/common/faults.rs
+++ b/crates/router/tests/common/faults.rs
@@ -8,6 +8,8 @@
 use std::fs::OpenOptions;
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 
 /// One in so many calls fails, as the library counts it.
@@ -59,11 +61,32 @@
 
     /// What the environment of a process must hold.
     pub fn variables(&self) -> [(&'static str, PathBuf); 2] {
+        [("LD_PRELOAD", library().clone()), ("FAULT_CONTROL", self.path.clone())]
+    }
+}
+
+/// The library, beside the program. Cargo builds examples for a test of the whole package, but not for one test file of it.
+fn library() -> &'static PathBuf {
+    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+    LIBRARY.get_or_init(|| {
         let program = Path::new(env!("CARGO_BIN_EXE_vetchkeel-router"));
         let library = program.parent().expect("a folder").join("examples/libfaults.so");
-        assert!(library.exists(), "built with the examples: {}", library.display());
-        [("LD_PRELOAD", library), ("FAULT_CONTROL", self.path.clone())]
-    }
+        if !library.exists() {
+            build();
+        }
+        assert!(library.exists(), "built: {}", library.display());
+        library
+    })
+}
+
+fn build() {
+    let profile = if cfg!(debug_assertions) { "dev" } else { "release" };
+    let built = Command::new(env!("CARGO"))
+        .args(["build", "--quiet", "--locked", "--package", "vetchkeel-router", "--example", "faults"])
+        .args(["--profile", profile])
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .status();
+    assert!(built.is_ok_and(|status| status.success()), "the library of failing system calls is built");
 }
 
 impl Drop for Faults {
