Router: what comes before a statement is written whole is never taken for its answer

Cause (seen): \`Job::write\` wrote part after part without a look between them. The library holds each write up before the system call and cuts it short, so a spare answer came after any look before the write and lay there when the last part made the statement whole; what is read then counts as the answer. Lines at fault: the loop in \`Job::write\`; the same fault in \`Conn::write_opening\` (a greeting taken for the answer to half an opening) and with probes (a spare report believed), which share \`Job::write\`.

Change: once a write was short, the last byte is held back and goes alone, behind a look that finds nothing; a look older than 5 ms is made again before a write. Where more than 5 ms pass from the look to the end of the write and bytes lie there, they are believed only if the system's own times say that they came no earlier than the last byte went: else a read goes elsewhere, a write gets 40003. What came in the last 5 ms, or within one tick of the system (4 ms here) of the write, can't be told apart.

Why it works: up to the last byte a member can't have begun; before it a look shows what was there; within it, the clock and the system do.

--- a/crates/router/examples/faults/layout.rs
+++ b/crates/router/examples/faults/layout.rs
@@ -40,9 +40,13 @@
     HeldSend,
     /// 300 ms pass before a read of a socket, as a page fault or a busy machine may take.
     HeldReceive,
+    /// 100 to 150 ms pass before a plain write to a socket, as the program opens connections.
+    HeldOpening,
+    /// 100 to 150 ms pass behind a gathered write to a socket, before its caller goes on.
+    HeldSent,
 }
 
-pub const FAULTS: usize = 18;
+pub const FAULTS: usize = 20;
 /// The words before: how often each fault comes, in a million calls. From here on: how often it has come.
 pub const INJECTED: usize = 20;
 /// By how many microseconds the wall clock is wrong; a signed number.
--- a/crates/router/examples/faults/lib.rs
+++ b/crates/router/examples/faults/lib.rs
@@ -94,6 +94,9 @@
 
 #[unsafe(no_mangle)]
 unsafe extern "C" fn send(to: c_int, bytes: *const c_void, size: size_t, flags: c_int) -> ssize_t {
+    if meets(Fault::HeldOpening).is_some() {
+        hold_up();
+    }
     if let Some(error) = refused_send() {
         return fail(error);
     }
@@ -127,7 +130,11 @@
         (used, left) = (used + 1, left - take);
     }
     // SAFETY: a part of what the caller gave.
-    unsafe { libc::syscall(libc::SYS_writev, to, some.as_ptr(), used) as ssize_t }
+    let written = unsafe { libc::syscall(libc::SYS_writev, to, some.as_ptr(), used) as ssize_t };
+    if meets(Fault::HeldSent).is_some() {
+        hold_up();
+    }
+    written
 }
 
 #[unsafe(no_mangle)]
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -39,6 +39,24 @@
     peeked.next().unwrap_or_else(|| Err(ErrorKind::Interrupted.into()))
 }
 
+/// What lies unread at a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    Nothing,
+    Bytes,
+    /// The other end sends nothing more.
+    End,
+}
+
+pub fn unread(stream: &TcpStream) -> io::Result<Unread> {
+    match peek(stream) {
+        Ok(0) => Ok(Unread::End),
+        Ok(_) => Ok(Unread::Bytes),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(Unread::Nothing),
+        Err(e) => Err(e),
+    }
+}
+
 /// False only where nothing lies unread for certain.
 pub fn may_have_unread(stream: &TcpStream) -> bool {
     match peek(stream) {
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -8,14 +8,14 @@
 use crate::deadlines::Due;
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
 use crate::keys::{CommandKey, ConnKey, Statement, Work};
-use crate::leaving::peek;
+use crate::leaving::{Unread, unread};
 use crate::reasons::MemberClose;
 use crate::transient::{Backoff, is_local, is_transient};
 use crate::{Program, tenths};
 use answer::{Answer, believed};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use job::Job;
+use job::{Job, Progress};
 use slotmap::SlotMap;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
@@ -50,6 +50,8 @@
     stage: Stage,
     /// What is still to be written of the startup packet.
     opening: Vec<u8>,
+    /// A part of it is written.
+    opening_begun: bool,
     retry: Backoff,
     job: Option<Job>,
     input: Vec<u8>,
@@ -140,12 +142,22 @@
 }
 
 impl Conn {
-    /// Writes what is left of the startup packet. Danger: the system may take a part of it.
+    /// Writes what is left of the startup packet. Danger: the system may take a part of it, and what comes before the rest would
+    /// be taken for the greeting. So once a write was short the last byte goes alone, behind a look that finds nothing.
     fn write_opening(&mut self) -> io::Result<()> {
         while !self.opening.is_empty() {
-            match (&*self.stream).write(&self.opening) {
+            let last_byte_left = self.opening.len() == 1;
+            if last_byte_left && unread(&self.stream)? == Unread::Bytes {
+                return Err(ErrorKind::InvalidData.into());
+            }
+            let held_back = self.opening_begun && !last_byte_left;
+            let part = &self.opening[..self.opening.len() - held_back as usize];
+            match (&*self.stream).write(part) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(written) => drop(self.opening.drain(..written)),
+                Ok(written) => {
+                    self.opening.drain(..written);
+                    self.opening_begun = true;
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
@@ -184,7 +196,9 @@
     ) {
         let (since, wait, answer) = (self.now, None, Answer::default());
         let (idled, written, fields) = (None, 0, self.nodes.report_fields.clone());
-        let job = Job { work, statement, wait, since, idled, limit_at, until, fields, written, answer };
+        let looked_at = since;
+        let job =
+            Job { work, statement, wait, since, idled, limit_at, until, fields, written, looked_at, answer };
         while let Some(key) = self.rested(node) {
             self.deadlines.clear(Due::Idle(key));
             let Some(conn) = self.nodes.conns.get_mut(key) else { continue };
@@ -194,10 +208,11 @@
                 continue;
             }
             // One that has ended meanwhile, or holds bytes nobody asked for, can't be used again.
-            match peek(&conn.stream) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+            let looked_at = self.clock.now();
+            match unread(&conn.stream) {
+                Ok(Unread::Nothing) => {
                     self.counters.reused += 1;
-                    conn.job = Some(Job { idled: Some(idled), ..job });
+                    conn.job = Some(Job { idled: Some(idled), looked_at, ..job });
                     self.deadlines.set(Due::Work(key), limit_at.min(until));
                     return self.write_work(key);
                 }
@@ -265,6 +280,7 @@
             token,
             stage,
             opening,
+            opening_begun: false,
             retry,
             job,
             input,
@@ -309,6 +325,7 @@
             match conn.write_opening() {
                 Ok(()) => conn.stage = Stage::Greeting,
                 Err(e) if e.kind() == ErrorKind::NotConnected => return,
+                Err(e) if e.kind() == ErrorKind::InvalidData => return self.break_conn(key, Cause::Garbled),
                 Err(e) if is_transient(&e) => return self.retry_conn(key),
                 Err(_) => return self.break_conn(key, Cause::Broken),
             }
@@ -335,6 +352,9 @@
             self.accept_waiting();
         }
         for key in std::mem::take(&mut self.nodes.writable) {
+            if let Some(job) = self.nodes.conns.get_mut(key).and_then(|conn| conn.job.as_mut()) {
+                job.looked_at = self.clock.now();
+            }
             self.read_conn(key);
             if self.nodes.conns.get(key).is_some_and(Conn::unwritten) {
                 self.write_work(key);
@@ -366,13 +386,14 @@
             let begun = (number, job.limit_at);
             self.commands.check_begin(now, command, begun, &conn.node, &mut self.invariants);
         }
-        match job.write(&conn.stream, now) {
-            Ok(true) => {
+        match job.write(&conn.stream, &self.clock) {
+            Ok(Progress::Whole) => {
                 conn.retry.reset();
                 self.deadlines.set(Due::Work(key), job.limit_at);
                 self.is_written(key);
             }
-            Ok(false) => self.retry_conn(key),
+            Ok(Progress::Blocked) => self.retry_conn(key),
+            Ok(Progress::Unasked | Progress::Doubtful) => self.break_conn(key, Cause::Garbled),
             Err(_) => self.break_conn(key, Cause::Broken),
         }
     }
--- a/crates/router/src/nodes/job.rs
+++ b/crates/router/src/nodes/job.rs
@@ -2,8 +2,11 @@
 
 use super::answer::Answer;
 use super::{Conn, Stage};
+use crate::Clock;
+use crate::arrival::came_after_sent;
 use crate::ending::Reached;
 use crate::keys::{Statement, Work};
+use crate::leaving::{Unread, unread};
 use crate::transient::is_transient;
 use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::TcpStream;
@@ -11,6 +14,25 @@
 use vetchkeel::Tenths;
 use vetchkeel_pgwire as pgwire;
 
+/// From a look that finds nothing at a connection to the end of the write behind it. What lies there after a longer time may
+/// have come before the statement was whole.
+const LOOK_TO_WRITTEN_MOST: Tenths = 50;
+
+/// What ends the text of a query.
+const LAST_BYTE: [u8; 1] = [0];
+
+/// How far a write has brought a statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    Whole,
+    /// The system takes no more for now.
+    Blocked,
+    /// Bytes lie there before the statement is whole: they answer nothing that was asked.
+    Unasked,
+    /// Whole; but the write was held up, and bytes lie there that came before its end, as far as the system tells.
+    Doubtful,
+}
+
 /// Something that one connection carries to its end.
 pub(super) struct Job {
     pub(super) work: Work,
@@ -26,6 +48,8 @@
     /// What a report's fields were called when it began.
     pub(super) fields: Rc<[String]>,
     pub(super) written: usize,
+    /// Before the last look at its connection that found nothing there.
+    pub(super) looked_at: Tenths,
     pub(super) answer: Answer,
 }
 
@@ -60,26 +84,53 @@
         self.wait = Some(if at.is_empty() { String::new() } else { format!("{left:0width$}") });
     }
 
-    /// Writes on; true once the last byte is written.
-    pub(super) fn write(&mut self, mut stream: &TcpStream, now: Tenths) -> io::Result<bool> {
-        self.tell_wait(now);
-        let Statement { text, wait_at } = &*self.statement;
+    /// Writes on. Danger: the system may take a part, and between two parts, or within a write, any time may pass. What comes
+    /// from the member in it would be taken for the answer. So once a write was short the last byte is held back and goes alone,
+    /// behind a look that finds nothing; and after a hold-up only what has come behind the last byte may be an answer.
+    pub(super) fn write(&mut self, stream: &TcpStream, clock: &Clock) -> io::Result<Progress> {
+        self.tell_wait(clock.now());
         let size = self.size();
-        let wait = self.wait.as_deref().unwrap_or_default();
-        let head = pgwire::query_head(size - 6);
         while self.written < size {
-            let (before, after) = (&text[..wait_at.start], &text[wait_at.end..]);
-            let mut slices = [&head[..], before, wait.as_bytes(), after, &[0]].map(IoSlice::new);
-            let mut left = &mut slices[..];
-            IoSlice::advance_slices(&mut left, self.written);
-            match stream.write_vectored(left) {
+            let old = clock.now() - self.looked_at > LOOK_TO_WRITTEN_MOST;
+            if old || self.has_last_byte_left() {
+                self.looked_at = clock.now();
+                match unread(stream) {
+                    Ok(Unread::Nothing) => {}
+                    Ok(Unread::Bytes) => return Ok(Progress::Unasked),
+                    Ok(Unread::End) => return Err(ErrorKind::UnexpectedEof.into()),
+                    Err(e) if is_transient(&e) => return Ok(Progress::Blocked),
+                    Err(e) => return Err(e),
+                }
+            }
+            match self.write_part(stream) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(written) => self.written += written,
-                Err(e) if is_transient(&e) => return Ok(false),
+                Err(e) if is_transient(&e) => return Ok(Progress::Blocked),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
         }
-        Ok(true)
+        let held_up = clock.now() - self.looked_at > LOOK_TO_WRITTEN_MOST;
+        let doubtful =
+            held_up && unread(stream).is_ok_and(|unread| unread == Unread::Bytes) && !came_after_sent(stream);
+        Ok(if doubtful { Progress::Doubtful } else { Progress::Whole })
+    }
+
+    fn has_last_byte_left(&self) -> bool {
+        self.written > 0 && self.written + 1 == self.size()
+    }
+
+    /// All of it at first; then all but the last byte; then that.
+    fn write_part(&self, mut stream: &TcpStream) -> io::Result<usize> {
+        let Statement { text, wait_at } = &*self.statement;
+        let wait = self.wait.as_deref().unwrap_or_default();
+        let head = pgwire::query_head(self.size() - 6);
+        let (before, after) = (&text[..wait_at.start], &text[wait_at.end..]);
+        let mut slices = [&head[..], before, wait.as_bytes(), after, &LAST_BYTE].map(IoSlice::new);
+        let held_back = self.written > 0 && !self.has_last_byte_left();
+        let parts = slices.len() - held_back as usize;
+        let mut left = &mut slices[..parts];
+        IoSlice::advance_slices(&mut left, self.written);
+        stream.write_vectored(left)
     }
 }
--- a/crates/router/tests/common/faults.rs
+++ b/crates/router/tests/common/faults.rs
@@ -11,6 +11,8 @@
 use std::process::Command;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 /// One in so many calls fails, as the library counts it.
 pub const ALWAYS: u64 = 1_000_000;
@@ -54,6 +56,15 @@
         self.words[INJECTED + fault as usize].load(Relaxed)
     }
 
+    /// Waits until it has come.
+    pub fn met(&self, fault: Fault) {
+        let began = Instant::now();
+        while self.injected(fault) == 0 {
+            assert!(began.elapsed() < super::WAIT, "{fault:?} has not come");
+            sleep(Duration::from_millis(1));
+        }
+    }
+
     /// From now on the wall clock is wrong by so much, in milliseconds.
     pub fn step_wall_clock(&self, by: i64) {
         self.words[WALL_CLOCK].store((by * 1_000) as u64, Relaxed);
--- a/crates/router/tests/waits.rs
+++ b/crates/router/tests/waits.rs
@@ -7,7 +7,7 @@
 use common::member::*;
 use common::*;
 use rstest::rstest;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
@@ -110,6 +110,136 @@
     assert_eq!(client.answer(), Answer::Row("own".into()));
 }
 
+/// Nobody can tell whose answer it is that came while the one write of a statement was held up: a read goes elsewhere, a write may
+/// have run, and neither gets the bytes.
+#[rstest]
+fn what_comes_while_a_statement_is_written_at_once_is_no_answer(#[values(true, false)] read: bool) {
+    let (member, faults) = (Member::start(), Faults::new(3));
+    let router = without_probes_failing(&[("s-a", &member)], &[], &faults);
+    let mut client = ask_either(&router, read);
+    let mut link = member.dialled();
+    faults.set(Fault::HeldSend, ALWAYS);
+    link.greet();
+    faults.met(Fault::HeldSend);
+    faults.none();
+    comes_before_the_end(&mut link, 0);
+    assert!(link.asked().is_some_and(|s| s.contains("id=i1")));
+    assert_eq!(link.ended(), 0);
+    is_not_answered_by_it(&member, &mut client, read);
+}
+
+/// The same with the last byte, which goes alone where the first write was short.
+#[rstest]
+fn what_comes_while_the_last_byte_of_a_statement_is_written_is_no_answer(#[values(true, false)] read: bool) {
+    let (member, faults) = (Member::start(), Faults::new(5));
+    let router = without_probes_failing(&[("s-a", &member)], &[], &faults);
+    let mut client = ask_either(&router, read);
+    let mut link = member.dialled();
+    faults.set(Fault::ShortSend, ALWAYS);
+    faults.set(Fault::HeldSend, ALWAYS);
+    link.greet();
+    let mut head = [0; 5];
+    while link.stream.peek(&mut head).expect("a statement") < head.len() {}
+    let size = 1 + u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    while link.stream.peek(&mut vec![0; size]).expect("a statement") < size - 1 {}
+    // The look before the last byte is over by then, and that is held up for 100 ms or more.
+    sleep(Duration::from_millis(30));
+    faults.none();
+    comes_before_the_end(&mut link, size - 1);
+    assert!(link.asked().is_some_and(|s| s.contains("id=i1")));
+    assert_eq!(link.ended(), 0);
+    is_not_answered_by_it(&member, &mut client, read);
+}
+
+/// The process may be held up behind the write as well: what comes then is the answer, as the system tells when it came.
+#[rstest]
+fn an_answer_that_comes_while_the_process_is_held_up_behind_the_write_counts(
+    #[values(true, false)] read: bool,
+) {
+    let (member, faults) = (Member::start(), Faults::new(11));
+    let router = without_probes_failing(&[("s-a", &member)], &[], &faults);
+    let mut client = ask_either(&router, read);
+    let mut link = member.dialled();
+    faults.set(Fault::HeldSent, ALWAYS);
+    link.greet();
+    assert!(link.asked().is_some_and(|s| s.contains("id=i1")));
+    faults.none();
+    // A member works for a while.
+    sleep(Duration::from_millis(30));
+    link.answer("own");
+    assert_eq!(client.answer(), Answer::Row("own".into()));
+}
+
+fn ask_either(router: &Router, read: bool) -> Client {
+    let mut client = Client::connect(router);
+    client.send(&query_bytes(&if read { look("i1", 30_000) } else { order("i1", 30_000) }));
+    client
+}
+
+/// A spare answer comes while only so many bytes of the statement have.
+fn comes_before_the_end(link: &mut Link, bytes: usize) {
+    link.say(&[row("spare"), ready()].concat());
+    link.stream.set_nonblocking(true).expect("an option");
+    let came = link.stream.peek(&mut vec![0; bytes + 1]).unwrap_or(0);
+    link.stream.set_nonblocking(false).expect("an option");
+    assert_eq!(came, bytes, "the spare answer came too late for this test");
+}
+
+fn is_not_answered_by_it(member: &Member, client: &mut Client, read: bool) {
+    if read {
+        member.met().serve("id=i1", "own");
+        assert_eq!(client.answer(), Answer::Row("own".into()));
+    } else {
+        assert_eq!(client.answer(), error("40003"));
+    }
+}
+
+/// A report that came while the probe was written is not believed, and its connection is not used again.
+#[rstest]
+#[case::at_once(false)]
+#[case::in_parts(true)]
+fn what_comes_while_a_probe_is_written_is_no_report(#[case] in_parts: bool) {
+    let (member, faults) = (Member::start(), Faults::new(7));
+    let probes = [(r#""may_probe":false"#, r#""may_probe":true"#)];
+    let _router = without_probes_failing(&[("s-a", &member)], &probes, &faults);
+    let mut link = member.dialled();
+    faults.set(Fault::HeldSend, ALWAYS);
+    faults.set(Fault::ShortSend, if in_parts { ALWAYS } else { 0 });
+    link.greet();
+    faults.met(Fault::HeldSend);
+    if in_parts {
+        link.stream.peek(&mut [0]).expect("a part of it");
+    }
+    link.say(&[row("x0=1767225600.123,x1=1"), ready()].concat());
+    faults.none();
+    let probe = query_bytes("SHOW load").len();
+    assert!(link.ended() <= probe - in_parts as usize, "written on");
+    assert_eq!(member.met().asked().as_deref(), Some("SHOW load\0"), "it is asked anew");
+}
+
+/// What comes before the startup packet is written whole answers nothing either.
+#[rstest]
+fn what_comes_between_two_parts_of_an_opening_is_no_greeting() {
+    let (member, faults) = (Member::start(), Faults::new(9));
+    let router = without_probes_failing(&[("s-a", &member)], &[], &faults);
+    let mut client = Client::connect(&router);
+    faults.set(Fault::ShortSend, ALWAYS);
+    faults.set(Fault::HeldOpening, ALWAYS);
+    client.send(&query_bytes(&order("i1", 30_000)));
+    let (stream, _) = member.listener.accept().expect("a connection");
+    stream.set_read_timeout(Some(WAIT)).expect("a time-out");
+    let mut link = Link { stream };
+    link.stream.peek(&mut [0]).expect("a part of it");
+    link.greet();
+    faults.none();
+    let mut came = vec![0; 4];
+    link.stream.read_exact(&mut came).expect("its size");
+    let size = u32::from_be_bytes([came[0], came[1], came[2], came[3]]) as usize;
+    assert!(came.len() + link.ended() < size, "written whole");
+    member.met().serve("id=i1", "own");
+    assert_eq!(client.answer(), Answer::Row("own".into()));
+}
+
 #[rstest]
 #[case::flood_behind_half_of_it(39, 0, error("40003"))]
 #[case::flood_behind_a_whole_one(53, 0, Answer::Row("r".into()))]
