Module: an attempt decided in the moment a start is learned is not written to the new process

`may_write` compares the moment of that list with the moment of the decision by `>`; both are whole tenths of a millisecond, and on loopback they fall into one at times. Line at fault: `learned` in src/decide/gate.rs. Ruled out: the list not yet taken in (the counter had it), other changes (a drain, a move and a removal are judged without times, and never failed). Change: `>=`. Nothing may be sent to a member in the moment its start is learned (its credit starts below the cheapest command), so no attempt of the new process is hit. Test: two cases, red before.

--- a/src/decide/gate.rs
+++ b/src/decide/gate.rs
@@ -32,7 +32,8 @@
     pub fn may_write(&self, now: Tenths, command: &str, dispatch: u32) -> bool {
         let cmd = self.by_id.get(command).and_then(|key| self.open.get(key)).filter(|c| !c.closed);
         cmd.is_some_and(|cmd| {
-            let learned = |(node, sent): &(Node, Tenths)| self.members[*node].start_known > *sent;
+            // In the same moment too: nothing is sent to a member in the moment in which its start is learned.
+            let learned = |(node, sent): &(Node, Tenths)| self.members[*node].start_known >= *sent;
             let takes = |(node, _): &(Node, Tenths)| self.takes_for(now, cmd, &self.members[*node]) > 0;
             now < cmd.ends && cmd.out.get(&dispatch).is_some_and(|out| takes(out) && !learned(out))
         })
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1227,7 +1227,9 @@
 #[case::drained(|r: &mut Router| r.members_changed(NOW + 1, false, &[entry("b", Phase::Draining, 0)]), false)]
 #[case::gone(|r: &mut Router| r.members_changed(NOW + 1, false, &[entry("b", Phase::Removed, 0)]), false)]
 #[case::restarted(|r: &mut Router| r.members_changed(NOW + 1, false, &[entry("b", Phase::Up, NOW)]), false)]
+#[case::restarted_in_this_moment(|r: &mut Router| r.members_changed(NOW, false, &[entry("b", Phase::Up, NOW)]), false)]
 #[case::back_from_its_death(|r: &mut Router| r.restarted(NOW + 1, NOW + 1, 1), false)]
+#[case::back_in_this_moment(|r: &mut Router| r.restarted(NOW, NOW, 1), false)]
 #[case::its_client_left(|r: &mut Router| r.command_left("cmd"), false)]
 #[case::over(|r: &mut Router| r.open.get_mut(&0).unwrap().ends = NOW + 2, false)]
 fn what_waited_for_its_connection_is_written_only_if_it_still_may(
