Module: what is given up for lack of a member names the gate that kept it back

Cause (seen): `settle` in src/decide.rs gave every such command the one reason. Change: `GaveUp::Withheld(Gate)`, worked out in src/decide/withheld.rs at the moment of giving up; nothing is decided by it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,6 +22,7 @@
 mod reads;
 mod search;
 mod slow_start;
+mod withheld;
 
 const SECOND: Tenths = 10_000;
 /// Pause after a round of misses, and the first backoff after a round of transport errors (design page).
@@ -569,7 +570,8 @@
         let set = self.sets.entry(cmd.set).or_default();
         set.waiting.resize(self.groups.places.len(), BTreeSet::new());
         if !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key))) && late <= now {
-            return self.give_up(now, key, GaveUp::NoRoom);
+            let gate = self.withheld_by(now, key);
+            return self.give_up(now, key, GaveUp::Withheld(gate));
         }
         self.dirty.insert(cmd.set);
         self.settle_at(late.max(now + self.tick), key);
--- /dev/null
+++ b/src/decide/withheld.rs
@@ -0,0 +1,51 @@
+//! Which gate keeps a waiting command from every member just now. For events, the log and the counters alone: nothing is
+//! decided by it.
+
+use super::*;
+
+impl Router {
+    /// What keeps a command back that is given up for lack of a member. Of several, the last that it would have had to pass.
+    pub(super) fn withheld_by(&mut self, now: Tenths, key: u64) -> Gate {
+        let (number, kind) = (self.open[&key].set, self.open[&key].kind);
+        let rank = self.order.iter().position(|k| *k == kind).unwrap_or(0);
+        if !self.in_pace(now, rank) && self.paced(now, number) {
+            return Gate::Pace;
+        }
+        let at_primary = match self.primary(number) {
+            Some(primary) => self.withheld_at(now, key, primary),
+            None => Gate::NoPrimary,
+        };
+        match self.groups.places[kind].access {
+            Access::Write | Access::Fresh => at_primary,
+            _ => self.withheld_from_replicas(now, key, number).unwrap_or(at_primary),
+        }
+    }
+
+    /// None where the set has no replica that works.
+    fn withheld_from_replicas(&self, now: Tenths, key: u64, number: i64) -> Option<Gate> {
+        let works = |n: &&Node| {
+            let m = &self.members[**n];
+            m.met && !m.shut && !matches!(m.state, State::Healthy | State::TransportError)
+        };
+        let replicas = self.sets.get(&number)?.nodes.iter().filter(works);
+        replicas.map(|node| self.withheld_at(now, key, *node)).max()
+    }
+
+    fn withheld_at(&self, now: Tenths, key: u64, node: Node) -> Gate {
+        let (cmd, m) = (&self.open[&key], &self.members[node]);
+        if self.takes_for(now, cmd, m) <= 0 {
+            return if m.state == State::Healthy { Gate::RoleInDoubt } else { Gate::NotFresh };
+        }
+        if m.dial_at > now {
+            return Gate::NoConnection;
+        }
+        if !self.has_room(now, node, 1.0, 0.0) {
+            return Gate::Window;
+        }
+        let work = self.groups.places[cmd.kind].target as f64;
+        if self.cold_credit(now, m) < work { Gate::SlowStart } else { Gate::Turn }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/decide/withheld/tests.rs
@@ -0,0 +1,77 @@
+use super::super::tests::*;
+use super::*;
+use rstest::rstest;
+
+/// `a` is the primary and free, `b` and `c` are replicas with a position of now and room.
+fn at_ease(kind: &str) -> Router {
+    let mut r = router(&[]);
+    open(&mut r, kind);
+    r.learn_role(NOW, 0, RoleClaim { primary: true, asked: NOW });
+    for replica in [1, 2] {
+        let m = &mut r.members[replica];
+        (m.met, m.position, m.position_heard) = (true, NOW, NOW);
+    }
+    r.members.iter_mut().for_each(|m| m.window = 4.0);
+    r
+}
+
+fn both(r: &mut Router, change: impl Fn(&mut Member)) {
+    [1, 2].into_iter().for_each(|replica| change(&mut r.members[replica]));
+}
+
+fn slow(r: &mut Router) {
+    (0..1_000).for_each(|_| r.slow.add(NOW, SLOW_HALF, 1.0));
+    (r.pace, r.allowance) = (PACE_LEAST, -1e9);
+    r.asked_work.add(NOW, SLOW_HALF, 1.0);
+    r.paced_at = NOW;
+}
+
+fn cold(r: &mut Router, node: Node) {
+    r.restarted(NOW, NOW, node);
+    r.members[node].window = 4.0;
+}
+
+#[rstest]
+#[case::nothing("write", |_: &mut Router| (), Gate::Turn)]
+#[case::a_slow_router("write", slow, Gate::Pace)]
+#[case::no_primary("write", |r: &mut Router| r.members[0].state = State::TransportError, Gate::NoPrimary)]
+#[case::a_primary_that_may_be_a_replica("session", |r: &mut Router| {
+    both(r, |m| m.shut = true);
+    r.members[0].roles.claims_replica(NOW, NOW);
+}, Gate::RoleInDoubt)]
+#[case::no_connection("write", |r: &mut Router| r.members[0].dial_at = NOW + 1, Gate::NoConnection)]
+#[case::no_window("write", |r: &mut Router| r.members[0].shy_until = NOW + 1, Gate::Window)]
+#[case::a_cold_primary("write", |r: &mut Router| cold(r, 0), Gate::SlowStart)]
+#[case::old_replicas("bounded", |r: &mut Router| both(r, |m| m.position = NOW - SECOND), Gate::NotFresh)]
+#[case::full_replicas("bounded", |r: &mut Router| both(r, |m| m.shy_until = NOW + 1), Gate::Window)]
+#[case::cold_replicas("bounded", |r: &mut Router| (cold(r, 1), cold(r, 2)).0, Gate::SlowStart)]
+#[case::one_old_and_one_full("bounded", |r: &mut Router| {
+    r.members[1].position = NOW - SECOND;
+    r.members[2].shy_until = NOW + 1;
+}, Gate::Window)]
+#[case::no_replica("bounded", |r: &mut Router| {
+    both(r, |m| m.shut = true);
+    r.members[0].state = State::TransportError;
+}, Gate::NoPrimary)]
+fn what_is_given_up_names_the_gate_that_kept_it_back(
+    #[case] kind: &str,
+    #[case] happens: impl Fn(&mut Router),
+    #[case] gate: Gate,
+) {
+    let mut r = at_ease(kind);
+    happens(&mut r);
+    assert_eq!(r.withheld_by(NOW, 0), gate);
+}
+
+/// A cold primary was refused as "no room", which operators read as load.
+#[rstest]
+fn a_command_that_waits_for_a_cold_primary_is_given_up_by_its_slow_start() {
+    let mut r = at_ease("write");
+    cold(&mut r, 0);
+    r.open.get_mut(&0).unwrap().patience = NOW;
+    r.settle(NOW, 0);
+    r.settle(NOW, 0);
+    let given_up =
+        Event::GaveUp { command: "cmd".into(), reason: GaveUp::Withheld(Gate::SlowStart), attempts: 0 };
+    assert!(r.take_events().contains(&given_up));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -205,13 +205,34 @@
     NotAsked,
 }
 
+/// What kept a command back from the members that could serve it, in the order in which a command meets them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Gate {
+    /// The router slows itself, as answers take long: the cheapest command groups wait.
+    Pace,
+    /// No primary is known.
+    NoPrimary,
+    /// No replica is known to be as new as the read needs.
+    NotFresh,
+    /// The primary may be a replica by now.
+    RoleInDoubt,
+    /// This machine could not open a connection, and waits before the next.
+    NoConnection,
+    /// As many attempts are out as the member answers in time.
+    Window,
+    /// The member has started a short while ago and is sent little.
+    SlowStart,
+    /// None: others of its group went before it.
+    Turn,
+}
+
 /// Why a command was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum GaveUp {
     /// Its time is up.
     Deadline,
-    /// No member took it in a time in which an answer was still worth waiting for.
-    NoRoom,
+    /// No member was sent it in a time in which an answer was still worth waiting for; what kept it back at the end.
+    Withheld(Gate),
     /// It has had all attempts that it may have.
     Attempts,
     /// It may have run, and may not run again.
