Module: a read with little time left waits for its check where answers are quick by now

Cause (seen, red from its command): `settle` gives up what has waited a tick if too little of its time is left by the usual latency, a mean with a half-life of 10 s. Line at fault: `late` in `settle`.

So the wait needs news of whether the slow time is over, and the mean over the answers of the last two seconds (`slow`, which the pace goes by) is that.

Change: src/decide/patience.rs holds how long a waiting command is kept. A read goes on waiting for a check that is out for 100 ms at most and to half its time, where answers of the last seconds say that it would be in time, and where nothing else waits at its set.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,6 +19,7 @@
 mod freshness;
 mod gate;
 mod health;
+mod patience;
 mod reads;
 mod search;
 mod slow_start;
@@ -79,6 +80,8 @@
 /// A command is worth sending while it has this many usual latencies left: where they spread as exponentials
 /// do, nine in ten answers come in so many means (ln 10).
 const TIME_TO_RUN: f64 = std::f64::consts::LN_10;
+/// For so long a check that is out is waited for by a read that has waited for as long as it should.
+const CHECK_MOST: Tenths = 1_000;
 /// Part of the primary's window open to reads.
 const PRIMARY_SPARE: f64 = 0.5;
 
@@ -557,7 +560,7 @@
     fn settle(&mut self, now: Tenths, key: u64) {
         let Some(cmd) = self.open.get(&key).filter(|c| !c.closed && c.out.is_empty()) else { return };
         let ran = cmd.maybe_ran.is_some_and(|(at, _)| self.repeatable_for(now, cmd, at) <= 0);
-        let late = cmd.patience.min(cmd.ends - (self.usual(now, cmd.kind) * TIME_TO_RUN) as Tenths);
+        let late = self.waits_until(now, cmd);
         let reasons = [
             (now + self.tick >= cmd.ends, GaveUp::Deadline),
             (ran, GaveUp::MayHaveRun),
@@ -569,9 +572,15 @@
         }
         let set = self.sets.entry(cmd.set).or_default();
         set.waiting.resize(self.groups.places.len(), BTreeSet::new());
-        if !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key))) && late <= now {
-            let gate = self.withheld_by(now, key);
-            return self.give_up(now, key, GaveUp::Withheld(gate));
+        let has_waited = !set.waiting[cmd.kind].insert((cmd.rank, Reverse(key)));
+        if has_waited && late <= now {
+            match self.worth_waiting_until(now, key) {
+                Some(at) => return self.settle_at(at.max(now + self.tick), key),
+                None => {
+                    let gate = self.withheld_by(now, key);
+                    return self.give_up(now, key, GaveUp::Withheld(gate));
+                }
+            }
         }
         self.dirty.insert(cmd.set);
         self.settle_at(late.max(now + self.tick), key);
