Module: a command waits for a cold primary's credit where that is known to come in time

`settle` gives up at half of the time whatever is waited for, though the credit grows at a known pace. Change: `credit_comes_at` says when the credit covers a command and all that go before it; what can be sent then and still be answered in time waits, everything else is refused at once as before. The ramp (rule 4) is untouched.

--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -17,7 +17,9 @@
 
     /// When to look again at a command that has waited for as long as it should, where what it waits for comes in time.
     pub(super) fn worth_waiting_until(&self, now: Tenths, key: u64) -> Option<Tenths> {
-        self.check_ends_by(now, key)
+        let cmd = &self.open[&key];
+        let credit = self.credit_comes_at(now, key).filter(|at| *at <= self.last_send(now, cmd));
+        credit.or_else(|| self.check_ends_by(now, key))
     }
 
     /// Danger: after a slow time the usual latency stays high for seconds, and what has little time left would be refused while
--- a/src/decide/patience/tests.rs
+++ b/src/decide/patience/tests.rs
@@ -37,3 +37,50 @@
     happens(&mut r);
     assert_eq!(is_kept(&mut r, NOW), kept);
 }
+
+/// A write that has waited to half of its time for a cold primary, whose credit grows by one write's target in 100 ms.
+fn write_at_a_cold_primary(credit: f64) -> Router {
+    let mut r = router(&[("rules.start_capacity", "1"), ("rules.tip_multiple", "1.25")]);
+    open(&mut r, "write");
+    let cmd = r.open.get_mut(&0).unwrap();
+    (cmd.ends, cmd.patience) = (NOW + 6_000, NOW);
+    r.learn_role(NOW, 0, RoleClaim { primary: true, asked: NOW });
+    let target = r.groups.places[r.open[&0].kind].target as f64;
+    let m = &mut r.members[0];
+    (m.started, m.start_known, m.credit, m.credit_at) = (NOW, NOW, credit * target, NOW);
+    let rate = target / PAUSE as f64 / COLD_PART / 1.25 * r.nodes.len() as f64;
+    r.began = NOW - 100 * USUAL_HALF;
+    r.done_work.add(NOW, USUAL_HALF, rate * USUAL_HALF as f64 * std::f64::consts::LOG2_E);
+    r.settle(NOW, 0);
+    r
+}
+
+fn ahead(r: &mut Router, count: u64) {
+    let kind = r.open[&0].kind;
+    (1..=count).for_each(|key| _ = r.sets.get_mut(&1).unwrap().waiting[kind].insert((0, Reverse(key))));
+}
+
+/// What is refused while its credit comes in time waits for it instead; what cannot have it in time is refused at once.
+#[rstest]
+#[case::nobody_is_ahead(0, Some(1_000))]
+#[case::two_are_ahead(2, Some(3_000))]
+#[case::too_many_are_ahead(5, None)]
+fn a_command_waits_for_a_credit_that_comes_in_time(#[case] others: u64, #[case] comes: Option<Tenths>) {
+    let mut r = write_at_a_cold_primary(0.0);
+    ahead(&mut r, others);
+    let at = r.worth_waiting_until(NOW, 0);
+    let around = |at: Tenths| (at - NOW) as f64;
+    match comes {
+        Some(comes) => assert!(at.is_some_and(|at| (around(at) / comes as f64 - 1.0).abs() < 0.02), "{at:?}"),
+        None => assert_eq!(at, None),
+    }
+    assert_eq!(is_kept(&mut r, NOW), comes.is_some());
+}
+
+#[rstest]
+fn a_command_at_a_warm_primary_waits_no_longer_than_before() {
+    let mut r = write_at_a_cold_primary(0.0);
+    r.members[0].started = 0;
+    r.members[0].shy_until = NOW + SECOND;
+    assert!(!is_kept(&mut r, NOW));
+}
--- a/src/decide/slow_start.rs
+++ b/src/decide/slow_start.rs
@@ -8,20 +8,47 @@
     /// one can do by now, and starts by chance below the cheapest command: however many and unequal, they
     /// send the ordinary load times that part from the first moment on, also where members fail by turns.
     pub(super) fn cold_credit(&self, now: Tenths, m: &Member) -> f64 {
+        let Some(pace) = self.cold_pace(now, m) else { return f64::INFINITY };
+        let most = pace * 10.0 * self.number("rules.fall_ms", 1000.0) * COLD_BURST;
+        (m.credit + (now - m.credit_at) as f64 * pace).min(most.max(self.cheap as f64))
+    }
+
+    /// What a cold member's credit grows by in a tenth of a millisecond; None for a warm one.
+    fn cold_pace(&self, now: Tenths, m: &Member) -> Option<f64> {
         if m.started == 0 {
-            return f64::INFINITY;
+            return None;
         }
         let warmth = self.age(now, m) as f64 / (10.0 * self.number("rules.warm_after_ms", 20_000.0));
         if warmth >= 1.0 {
-            return f64::INFINITY;
+            return None;
         }
         let from = self.number("rules.start_capacity", 0.1);
         let part = (from + (1.0 - from) * warmth) * self.number("rules.tip_multiple", 1.0) * COLD_PART;
         // Danger: a router that has just started takes its ordinary load for nothing and starves the cold.
         let since = self.began.min(now - SLOW_HALF);
-        let pace = self.done_work.rate_since(now, USUAL_HALF, since) / self.nodes.len() as f64 * part;
-        let most = pace * 10.0 * self.number("rules.fall_ms", 1000.0) * COLD_BURST;
-        (m.credit + (now - m.credit_at) as f64 * pace).min(most.max(self.cheap as f64))
+        Some(self.done_work.rate_since(now, USUAL_HALF, since) / self.nodes.len() as f64 * part)
+    }
+
+    /// Until when the credit at a cold primary has grown to cover a command and all that go before it there. None where no
+    /// cold primary is waited for.
+    pub(super) fn credit_comes_at(&self, now: Tenths, key: u64) -> Option<Tenths> {
+        let cmd = &self.open[&key];
+        let waits = |kind: usize| matches!(self.groups.places[kind].access, Access::Write | Access::Fresh);
+        let m = &self.members[self.primary(cmd.set).filter(|_| waits(cmd.kind))?];
+        let pace = self.cold_pace(now, m).filter(|pace| *pace > 0.0)?;
+        let queues = &self.sets.get(&cmd.set)?.waiting;
+        let mut work = 0.0;
+        for kind in self.order.iter().copied().filter(|kind| waits(*kind)) {
+            let target = self.groups.places[kind].target as f64;
+            let own = (cmd.rank, Reverse(key));
+            let queue = queues.get(kind)?;
+            if kind == cmd.kind {
+                work += target * (queue.range(..own).count() + 1) as f64;
+                break;
+            }
+            work += target * queue.len() as f64;
+        }
+        Some(now + ((work - self.cold_credit(now, m)).max(0.0) / pace).ceil() as Tenths)
     }
 
     /// For how long a member has been up: as told, by the members' clock, and no less than that is known of. Danger:
