Tests: bytes that met a reset count as delivered

Cause (seen): what_comes_before_a_statement_is_written_whole_is_no_answer failed in 1 of 128 and 4 of 300 runs 16 at once beside busy processes, in cases 1 and 2, each with "not delivered" from the test's own wait for the member's bytes; the router's log has the attempt ended as Garbled in time, and the command answered elsewhere or waiting for the test. The router closes over unread bytes, the system resets the connection, and the member's system goes on to count bytes that were never acknowledged: the wait can't end. What the test checks is not touched: that the connection ended and how many bytes had come is asserted behind it.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -81,10 +81,11 @@
     pub seen: Receiver<Seen>,
 }
 
-/// Waits until all bytes lie at the other end: a busy machine delivers them late.
+/// Waits until all bytes lie at the other end: a busy machine delivers them late. A reset counts: who resets has seen them,
+/// and the system goes on to count bytes that were never acknowledged.
 pub fn delivered(stream: &TcpStream) {
     let (mut left, began): (libc::c_int, _) = (1, Instant::now());
-    while left > 0 {
+    while left > 0 && !is_reset(stream) {
         assert!(began.elapsed() < WAIT, "not delivered");
         thread::sleep(Duration::from_millis(1));
         // SAFETY: the system writes one number.
@@ -93,6 +94,14 @@
     }
 }
 
+/// The other end has reset the connection; nothing is read.
+fn is_reset(stream: &TcpStream) -> bool {
+    let mut asked = libc::pollfd { fd: stream.as_raw_fd(), events: 0, revents: 0 };
+    // SAFETY: the system reads and writes this one value.
+    unsafe { libc::poll(&mut asked, 1, 0) };
+    asked.revents & libc::POLLERR != 0
+}
+
 /// How long ago the last byte came, as the system knows it: a busy machine wakes a stand-in's thread late.
 pub fn since_last_byte(stream: &TcpStream) -> Duration {
     let mut info = MaybeUninit::<libc::tcp_info>::zeroed();
