Known red: a cancel that waits to be accepted at the limit of descriptors comes too late

Cause: `accept` in crates/router/src/clients/crowd.rs takes nobody at the limit where nobody gives way, so `look_at_what_forbids` hears no cancel.

--- a/crates/router/tests/catch_up.rs
+++ b/crates/router/tests/catch_up.rs
@@ -62,6 +62,39 @@
     assert_eq!(link.ended(), 0, "bytes of a statement");
 }
 
+/// A client with a command in hand; None where the router lets nobody in any more.
+fn let_in(router: &Router) -> Option<Client> {
+    let mut client = Client::raw(router);
+    client.send(&startup(3 << 16));
+    client.stream.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+    client.stream.peek(&mut [0]).ok()?;
+    client.stream.set_read_timeout(Some(WAIT)).expect("a time-out");
+    assert_eq!(client.answer(), Answer::Empty);
+    client.send(&query_bytes(
+        &order("busy", 30_000).replace("busy", &format!("{:?}", client.stream.local_addr())),
+    ));
+    Some(client)
+}
+
+/// Clients that wait for answers hold all connections: a cancel waits to be accepted, and counts before a later write all the same.
+#[rstest]
+fn a_cancel_that_waits_at_the_limit_of_descriptors_keeps_the_query_from_being_sent() {
+    let member = Member::start();
+    let few = [(r#""sockets":1024"#, r#""sockets":56"#)];
+    let router = without_probes_but(&[("s-a", &member)], &few);
+    let (mut client, key) = Client::keyed(&router);
+    client.send(&query_bytes(&order("i1", 30_000)));
+    let mut link = member.dialled();
+    let busy: Vec<Client> = std::iter::from_fn(|| let_in(&router)).collect();
+    assert!(busy.len() > 5, "{}", busy.len());
+    let _asks = Client::cancel(&router, &key);
+    std::thread::sleep(Duration::from_millis(300));
+    link.greet();
+    assert!(ended_by_cancel(&mut client));
+    drop(router);
+    assert_eq!(link.ended(), 0, "bytes of a statement");
+}
+
 /// A read that must be fresh, on a connection that idles, while another brings the word that the member is a replica by now.
 #[rstest]
 fn word_of_a_replica_that_came_while_a_read_was_taken_keeps_it_from_being_sent() {
