--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -3,6 +3,8 @@
 
 mod answer;
 mod job;
+mod reading;
+mod writing;
 
 use crate::commands::News;
 use crate::deadlines::Due;
@@ -15,15 +17,15 @@
 use answer::{Answer, believed};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use job::{Job, Progress};
+use job::Job;
 use slotmap::SlotMap;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use vetchkeel::{Ending, Id, Tenths, Told, Written};
-use vetchkeel_log::{log, log_trace};
+use vetchkeel::{Ending, Id, Tenths, Told};
+use vetchkeel_log::log;
 use vetchkeel_pgwire as pgwire;
 
 /// What a node sends behind its answer, or the end, comes within this time. Both are written one after the
@@ -343,192 +345,6 @@
         self.deadlines.set(Due::RetryConn(key), at);
     }
 
-    /// Danger: after the process stood still, a node that can be written to is heard before what takes the
-    /// command back. So it is written once the module has heard all, a list or a cancel that came during this turn as well;
-    /// and what came from the node by then is read before, as it would be taken for the answer.
-    pub fn write_nodes(&mut self) {
-        if !self.nodes.writable.is_empty() {
-            self.hear_watch();
-            self.accept_waiting();
-        }
-        for key in std::mem::take(&mut self.nodes.writable) {
-            if let Some(job) = self.nodes.conns.get_mut(key).and_then(|conn| conn.job.as_mut()) {
-                job.looked_at = self.clock.now();
-            }
-            self.read_conn(key);
-            if self.nodes.conns.get(key).is_some_and(Conn::unwritten) {
-                self.write_work(key);
-            }
-        }
-    }
-
-    /// Danger: between a decision and its write the process may be held up, and again and again within one turn. So the
-    /// clock is read at the write, and once more behind it, and what came during a hold-up is heard.
-    fn write_work(&mut self, key: ConnKey) {
-        self.catch_up();
-        self.read_clock();
-        let now = self.now;
-        let work = self.nodes.conns.get(key).and_then(|c| c.job.as_ref()).map(|j| j.work);
-        if let Some(Work::Dispatch(command, _)) = work {
-            self.see_leaving(command);
-        }
-        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-        let Some(job) = &mut conn.job else { return };
-        // The deadline may be due and not yet heard of; and what waited may not be written any more.
-        let may = match job.work {
-            Work::Dispatch(command, dispatch) => self.commands.may_write(now, command, dispatch),
-            Work::Probe => true,
-        };
-        if now > job.until.min(job.limit_at) || !may {
-            return self.give_up_work(key, Cause::Limit);
-        }
-        if let (Work::Dispatch(command, number), 0) = (job.work, job.written) {
-            let begun = (number, job.limit_at);
-            self.commands.check_begin(now, command, begun, &conn.node, &mut self.invariants);
-        }
-        match job.write(&conn.stream, &self.clock) {
-            Ok(Progress::Whole) => {
-                conn.retry.reset();
-                self.deadlines.set(Due::Work(key), job.limit_at);
-                self.is_written(key);
-            }
-            Ok(Progress::Blocked) => self.retry_conn(key),
-            Ok(Progress::Unasked | Progress::Doubtful) => self.break_conn(key, Cause::Garbled),
-            Err(_) => self.break_conn(key, Cause::Broken),
-        }
-    }
-
-    /// The work of a connection has just been written whole.
-    fn is_written(&mut self, key: ConnKey) {
-        let now = self.clock.now();
-        let Some(conn) = self.nodes.conns.get(key) else { return };
-        let Some(&Job { work: Work::Dispatch(command, number), since, .. }) = conn.job.as_ref() else {
-            return;
-        };
-        let written = self.commands.attempt_written(now, command, number);
-        self.counters.freshness.written(written);
-        let (id, node, after) = (self.commands.id(command), &conn.node, (now - since) / 10);
-        log_trace!(
-            "command {id}: attempt {number} at {node} is written {after} ms after it was decided: {written:?}"
-        );
-        if let Written::TooOld { behind, may_give_up } = written {
-            let behind = behind / 10;
-            log!(
-                "command {id}: attempt {number} at {node} may see data {behind} ms old, {after} ms after it was decided"
-            );
-            if may_give_up {
-                self.break_conn(key, Cause::TooOld);
-            }
-        }
-    }
-
-    fn read_conn(&mut self, key: ConnKey) {
-        let mut over = false;
-        while !over {
-            let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-            match (&*conn.stream).read(&mut self.scratch) {
-                Ok(0) => over = true,
-                // What comes unasked, or before all is written, leaves the connection out of step. Danger: half
-                // a line would be the beginning of the next answer.
-                Ok(_) if conn.stage == Stage::Open && (conn.job.is_none() || conn.unwritten()) => {
-                    return self.break_conn(key, Cause::Garbled);
-                }
-                Ok(read) => {
-                    conn.retry.reset();
-                    conn.reads += 1;
-                    conn.input.extend_from_slice(&self.scratch[..read]);
-                    conn.heard += read;
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(e) if is_transient(&e) => return self.retry_conn(key),
-                Err(_) => over = true,
-            }
-            self.take_messages(key);
-            // Danger: an answer that never ends holds up all others.
-            if let Some(conn) = self.nodes.conns.get(key).filter(|conn| conn.heard > HEARD_MOST) {
-                let whole = conn.job.as_ref().is_some_and(|j| j.answer.verdict().is_ok());
-                return self.break_conn(key, if whole { Cause::Broken } else { Cause::Garbled });
-            }
-        }
-        if over {
-            return self.break_conn(key, Cause::Broken);
-        }
-        if let Some(conn) = self.nodes.conns.get(key)
-            && let Some(job) = conn.job.as_ref().filter(|job| conn.stage == Stage::Open && job.begun(conn))
-        {
-            // What follows a whole answer does not put it off.
-            let before = self.deadlines.time(Due::Work(key)).filter(|_| job.answer.verdict().is_ok());
-            let limit_at = before.unwrap_or(job.limit_at);
-            self.deadlines.set(Due::Work(key), limit_at.min(self.now + STOPPED_SHORT));
-        }
-    }
-
-    /// Takes all messages that are whole.
-    fn take_messages(&mut self, key: ConnKey) {
-        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-        let mut at = 0;
-        let mut done = None;
-        while done.is_none() {
-            let message = match pgwire::answer(&conn.input[at..]) {
-                Ok(Some(message)) => message,
-                Ok(None) => break,
-                Err(_) => {
-                    done = Some(Err(Cause::Garbled));
-                    break;
-                }
-            };
-            let whole = &conn.input[at..at + message.size];
-            at += message.size;
-            done = match (conn.stage, &mut conn.job) {
-                (Stage::Open, Some(job)) => {
-                    let over = job.answer.take(message.kind, message.body, whole, &job.fields);
-                    over.then(|| job.answer.verdict())
-                }
-                (Stage::Open, None) => Some(Err(Cause::Garbled)),
-                (_, job) => match message.kind {
-                    b'Z' => {
-                        conn.stage = Stage::Open;
-                        self.deadlines.clear(Due::Dial(key));
-                        match job {
-                            // It answers what it was not asked yet.
-                            Some(_) if at < conn.input.len() => Some(Err(Cause::Garbled)),
-                            Some(_) => None,
-                            None => Some(Ok(())),
-                        }
-                    }
-                    b'E' => {
-                        let code = pgwire::sqlstate(message.body).and_then(|c| c.try_into().ok());
-                        Some(Err(code.map_or(Cause::Garbled, Cause::Code)))
-                    }
-                    b'R' if message.body != [0; 4] => Some(Err(Cause::Garbled)),
-                    b'S' => {
-                        if let Some(primary) = answer::role(message.body) {
-                            let (node, asked) = (conn.node.clone(), conn.idle_since);
-                            self.news.push_back(News::Role { node, asked, primary });
-                        }
-                        None
-                    }
-                    _ => None,
-                },
-            };
-        }
-        conn.input.drain(..at);
-        match done {
-            None => {}
-            Some(Ok(())) => self.keep(key),
-            // After an error that leaves the node ready for more the connection is as good as before.
-            Some(Err(cause @ Cause::Code(_))) if conn.stage == Stage::Open => {
-                if let Some(job) = conn.job.take() {
-                    let node = conn.node.clone();
-                    self.ended(node, job, Err(Failure { reached: Reached::Written, cause }));
-                }
-                self.keep(key);
-            }
-            Some(Err(cause)) => self.break_conn(key, cause),
-        }
-    }
-
     /// The answer is whole, or the dial has come up with nothing left to carry: the connection is kept.
     fn keep(&mut self, key: ConnKey) {
         self.deadlines.clear(Due::Work(key));
--- /dev/null
+++ b/crates/router/src/nodes/reading.rs
@@ -0,0 +1,120 @@
+//! The reading of what members send: bytes to messages, messages to greetings and answers.
+
+use super::{HEARD_MOST, STOPPED_SHORT, Stage, answer};
+use crate::Program;
+use crate::commands::News;
+use crate::deadlines::Due;
+use crate::ending::{Cause, Failure, Reached};
+use crate::keys::ConnKey;
+use crate::transient::is_transient;
+use std::io::{ErrorKind, Read};
+use vetchkeel_pgwire as pgwire;
+
+impl Program {
+    pub(super) fn read_conn(&mut self, key: ConnKey) {
+        let mut over = false;
+        while !over {
+            let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+            match (&*conn.stream).read(&mut self.scratch) {
+                Ok(0) => over = true,
+                // What comes unasked, or before all is written, leaves the connection out of step. Danger: half
+                // a line would be the beginning of the next answer.
+                Ok(_) if conn.stage == Stage::Open && (conn.job.is_none() || conn.unwritten()) => {
+                    return self.break_conn(key, Cause::Garbled);
+                }
+                Ok(read) => {
+                    conn.retry.reset();
+                    conn.reads += 1;
+                    conn.input.extend_from_slice(&self.scratch[..read]);
+                    conn.heard += read;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if is_transient(&e) => return self.retry_conn(key),
+                Err(_) => over = true,
+            }
+            self.take_messages(key);
+            // Danger: an answer that never ends holds up all others.
+            if let Some(conn) = self.nodes.conns.get(key).filter(|conn| conn.heard > HEARD_MOST) {
+                let whole = conn.job.as_ref().is_some_and(|j| j.answer.verdict().is_ok());
+                return self.break_conn(key, if whole { Cause::Broken } else { Cause::Garbled });
+            }
+        }
+        if over {
+            return self.break_conn(key, Cause::Broken);
+        }
+        if let Some(conn) = self.nodes.conns.get(key)
+            && let Some(job) = conn.job.as_ref().filter(|job| conn.stage == Stage::Open && job.begun(conn))
+        {
+            // What follows a whole answer does not put it off.
+            let before = self.deadlines.time(Due::Work(key)).filter(|_| job.answer.verdict().is_ok());
+            let limit_at = before.unwrap_or(job.limit_at);
+            self.deadlines.set(Due::Work(key), limit_at.min(self.now + STOPPED_SHORT));
+        }
+    }
+
+    /// Takes all messages that are whole.
+    fn take_messages(&mut self, key: ConnKey) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let mut at = 0;
+        let mut done = None;
+        while done.is_none() {
+            let message = match pgwire::answer(&conn.input[at..]) {
+                Ok(Some(message)) => message,
+                Ok(None) => break,
+                Err(_) => {
+                    done = Some(Err(Cause::Garbled));
+                    break;
+                }
+            };
+            let whole = &conn.input[at..at + message.size];
+            at += message.size;
+            done = match (conn.stage, &mut conn.job) {
+                (Stage::Open, Some(job)) => {
+                    let over = job.answer.take(message.kind, message.body, whole, &job.fields);
+                    over.then(|| job.answer.verdict())
+                }
+                (Stage::Open, None) => Some(Err(Cause::Garbled)),
+                (_, job) => match message.kind {
+                    b'Z' => {
+                        conn.stage = Stage::Open;
+                        self.deadlines.clear(Due::Dial(key));
+                        match job {
+                            // It answers what it was not asked yet.
+                            Some(_) if at < conn.input.len() => Some(Err(Cause::Garbled)),
+                            Some(_) => None,
+                            None => Some(Ok(())),
+                        }
+                    }
+                    b'E' => {
+                        let code = pgwire::sqlstate(message.body).and_then(|c| c.try_into().ok());
+                        Some(Err(code.map_or(Cause::Garbled, Cause::Code)))
+                    }
+                    b'R' if message.body != [0; 4] => Some(Err(Cause::Garbled)),
+                    b'S' => {
+                        if let Some(primary) = answer::role(message.body) {
+                            let (node, asked) = (conn.node.clone(), conn.idle_since);
+                            self.news.push_back(News::Role { node, asked, primary });
+                        }
+                        None
+                    }
+                    _ => None,
+                },
+            };
+        }
+        conn.input.drain(..at);
+        match done {
+            None => {}
+            Some(Ok(())) => self.keep(key),
+            // After an error that leaves the node ready for more the connection is as good as before.
+            Some(Err(cause @ Cause::Code(_))) if conn.stage == Stage::Open => {
+                if let Some(job) = conn.job.take() {
+                    let node = conn.node.clone();
+                    self.ended(node, job, Err(Failure { reached: Reached::Written, cause }));
+                }
+                self.keep(key);
+            }
+            Some(Err(cause)) => self.break_conn(key, cause),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/nodes/writing.rs
@@ -0,0 +1,91 @@
+//! The writing of statements to members: when, what is looked at before, and what a statement that is written whole may see.
+
+use super::Conn;
+use super::job::{Job, Progress};
+use crate::Program;
+use crate::deadlines::Due;
+use crate::ending::Cause;
+use crate::keys::{ConnKey, Work};
+use vetchkeel::Written;
+use vetchkeel_log::{log, log_trace};
+
+impl Program {
+    /// Danger: after the process stood still, a node that can be written to is heard before what takes the
+    /// command back. So it is written once the module has heard all, a list or a cancel that came during this turn as well;
+    /// and what came from the node by then is read before, as it would be taken for the answer.
+    pub fn write_nodes(&mut self) {
+        if !self.nodes.writable.is_empty() {
+            self.hear_watch();
+            self.accept_waiting();
+        }
+        for key in std::mem::take(&mut self.nodes.writable) {
+            if let Some(job) = self.nodes.conns.get_mut(key).and_then(|conn| conn.job.as_mut()) {
+                job.looked_at = self.clock.now();
+            }
+            self.read_conn(key);
+            if self.nodes.conns.get(key).is_some_and(Conn::unwritten) {
+                self.write_work(key);
+            }
+        }
+    }
+
+    /// Danger: between a decision and its write the process may be held up, and again and again within one turn. So the
+    /// clock is read at the write, and once more behind it, and what came during a hold-up is heard.
+    pub(super) fn write_work(&mut self, key: ConnKey) {
+        self.catch_up();
+        self.read_clock();
+        let now = self.now;
+        let work = self.nodes.conns.get(key).and_then(|c| c.job.as_ref()).map(|j| j.work);
+        if let Some(Work::Dispatch(command, _)) = work {
+            self.see_leaving(command);
+        }
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let Some(job) = &mut conn.job else { return };
+        // The deadline may be due and not yet heard of; and what waited may not be written any more.
+        let may = match job.work {
+            Work::Dispatch(command, dispatch) => self.commands.may_write(now, command, dispatch),
+            Work::Probe => true,
+        };
+        if now > job.until.min(job.limit_at) || !may {
+            return self.give_up_work(key, Cause::Limit);
+        }
+        if let (Work::Dispatch(command, number), 0) = (job.work, job.written) {
+            let begun = (number, job.limit_at);
+            self.commands.check_begin(now, command, begun, &conn.node, &mut self.invariants);
+        }
+        match job.write(&conn.stream, &self.clock) {
+            Ok(Progress::Whole) => {
+                conn.retry.reset();
+                self.deadlines.set(Due::Work(key), job.limit_at);
+                self.is_written(key);
+            }
+            Ok(Progress::Blocked) => self.retry_conn(key),
+            Ok(Progress::Unasked | Progress::Doubtful) => self.break_conn(key, Cause::Garbled),
+            Err(_) => self.break_conn(key, Cause::Broken),
+        }
+    }
+
+    /// The work of a connection has just been written whole.
+    fn is_written(&mut self, key: ConnKey) {
+        let now = self.clock.now();
+        let Some(conn) = self.nodes.conns.get(key) else { return };
+        let Some(&Job { work: Work::Dispatch(command, number), since, .. }) = conn.job.as_ref() else {
+            return;
+        };
+        let written = self.commands.attempt_written(now, command, number);
+        self.counters.freshness.written(written);
+        let (id, node, after) = (self.commands.id(command), &conn.node, (now - since) / 10);
+        log_trace!(
+            "command {id}: attempt {number} at {node} is written {after} ms after it was decided: {written:?}"
+        );
+        if let Written::TooOld { behind, may_give_up } = written {
+            let behind = behind / 10;
+            log!(
+                "command {id}: attempt {number} at {node} may see data {behind} ms old, {after} ms after it was decided"
+            );
+            if may_give_up {
+                self.break_conn(key, Cause::TooOld);
+            }
+        }
+    }
+}
