Module: a command waits for a credit only where nothing else keeps it back

Cause (seen, reading the change again, then forced): behind a closed window or a dial that is held, a command at a cold primary whose credit covered it was looked at again each tick and held to its last send, though what is given up is owed its answer at once. Change: it goes on waiting only where the gate at the primary is the slow start, or none. Four cases, red before.

--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -18,10 +18,18 @@
     /// When to look again at a command that has waited for as long as it should, where what it waits for comes in time.
     pub(super) fn worth_waiting_until(&self, now: Tenths, key: u64) -> Option<Tenths> {
         let cmd = &self.open[&key];
-        let credit = self.credit_comes_at(now, key).filter(|at| *at <= self.last_send(now, cmd));
+        let primary = self.primary(cmd.set).filter(|primary| self.only_credit_is_missing(now, key, *primary));
+        let credit = primary.and_then(|primary| self.credit_comes_at(now, key, primary));
+        let credit = credit.filter(|at| *at <= self.last_send(now, cmd));
         credit.or_else(|| self.check_ends_by(now, key))
     }
 
+    /// Nothing else keeps a command from a member, as far as is known. Danger: where a window or a dial does, a credit that is
+    /// there would hold it to its end.
+    fn only_credit_is_missing(&self, now: Tenths, key: u64, node: Node) -> bool {
+        matches!(self.withheld_at(now, key, node), Gate::SlowStart | Gate::Turn)
+    }
+
     /// Danger: after a slow time the usual latency stays high for seconds, and what has little time left would be refused while
     /// the check that lets it through is out. A read waits for it where answers of the last seconds say that it would be in time,
     /// and nothing else waits beside it: in a crowd a refusal at once is right.
--- a/src/decide/patience/tests.rs
+++ b/src/decide/patience/tests.rs
@@ -84,3 +84,16 @@
     r.members[0].shy_until = NOW + SECOND;
     assert!(!is_kept(&mut r, NOW));
 }
+
+/// What else keeps it back is not known to end in time.
+#[rstest]
+#[case::a_closed_window(|m: &mut Member| m.shy_until = NOW + SECOND)]
+#[case::no_connection(|m: &mut Member| m.dial_at = NOW + SECOND)]
+fn a_command_that_more_than_a_credit_keeps_back_waits_no_longer_than_before(
+    #[case] closes: impl Fn(&mut Member),
+    #[values(0.0, 3.0)] credit: f64,
+) {
+    let mut r = write_at_a_cold_primary(credit);
+    closes(&mut r.members[0]);
+    assert!(!is_kept(&mut r, NOW));
+}
--- a/src/decide/slow_start.rs
+++ b/src/decide/slow_start.rs
@@ -40,12 +40,12 @@
         self.done_work.rate_since(now, USUAL_HALF, since) / self.nodes.len() as f64 * part
     }
 
-    /// Until when the credit at a cold primary has grown to cover a command and all that go before it there. None where no
-    /// cold primary is waited for.
-    pub(super) fn credit_comes_at(&self, now: Tenths, key: u64) -> Option<Tenths> {
+    /// Until when the credit at a cold primary has grown to cover a command and all that go before it there. None where it is
+    /// warm, or the command does not wait for it.
+    pub(super) fn credit_comes_at(&self, now: Tenths, key: u64, primary: Node) -> Option<Tenths> {
         let cmd = &self.open[&key];
         let waits = |kind: usize| matches!(self.groups.places[kind].access, Access::Write | Access::Fresh);
-        let m = &self.members[self.primary(cmd.set).filter(|_| waits(cmd.kind))?];
+        let m = Some(&self.members[primary]).filter(|_| waits(cmd.kind))?;
         let pace = Some(self.cold_pace(now, self.warmth(now, m)?)).filter(|pace| *pace > 0.0)?;
         let queues = &self.sets.get(&cmd.set)?.waiting;
         let mut work = 0.0;
--- a/src/decide/withheld.rs
+++ b/src/decide/withheld.rs
@@ -31,7 +31,7 @@
         replicas.map(|node| self.withheld_at(now, key, *node)).max()
     }
 
-    fn withheld_at(&self, now: Tenths, key: u64, node: Node) -> Gate {
+    pub(super) fn withheld_at(&self, now: Tenths, key: u64, node: Node) -> Gate {
         let (cmd, m) = (&self.open[&key], &self.members[node]);
         if self.takes_for(now, cmd, m) <= 0 {
             return if m.state == State::Healthy { Gate::RoleInDoubt } else { Gate::NotFresh };
