--- a/crates/router/tests/soak/routers.rs
+++ b/crates/router/tests/soak/routers.rs
@@ -65,7 +65,9 @@
 impl Router {
     pub fn start(number: usize, play: u64, agent: Arc<Agent>, ledger: Arc<Ledger>) -> Arc<Router> {
         let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
-        let name = format!("vetchkeel-soak-{}-{number}", std::process::id());
+        // Two plays may run in one process.
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let name = format!("vetchkeel-soak-{}-{}", std::process::id(), STARTED.fetch_add(1, Relaxed));
         let router = Arc::new(Router {
             number,
             address: free,
