--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,7 +51,7 @@
         return 2
 
     resting, open_now, counts = [], 0, {}
-    late = 0
+    late, killed = 0, False
 
     async def write(number, due):
         nonlocal open_now, late
@@ -62,12 +62,22 @@
         late = max(late, now() - due)
         ident = f"{number:016x}"
         try:
+            reused = bool(resting)
             client = resting.pop() if resting else await Client.connect(router.listen)
             sent = now()
-            said = outcome(await client.query(INSERT.format(k=ident, v=VALUE, id=ident, c="issue-warning", d=3000, cluster=0)))
+            statement = INSERT.format(k=ident, v=VALUE, id=ident, c="issue-warning", d=3000, cluster=0)
+            try:
+                said = outcome(await client.query(statement))
+            except (ConnectionError, asyncio.IncompleteReadError):
+                if not reused or killed:
+                    raise
+                # The router may close a resting connection: the command is sent once more on a new one.
+                client = await Client.connect(router.listen)
+                said = outcome(await client.query(statement))
             resting.append(client)
             how = said[0]
-            record(f"client: {ident} {said[0]} {said[1] if how != 'served' else ''} after {(now() - sent) * 1000:.0f} ms")
+            why = said[1] if how != "served" else ""
+            record(f"client: {ident} {how} {why} after {(now() - sent) * 1000:.0f} ms")
         except (ConnectionError, asyncio.IncompleteReadError, OSError) as why:
             how = "connection lost"
             record(f"client: {ident} has no answer: {type(why).__name__}")
@@ -86,7 +96,7 @@
         record("member s-1: takes over as primary")
 
     tasks = [asyncio.create_task(lose_primary())] if trouble else []
-    began, number, peak, killed = now(), 0, 0.0, False
+    began, number, peak = now(), 0, 0.0
     while now() - began < LASTS and not killed:
         while number < (now() - began) * WRITES_PER_S:
             tasks.append(asyncio.create_task(write(number, began + number / WRITES_PER_S)))
