--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -2,8 +2,9 @@
 site files."""
 
 
-def jelgava_main(routers=1, tenants=False):
-    """`jelgava-main`: members check the age of data themselves and probes alone carry reports."""
+def jelgava_main(routers=1):
+    """`jelgava-main` and `jelgava-main-later`, whose groups and rules are the same: members check the age of data
+    themselves, and probes alone carry reports."""
 
     def group(name, aim, limit, worth, semantics, late):
         return {
@@ -77,45 +78,3 @@
         "weight_kind": "nominal",
         "worth_by": "request",
     }
-
-
-def gauja_warnings(routers=1):
-    """`gauja-warnings`: the list answers only when asked, members answer a read from what they have, and every answer
-    carries a report."""
-    settings = jelgava_main(routers)
-    group = {g["name"]: g for g in settings["request_classes"]}
-    base = group["map-view"]
-
-    def like(name, aim, limit, worth, semantics, late):
-        return dict(
-            base,
-            name=name,
-            aim_ms=aim,
-            hard_limit_ms=limit,
-            importance=worth,
-            semantics=semantics,
-            late_value=late,
-        )
-
-    settings.update(
-        membership_mode="subscribe",
-        localities=["valmiera-room", "cesis-room"],
-        zone="valmiera-room",
-        kinds=["std-3core"],
-        over_share_worth=0.05,
-        weight_kind="none",
-        report={"fields": ["x0", "x1", "load_share"], "via": "answers"},
-        request_classes=[
-            like("desk-view", 300.0, 750.0, 1.0, "pure", 0.2),
-            like("gauge-history", 300.0, 1000.0, 2.0, "pure", 0.2),
-            like("basin-report", 2500.0, 5000.0, 4.0, "pure", 0.2),
-            like("issue-warning", 600.0, 5000.0, 6.0, "side_effect", 0.5),
-        ],
-    )
-    settings["family_info"].update(
-        lag_allowed_ms=[500.0, 0.0, 0.0, 0.0], server_checks="none", token_mode="carried"
-    )
-    settings["permissions"].update(max_attempts=8, max_retry_after_ms=500.0, cpu_us_per_s=50000)
-    settings["rules"].update(drain_grace_ms=500.0, fall_ms=1500.0, start_capacity=0.16, tip_multiple=4.0)
-    settings["penalties"].update(cross_zone=0.02, late_fail=0.08, probe=0.0072, waste=0.05)
-    return settings
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import struct
@@ -97,14 +98,13 @@
     """One database server. `serve(member, command)` says what a command comes to: a coroutine that returns the bytes
     of the answer, or None to answer nothing."""
 
-    def __init__(self, ident, cell, record, serve, primary=False, reports_load=True):
+    def __init__(self, ident, cell, record, serve, primary=False):
         self.ident, self.cell, self.record, self.serve = ident, cell, record, serve
         self.primary, self.state, self.started = primary, "ready", 0
         self.address = None
         self.server = None
         self.hangs = False
         self.streams = set()
-        self.tasks = set()
         self.position = None
 
     async def start(self):
@@ -410,6 +410,9 @@
 
 def main(case):
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < 4096:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (4096 if hard == resource.RLIM_INFINITY else min(4096, hard), hard))
     code = asyncio.run(run_case(lambda *parts: case(trouble, *parts)))
     sys.stdout.flush()
     os._exit(code)
