--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 ALLOWED_S = 0.2
 CLIENTS = 4
 COMMANDS = 300
-VALUE = "5a" * (16 * 1024)
+VALUE = "5a" * (32 * 1024)
 WORK_S = 0.062
 HAND_OVER_S = 0.8
 
@@ -60,8 +60,7 @@
     async def many_at_once(number):
         """One client that sends hundreds of commands at once; with the disruption it then closes its connection."""
         name = f"many{number}"
-        client = await Client.connect(router.listen)
-        bytes_ = b"".join(message(b"Q", write(f"{name}-{i:03d}").encode() + b"\0") for i in range(COMMANDS))
+        client, bytes_ = connections[number], batches[number]
         if not trouble:
             client.writer.write(bytes_)
             for i in range(COMMANDS):
@@ -82,8 +81,15 @@
         closed[name] = now()
         record(f"client: {name} has written {sent} of {len(bytes_)} bytes and closes its connection")
 
-    record("member s-0: gives the primary's role up; until the hand-over the set takes no writes")
-    members[0].primary = False
+    connections = [await Client.connect(router.listen) for _ in range(CLIENTS)]
+    batches = [
+        b"".join(message(b"Q", write(f"many{number}-{i:03d}").encode() + b"\0") for i in range(COMMANDS))
+        for number in range(CLIENTS)
+    ]
+    record("member s-0: drains and gives the primary's role up; until the hand-over the set takes no writes")
+    members[0].state, members[0].primary = "draining", False
+    # The list is late: its change comes 1.5 s after.
+    asyncio.get_running_loop().call_later(1.5, discovery.change, [members[0]])
     handing_over = now()
     crowd = [asyncio.create_task(many_at_once(i)) for i in range(CLIENTS)]
     await asyncio.sleep(HAND_OVER_S)
