--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A planned restart: SIGTERM comes while the router stands still for 1.35 s. See claim.txt."""
+"""A planned restart: SIGTERM comes while the router stands still for 1.38 s. See claim.txt."""
 
 import asyncio
 import os
@@ -11,9 +11,11 @@
 import world
 from world import INSERT, READY, SELECT, Client, Discovery, Member, Router, error, now, outcome, parameter, row, unix_ms
 
-STANDS_STILL_S = 1.35
+STANDS_STILL_S = 1.38
+# The pages' most.
+MOST_STILL_S = 1.4
 # SIGTERM comes so long after the router began to stand still.
-TOLD_AFTER_S = 0.05
+TOLD_AFTER_S = 0.02
 # The longest deadline, taken as 3 s where it is longer, plus 0.7 s.
 KILLED_AFTER_S = 3.0 + 0.7
 # What SIGKILL finds unanswered is lost if it came later than this after SIGTERM.
@@ -93,7 +95,7 @@
         await asyncio.sleep(STANDS_STILL_S - (now() - stopped))
         router.signal(signal.SIGCONT)
         record(f"router n0: stood still for {(now() - stopped) * 1000:.0f} ms")
-        if now() - stopped > STANDS_STILL_S + 0.04:
+        if now() - stopped > MOST_STILL_S:
             record("this machine was late")
             return 2
     ending = asyncio.create_task(router.process.wait())
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -102,7 +102,7 @@
     if trouble:
         router.signal(signal.SIGCONT)
         record(f"router n0: stood still for {(now() - stopped) * 1000:.0f} ms")
-        if now() - stopped > STANDS_STILL_S + 0.1:
+        if now() - stopped > STANDS_STILL_S + 0.05:
             record("this machine was late")
             return 2
     await asyncio.gather(taking_over, *pairs)
