--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,9 @@
 import world
 from world import INSERT, READY, SELECT, Client, Discovery, Member, Router, error, now, outcome, parameter, row, unix_ms
 
-STANDS_STILL_S = 1.38
+STANDS_STILL_S = float(os.environ.get("STILL_MS", "1380")) / 1000.0
+# With HANG=1 the primary hangs from SIGTERM on, with and without the disruption.
+HANGS = os.environ.get("HANG", "0") != "0"
 # The pages' most.
 MOST_STILL_S = 1.4
 # SIGTERM comes so long after the router began to stand still.
@@ -27,9 +29,12 @@
 
 async def case(trouble, record, folder, routers):
     begun = set()
+    told_at = killed_at = None
 
     async def serve(member, said):
         begun.add(said["id"])
+        if HANGS and told_at is not None and member is members[0]:
+            return None
         await asyncio.sleep(WORK_S[said["c"]])
         if said["c"] == "issue-warning" and not member.primary:
             return error("25006", "this is no primary") + member.notes() + READY
@@ -47,7 +52,6 @@
         record("the router did not become ready")
         return 2
 
-    told_at = killed_at = None
     lost, over = [], False
 
     async def client(number):
