--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -16,12 +16,12 @@
 mod limits;
 mod nodes;
 mod reasons;
+mod signals;
 mod startup;
 mod transient;
 mod watch;
 
 use calloop::generic::Generic;
-use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
 use capture::Capture;
 use clients::Clients;
@@ -286,80 +286,12 @@
         }
     }
 
-    fn on_signal(&mut self, signal: Signal) {
-        self.read_clock();
-        match signal {
-            Signal::SIGUSR1 => self.print_counters(),
-            Signal::SIGHUP => self.reload(),
-            _ if self.stopping.is_some() => {}
-            _ => {
-                log!("stopping: {} commands open", self.open_commands());
-                self.fleet.leave();
-                let lifetime = ACCEPTING_TIME + self.longest_client_timeout.min(MAX_CLIENT_TIMEOUT);
-                self.stopping = Some(self.now + lifetime);
-                let last = (lifetime - FINAL_ANSWER_MARGIN).max(MIN_ACCEPTING_TIME);
-                // Danger: nothing is read after `Due::FinalAnswers`, so the last clients must be accepted and read
-                // before it.
-                let stop = ACCEPTING_TIME.max(lifetime - STOP_ACCEPTING_MARGIN).min(last);
-                self.deadlines.set(Due::Stop, self.now + stop);
-                self.deadlines.set(Due::FinalAnswers, self.now + last);
-                self.deadlines.set(Due::End, self.now + lifetime - EXIT_MARGIN);
-            }
-        }
-    }
-
-    /// Reads the configuration again. An invalid one changes nothing.
-    fn reload(&mut self) {
-        let start = match startup::read() {
-            Ok(start) => start,
-            Err(why) => return log!("reload: the configuration stays as it is: {why}"),
-        };
-        if self.configuration.is_held_by_control_machines() {
-            log!(
-                "reload: the settings come from the control machines; those of the file apply only until a control machine is reached"
-            );
-        } else if start.told != self.told {
-            match self.apply_settings(start.told) {
-                Ok(()) => log!("reload: the settings have changed and are in force"),
-                Err(why) => return log!("reload: the configuration stays as it is: {why}"),
-            }
-        }
-        self.counters.reloads += 1;
-        for (name, _) in
-            start.startup_only.iter().filter(|(name, value)| self.startup_only.get(*name) != Some(*value))
-        {
-            log!("reload: '{name}' has changed, which takes effect at the next start");
-        }
-        self.change_discovery_address(start.discovery);
-    }
-
-    /// Applies new settings from now on, all of them or none; called between two rounds of the event loop. The error is
-    /// one line that names what was expected. Open commands keep the settings with which they arrived.
-    pub fn apply_settings(&mut self, told: SettingValues) -> Result<(), String> {
-        vetchkeel_settings::check_client_names(&told)?;
-        let refused = |why| format!("expected settings that a router can serve under: {why}");
-        self.commands.reconfigure(&told).map_err(refused)?;
-        self.nodes.reconfigure(&told);
-        self.invariants.reconfigure(&told);
-        self.longest_client_timeout = longest_client_timeout(&told);
-        self.told = told;
-        Ok(())
-    }
-
     /// Counts and logs a violated invariant, with the command if there is one.
     pub fn report_violation(&mut self, command: &str, violation: Violation) {
         self.invariants.violations.add(violation);
         log!("violation: {violation:?}, command '{command}'");
     }
 
-    fn print_counters(&mut self) {
-        self.counters.open = self.open_commands();
-        vetchkeel_log::log_always!("{}", self.counters);
-        vetchkeel_log::log_always!("counters violations: {}", self.invariants.violations);
-        self.fleet.print();
-        self.configuration.print();
-    }
-
     /// The time that a command with the client timeout `wait` may still take: while the process is stopping, the
     /// command must be answered before the process may be killed.
     pub fn remaining_time(&self, wait: Tenths) -> Tenths {
@@ -387,8 +319,7 @@
 fn run() -> Result<(), String> {
     vetchkeel_log::log_panics();
     // Danger: a reload signal that is sent to all processes would end one that has just started and has no handler yet.
-    let handled = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
-    let signals = Signals::new(&handled).map_err(|e| e.to_string())?;
+    let signals = signals::block().map_err(|e| e.to_string())?;
     let start = startup::read()?;
     let name = start.name.clone();
     let mut event_loop = EventLoop::<Program>::try_new().map_err(|e| e.to_string())?;
--- /dev/null
+++ b/crates/router/src/signals.rs
@@ -0,0 +1,86 @@
+//! What the process does on a signal: SIGTERM and SIGINT stop it, SIGHUP reads the configuration again, SIGUSR1 prints
+//! the counters.
+
+use crate::deadlines::Due;
+use crate::{
+    ACCEPTING_TIME, EXIT_MARGIN, FINAL_ANSWER_MARGIN, MAX_CLIENT_TIMEOUT, MIN_ACCEPTING_TIME, Program,
+    STOP_ACCEPTING_MARGIN, longest_client_timeout, startup,
+};
+use calloop::signals::{Signal, Signals};
+use vetchkeel::SettingValues;
+use vetchkeel_log::log;
+
+/// Blocks the signals that the process handles, so that they wait until the event loop reads them.
+pub fn block() -> calloop::Result<Signals> {
+    Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
+}
+
+impl Program {
+    pub fn on_signal(&mut self, signal: Signal) {
+        self.read_clock();
+        match signal {
+            Signal::SIGUSR1 => self.print_counters(),
+            Signal::SIGHUP => self.reload(),
+            _ if self.stopping.is_some() => {}
+            _ => {
+                log!("stopping: {} commands open", self.open_commands());
+                self.fleet.leave();
+                let lifetime = ACCEPTING_TIME + self.longest_client_timeout.min(MAX_CLIENT_TIMEOUT);
+                self.stopping = Some(self.now + lifetime);
+                let last = (lifetime - FINAL_ANSWER_MARGIN).max(MIN_ACCEPTING_TIME);
+                // Danger: nothing is read after `Due::FinalAnswers`, so the last clients must be accepted and read
+                // before it.
+                let stop = ACCEPTING_TIME.max(lifetime - STOP_ACCEPTING_MARGIN).min(last);
+                self.deadlines.set(Due::Stop, self.now + stop);
+                self.deadlines.set(Due::FinalAnswers, self.now + last);
+                self.deadlines.set(Due::End, self.now + lifetime - EXIT_MARGIN);
+            }
+        }
+    }
+
+    /// Reads the configuration again. An invalid one changes nothing.
+    fn reload(&mut self) {
+        let start = match startup::read() {
+            Ok(start) => start,
+            Err(why) => return log!("reload: the configuration stays as it is: {why}"),
+        };
+        if self.configuration.is_held_by_control_machines() {
+            log!(
+                "reload: the settings come from the control machines; those of the file apply only until a control machine is reached"
+            );
+        } else if start.told != self.told {
+            match self.apply_settings(start.told) {
+                Ok(()) => log!("reload: the settings have changed and are in force"),
+                Err(why) => return log!("reload: the configuration stays as it is: {why}"),
+            }
+        }
+        self.counters.reloads += 1;
+        for (name, _) in
+            start.startup_only.iter().filter(|(name, value)| self.startup_only.get(*name) != Some(*value))
+        {
+            log!("reload: '{name}' has changed, which takes effect at the next start");
+        }
+        self.change_discovery_address(start.discovery);
+    }
+
+    /// Applies new settings from now on, all of them or none; called between two rounds of the event loop. The error is
+    /// one line that names what was expected. Open commands keep the settings with which they arrived.
+    pub fn apply_settings(&mut self, told: SettingValues) -> Result<(), String> {
+        vetchkeel_settings::check_client_names(&told)?;
+        let refused = |why| format!("expected settings that a router can serve under: {why}");
+        self.commands.reconfigure(&told).map_err(refused)?;
+        self.nodes.reconfigure(&told);
+        self.invariants.reconfigure(&told);
+        self.longest_client_timeout = longest_client_timeout(&told);
+        self.told = told;
+        Ok(())
+    }
+
+    pub fn print_counters(&mut self) {
+        self.counters.open = self.open_commands();
+        vetchkeel_log::log_always!("{}", self.counters);
+        vetchkeel_log::log_always!("counters violations: {}", self.invariants.violations);
+        self.fleet.print();
+        self.configuration.print();
+    }
+}
