SIGTERM during a standstill counts from when it may have come

Cause: `on_signal` in main.rs counted all steps of stopping from the moment in which it handled the signal, which is after the standstill in which the signal came. SIGKILL counts from the signal. Ruled out: a standstill after the signal was handled.

Change: `polls.rs` keeps since when an event may have come: the start of the last poll whose events were all handled. `StopSchedule` counts to SIGKILL from the earliest time and accepts clients from the latest. The loop sleeps for 80 ms at most, so that a sleep is told from a standstill. Standstills are logged and counted.

--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -3,33 +3,50 @@
 //! meanwhile may forbid the write: a cancel request, a member's report that it is no longer primary, a changed member
 //! list.
 
+use crate::polls::MAX_POLL_AGE;
 use crate::{Program, STALL_THRESHOLD};
 use calloop::EventLoop;
 use std::time::Duration;
 use vetchkeel::Tenths;
+use vetchkeel_log::log;
 
-/// The maximum age of the last poll when an attempt is written. The operators' documentation allows 100 ms after a
-/// cancel request and after an answer.
-const MAX_POLL_AGE: Tenths = 500;
 /// The maximum number of consecutive polls when each of them stalls.
 const MAX_POLLS: u32 = 4;
 
 /// Waits for events and handles them; polls again without waiting if that took long, as more input may have arrived.
 pub fn poll(event_loop: &mut EventLoop<'static, Program>, program: &mut Program) -> calloop::Result<()> {
-    program.last_poll = program.clock.now();
-    event_loop.dispatch(program.poll_timeout(), program)?;
+    poll_once(event_loop, program, Program::poll_timeout)?;
     let mut behind = program.is_behind();
     for _ in 1..MAX_POLLS {
         if !behind {
             break;
         }
-        program.last_poll = program.clock.now();
-        event_loop.dispatch(Some(Duration::ZERO), program)?;
+        poll_once(event_loop, program, |_| 0)?;
         behind = program.poll_is_stale();
     }
     Ok(())
 }
 
+fn poll_once(
+    event_loop: &mut EventLoop<'static, Program>,
+    program: &mut Program,
+    timeout: impl Fn(&Program) -> Tenths,
+) -> calloop::Result<()> {
+    let began = program.clock.now();
+    program.last_poll = began;
+    if let Some(standstill) = program.polls.begin(began) {
+        log!("the process stood still: {} ms passed between two polls", standstill / 10);
+    }
+    let timeout = timeout(program);
+    event_loop
+        .dispatch(Duration::from_micros(timeout as u64 * 100), program)
+        .inspect_err(|_| program.polls.fail())?;
+    if program.polls.time_out(began + timeout, program.clock.now()) {
+        program.last_poll = began + timeout;
+    }
+    Ok(())
+}
+
 impl Program {
     /// True if the last poll was long ago or a deadline is overdue: the process may have been stalled. Danger: when a
     /// stopped process continues, its poll returns without the input that arrived meanwhile.
@@ -38,6 +55,7 @@
             || self.deadlines.first().is_some_and(|at| at + STALL_THRESHOLD < self.clock.now())
     }
 
+    /// The operators' documentation allows 100 ms from a cancel request, or from an answer, to an attempt that it forbids.
     fn poll_is_stale(&self) -> bool {
         self.clock.now() - self.last_poll > MAX_POLL_AGE
     }
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -178,6 +178,7 @@
             used_quota: 0,
         });
         let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
+            program.polls.count_event();
             let event = |p: &mut Program| p.client_event(key, ready.readable);
             program.guarded("a client's connection", event, |p| p.drop_client(key, ClientClose::Panicked));
             Ok(PostAction::Continue)
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -15,9 +15,11 @@
 mod leaving;
 mod limits;
 mod nodes;
+mod polls;
 mod reasons;
 mod signals;
 mod startup;
+mod stopping;
 mod transient;
 mod watch;
 
@@ -33,6 +35,7 @@
 use invariants::{Invariants, Violation};
 use limits::Limits;
 use nodes::Nodes;
+use polls::{MAX_SLEEP, Polls};
 use reasons::{ClientClose, MemberClose};
 use socket2::{Domain, Protocol, Socket, Type};
 use startup::Start;
@@ -43,27 +46,12 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use stopping::StopSchedule;
 use transient::is_local_failure;
 use vetchkeel::{SettingValues, Tenths};
 use vetchkeel_log::log;
 use watch::Watch;
 
-/// After SIGTERM the process runs for the longest client timeout, capped at `MAX_CLIENT_TIMEOUT`, plus this time, in
-/// which new clients may still connect.
-const ACCEPTING_TIME: Tenths = 7_000;
-/// New clients still arrive for 0.4 s after SIGTERM, so clients are accepted and read for at least this long, however
-/// short the client timeouts are.
-const MIN_ACCEPTING_TIME: Tenths = 4_500;
-const MAX_CLIENT_TIMEOUT: Tenths = 30_000;
-/// Steps of stopping, as the time that remains until the process may be killed: when the listener closes
-/// (`STOP_ACCEPTING_MARGIN`); what commands that arrive after SIGTERM must leave unused (`COMMAND_MARGIN`); when all
-/// open commands are answered (`FINAL_ANSWER_MARGIN`); when the process ends, whether or not all clients have closed
-/// by then (`EXIT_MARGIN`). A router may be stalled for 0.15 s between reading the clock and writing, and again before
-/// it sleeps.
-const STOP_ACCEPTING_MARGIN: Tenths = 12_000;
-const COMMAND_MARGIN: Tenths = 3_600;
-const FINAL_ANSWER_MARGIN: Tenths = 3_500;
-const EXIT_MARGIN: Tenths = 500;
 const BACKLOG: i32 = 1024;
 /// How long a start waits for its listen address, which the previous process may still hold, and the retry interval.
 const LISTEN_TIMEOUT: Duration = Duration::from_secs(8);
@@ -95,6 +83,7 @@
     now: Tenths,
     /// When the sockets were last polled: all input that arrived before this time has been read.
     last_poll: Tenths,
+    polls: Polls,
     handle: LoopHandle<'static, Program>,
     commands: Commands,
     clients: Clients,
@@ -110,8 +99,8 @@
     /// Results that have not been passed to the module yet.
     results: VecDeque<NodeResult>,
     scratch: Box<[u8]>,
-    /// Set by SIGTERM: the time from which the process may be killed.
-    stopping: Option<Tenths>,
+    /// Set by SIGTERM.
+    stopping: Option<StopSchedule>,
     /// The longest client timeout in the settings.
     longest_client_timeout: Tenths,
     /// The settings in force.
@@ -163,8 +152,8 @@
         start: Start,
         listener: TcpListener,
         handle: LoopHandle<'static, Program>,
+        (clock, polls): (Clock, Polls),
     ) -> Result<Program, String> {
-        let clock = Clock::new();
         let now = clock.now();
         let told = &start.told;
         let fleet = Fleet::open(&start.name, start.seed, &handle)?;
@@ -173,6 +162,7 @@
             clock,
             now,
             last_poll: now,
+            polls,
             handle,
             commands: Commands::start(told, start.seed, now)?,
             clients: Clients::new(start.seed),
@@ -196,6 +186,7 @@
         let listener = Rc::new(listener);
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
         let token = program.handle.insert_source(source, |_, _, program: &mut Program| {
+            program.polls.count_event();
             program.guarded("accepting", Program::accept_event, |_| {});
             Ok(PostAction::Continue)
         });
@@ -295,23 +286,24 @@
     /// The time that a command with the client timeout `wait` may still take: while the process is stopping, the
     /// command must be answered before the process may be killed.
     pub fn remaining_time(&self, wait: Tenths) -> Tenths {
-        self.stopping.map_or(wait, |kill_at| wait.min(kill_at - COMMAND_MARGIN - self.now))
+        let schedule = self.stopping.as_ref();
+        schedule.map_or(wait, |schedule| wait.min(schedule.answer_commands_by - self.now))
     }
 
-    /// How long the event loop may sleep; None without a limit.
-    fn poll_timeout(&self) -> Option<Duration> {
+    /// How long the event loop may sleep.
+    fn poll_timeout(&self) -> Tenths {
         let unfinished = self.nodes.has_writable() || self.clients.has_unsent();
         if !self.results.is_empty() || self.clients.has_deferred() || unfinished {
-            return Some(Duration::ZERO);
+            return 0;
         }
-        let wait = (self.deadlines.first()? - self.clock.now()).max(0);
-        Some(Duration::from_micros(wait as u64 * 100))
+        let until_deadline = self.deadlines.first().map_or(MAX_SLEEP, |at| at - self.clock.now());
+        until_deadline.clamp(0, MAX_SLEEP)
     }
 
     /// True once all clients have closed or the time for it is over. Danger: a client may send something while its
     /// connection is being shut down; if that stays unread, the system resets the connection and the answer is lost.
     fn finished(&self) -> bool {
-        let over = self.stopping.is_some_and(|kill_at| kill_at - EXIT_MARGIN <= self.now);
+        let over = self.stopping.is_some_and(|schedule| schedule.exit_at <= self.now);
         self.clients.listener.is_none() && (over || self.clients.count() == 0)
     }
 }
@@ -319,15 +311,21 @@
 fn run() -> Result<(), String> {
     vetchkeel_log::log_panics();
     // Danger: a reload signal that is sent to all processes would end one that has just started and has no handler yet.
+    // Danger: a signal may wait for as long as the start takes, and counts from when it may have come.
+    let clock = Clock::new();
+    let polls = Polls::new(clock.now());
     let signals = signals::block().map_err(|e| e.to_string())?;
     let start = startup::read()?;
     let name = start.name.clone();
     let mut event_loop = EventLoop::<Program>::try_new().map_err(|e| e.to_string())?;
     let handle = event_loop.handle();
-    let registered = handle.insert_source(signals, |event, _, program| program.on_signal(event.signal()));
+    let registered = handle.insert_source(signals, |event, _, program| {
+        program.polls.count_event();
+        program.on_signal(event.signal());
+    });
     registered.map_err(|e| e.to_string())?;
     let listener = listen_with_retries(start.listen)?;
-    let mut program = Program::new(start, listener, handle)?;
+    let mut program = Program::new(start, listener, handle, (clock, polls))?;
     if let Some((listener, _)) = &program.clients.listener {
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         vetchkeel_log::log_always!("router {name} serves on {address}");
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -311,6 +311,7 @@
         };
         let key = self.nodes.conns.insert(conn);
         let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
+            program.polls.count_event();
             let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
             program.guarded("a node's connection", |p| p.conn_event(key, ready.readable), broken);
             Ok(PostAction::Continue)
--- /dev/null
+++ b/crates/router/src/polls.rs
@@ -0,0 +1,110 @@
+//! When the input at hand arrived, as far as the polls of the event loop tell. A poll reports all input that has arrived
+//! by then, so input that it did not report arrived after it began. Any amount of time may have passed since: the
+//! process may stand still (SIGSTOP, a paused machine, a busy one) before it handles what a poll reports.
+
+use std::fmt;
+use vetchkeel::Tenths;
+
+/// The longest sleep in one poll. It bounds the time between two polls of an undisturbed event loop, so that a longer
+/// time shows a standstill.
+pub const MAX_SLEEP: Tenths = 800;
+/// A poll that took longer is followed by another one at once.
+pub const MAX_POLL_AGE: Tenths = 500;
+/// The work of an undisturbed event loop between two polls.
+const MAX_WORK: Tenths = 200;
+/// A range of this width or less is what an undisturbed event loop shows. The operators' documentation allows the same
+/// time between reading the clock and writing.
+const MAX_UNDISTURBED: Tenths = MAX_SLEEP + MAX_POLL_AGE + MAX_WORK;
+/// A longer time between two polls is counted and logged as a standstill.
+const MIN_STANDSTILL: Tenths = 2_000;
+/// The number of events that one poll reports at most; the rest is left for the next poll.
+const MAX_EVENTS: usize = 1_024;
+
+/// The time at which something happened, known to within a range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeRange {
+    pub earliest: Tenths,
+    pub latest: Tenths,
+}
+
+impl TimeRange {
+    pub fn new(earliest: Tenths, latest: Tenths) -> TimeRange {
+        TimeRange { earliest: earliest.min(latest), latest }
+    }
+
+    /// The time from which a limit counts that must not be exceeded: the earliest possible one after a standstill.
+    /// Without a standstill it is the latest one, as a sleep in the poll ends when something happens.
+    pub fn limit_start(self) -> Tenths {
+        if self.latest - self.earliest > MAX_UNDISTURBED { self.earliest } else { self.latest }
+    }
+}
+
+/// The polls of the event loop so far.
+#[derive(Debug)]
+pub struct Polls {
+    /// When the last poll began, or when its sleep ended if that was without an event.
+    began: Tenths,
+    /// All input that arrived before this time has been reported by a poll that is completely handled.
+    handled_until: Tenths,
+    /// Events that the last poll has reported so far.
+    events: usize,
+    /// Standstills so far, and the longest one.
+    standstills: u64,
+    longest_standstill: Tenths,
+}
+
+impl Polls {
+    /// Nothing that is reported later happened before `now`.
+    pub fn new(now: Tenths) -> Polls {
+        Polls { began: now, handled_until: now, events: 0, standstills: 0, longest_standstill: 0 }
+    }
+
+    /// A poll begins; everything that the last one reported is handled. Returns how long the event loop stood still
+    /// since then, if it did.
+    pub fn begin(&mut self, now: Tenths) -> Option<Tenths> {
+        let since_last = now - self.began;
+        if self.events < MAX_EVENTS {
+            self.handled_until = self.began;
+        }
+        (self.began, self.events) = (now, 0);
+        let standstill = Some(since_last).filter(|since_last| *since_last > MIN_STANDSTILL);
+        if let Some(length) = standstill {
+            self.standstills += 1;
+            self.longest_standstill = self.longest_standstill.max(length);
+        }
+        standstill
+    }
+
+    /// The last poll has reported an event.
+    pub fn count_event(&mut self) {
+        self.events += 1;
+    }
+
+    /// The last poll has returned, and its sleep was to end at `until`. Returns whether it ended then, without an event.
+    pub fn time_out(&mut self, until: Tenths, now: Tenths) -> bool {
+        let timed_out = self.events == 0 && (until..=until + MAX_WORK).contains(&now);
+        if timed_out {
+            self.began = until;
+        }
+        timed_out
+    }
+
+    /// The last poll has failed: events that it should have reported may be lost.
+    pub fn fail(&mut self) {
+        self.events = MAX_EVENTS;
+    }
+
+    /// When something happened that the last poll has reported.
+    pub fn reported(&self, now: Tenths) -> TimeRange {
+        TimeRange::new(self.handled_until, now)
+    }
+}
+
+impl fmt::Display for Polls {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "count={} longest_ms={}", self.standstills, self.longest_standstill / 10)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -2,10 +2,8 @@
 //! the counters.
 
 use crate::deadlines::Due;
-use crate::{
-    ACCEPTING_TIME, EXIT_MARGIN, FINAL_ANSWER_MARGIN, MAX_CLIENT_TIMEOUT, MIN_ACCEPTING_TIME, Program,
-    STOP_ACCEPTING_MARGIN, longest_client_timeout, startup,
-};
+use crate::stopping::StopSchedule;
+use crate::{Program, longest_client_timeout, startup};
 use calloop::signals::{Signal, Signals};
 use vetchkeel::SettingValues;
 use vetchkeel_log::log;
@@ -25,15 +23,11 @@
             _ => {
                 log!("stopping: {} commands open", self.open_commands());
                 self.fleet.leave();
-                let lifetime = ACCEPTING_TIME + self.longest_client_timeout.min(MAX_CLIENT_TIMEOUT);
-                self.stopping = Some(self.now + lifetime);
-                let last = (lifetime - FINAL_ANSWER_MARGIN).max(MIN_ACCEPTING_TIME);
-                // Danger: nothing is read after `Due::FinalAnswers`, so the last clients must be accepted and read
-                // before it.
-                let stop = ACCEPTING_TIME.max(lifetime - STOP_ACCEPTING_MARGIN).min(last);
-                self.deadlines.set(Due::Stop, self.now + stop);
-                self.deadlines.set(Due::FinalAnswers, self.now + last);
-                self.deadlines.set(Due::End, self.now + lifetime - EXIT_MARGIN);
+                let schedule = StopSchedule::new(self.polls.reported(self.now), self.longest_client_timeout);
+                self.deadlines.set(Due::Stop, schedule.stop_accepting_at);
+                self.deadlines.set(Due::FinalAnswers, schedule.final_answers_at);
+                self.deadlines.set(Due::End, schedule.exit_at);
+                self.stopping = Some(schedule);
             }
         }
     }
@@ -80,6 +74,7 @@
         self.counters.open = self.open_commands();
         vetchkeel_log::log_always!("{}", self.counters);
         vetchkeel_log::log_always!("counters violations: {}", self.invariants.violations);
+        vetchkeel_log::log_always!("counters standstills: {}", self.polls);
         self.fleet.print();
         self.configuration.print();
     }
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -145,6 +145,7 @@
             let stream = Rc::new(stream);
             let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
             let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
+                program.polls.count_event();
                 let event = |p: &mut Program| p.watch_event(generation, ready.readable);
                 program.guarded("the watch", event, |p| p.break_watch("a panic"));
                 Ok(PostAction::Continue)
