A command with bytes behind it counts from when it may have arrived

Cause: `fill_input` in clients.rs dated all bytes of a read by the kernel's time of the last bytes of the connection, so whatever follows renews the date. Checked: a command alone in the standstill is told what is left. Ruled out: the decision module, which keeps the time that it is given.

Change: clients/input.rs keeps the range in which the bytes of each read came: since the connection was last known to be empty, up to the kernel's time. A command at the end of what was read keeps the kernel's time; one with bytes behind it counts from the start of the range if that shows a standstill, not from before the previous answer. A connection just accepted is empty since it was established.

--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -28,6 +28,12 @@
     if age >= MIN_AGE { age } else { 0 }
 }
 
+/// The time since the connection was established, if nothing has been sent on it yet; until then the kernel counts the
+/// time since the last send from there.
+pub fn time_since_connected(stream: &TcpStream) -> Option<Tenths> {
+    info(stream).map(|info| Tenths::from(info.tcpi_last_data_sent) * 10 + MIN_AGE)
+}
+
 /// True if, by the kernel's ticks, the last bytes arrived no earlier than the last ones were sent.
 pub fn last_received_after_last_sent(stream: &TcpStream) -> bool {
     info(stream).is_some_and(|info| info.tcpi_last_data_recv <= info.tcpi_last_data_sent)
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -1,21 +1,25 @@
 //! Client connections: opening, one query at a time, answers in order, and closing. `crowd` holds admission and
-//! eviction, `closing` how the router closes a connection, `unsent` the order of writes.
+//! eviction, `closing` how the router closes a connection, `input` what was read and when it arrived, `unsent` the order
+//! of writes.
 
 mod closing;
 mod crowd;
+mod input;
 mod unsent;
 
 use crate::Program;
-use crate::arrival::{MIN_AGE, time_since_last_receive};
+use crate::arrival::{MIN_AGE, time_since_connected, time_since_last_receive};
 use crate::deadlines::Due;
 use crate::invariants::Violation;
 use crate::keys::{ClientKey, CommandKey};
 use crate::leaving::is_disconnected;
+use crate::polls::TimeRange;
 use crate::reasons::ClientClose;
 use crate::transient::{Backoff, is_transient};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use crowd::ACCEPT_RETRY_INTERVAL;
+use input::Input;
 use slotmap::{Key, SlotMap};
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -56,18 +60,16 @@
     stream: Rc<TcpStream>,
     token: Option<RegistrationToken>,
     stage: Stage,
-    input: Vec<u8>,
-    /// The number of bytes read so far, and for each read the count behind it and its arrival time. A message's
-    /// arrival time is that of the read that contains its last byte.
-    read: u64,
-    arrivals: VecDeque<(u64, Tenths)>,
+    input: Input,
     output: VecDeque<Vec<u8>>,
     /// Bytes already written of the first buffer in `output`.
     written: usize,
     unsent: usize,
     command: Option<CommandKey>,
-    /// When the query of the open command arrived.
+    /// When the query of the open command arrived, at the latest.
     query_at: Tenths,
+    /// When the last answer was queued; 0 before the first.
+    answered_at: Tenths,
     /// The client has sent a query (`sent_query`), and one that became a command (`served`).
     sent_query: bool,
     served: bool,
@@ -141,10 +143,11 @@
         self.command.is_none() && self.unsent == 0 && self.input.is_empty()
     }
 
-    /// The arrival time of the message that ends `left` bytes before the end of what was read.
-    fn arrived_at(&self, left: usize, now: Tenths) -> Tenths {
-        let end = self.read - left as u64;
-        self.arrivals.iter().find(|(read, _)| *read >= end).map_or(now, |(_, at)| *at)
+    /// When the message arrived that ends `left` bytes before the end of what was read. The time spent on the commands
+    /// before it does not count, so it is taken to have arrived after the last answer.
+    fn arrival(&self, left: usize, now: Tenths) -> TimeRange {
+        let TimeRange { earliest, latest } = self.input.arrival(left).unwrap_or(TimeRange::new(now, now));
+        TimeRange::new(earliest.max(self.answered_at), latest)
     }
 }
 
@@ -155,20 +158,22 @@
         }
         // Not essential: without it answers are slightly delayed.
         let _ = stream.set_nodelay(true);
+        // Without the system's report, a client that is accepted now has connected since the last poll.
+        let connected_at = time_since_connected(&stream)
+            .map_or(self.polls.reported(self.now).earliest, |age| self.now - age);
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let key = self.clients.table.insert(Client {
             stream,
             token: None,
             stage: Stage::Opening,
-            input: Vec::new(),
-            read: 0,
-            arrivals: VecDeque::new(),
+            input: Input::new(connected_at),
             output: VecDeque::new(),
             written: 0,
             unsent: 0,
             command: None,
             query_at: 0,
+            answered_at: 0,
             sent_query: false,
             served: false,
             paused: false,
@@ -204,10 +209,10 @@
     /// that remain. So a read that should have returned bytes, or the rest of a message that has begun, is retried a
     /// few times.
     pub fn client_event(&mut self, key: ClientKey, readable: bool) {
-        let before = self.clients.table.get(key).map(|c| c.read);
+        let before = self.clients.table.get(key).map(|c| c.input.read());
         self.client_ready(key);
         let expects_more =
-            |c: &&Client| Some(c.read) == before || (c.command.is_none() && !c.input.is_empty());
+            |c: &&Client| Some(c.input.read()) == before || (c.command.is_none() && !c.input.is_empty());
         let Some(client) = self.clients.table.get(key).filter(expects_more) else { return };
         let reads = !client.paused && matches!(client.stage, Stage::Opening | Stage::Ready | Stage::Skipping);
         if readable && reads && !self.clients.reading_stopped && !client.retry.is_at_maximum() {
@@ -265,6 +270,9 @@
     }
 
     fn fill_input(&mut self, key: ClientKey) {
+        if let Some(client) = self.clients.table.get_mut(key) {
+            client.input.start_reading(self.polls.reported(self.now).earliest);
+        }
         loop {
             let Some(client) = self.clients.table.get_mut(key) else { return };
             let most = if client.command.is_some() { MAX_READ_AHEAD } else { MAX_MESSAGE };
@@ -282,15 +290,12 @@
                 Ok(_) if matches!(client.stage, Stage::Ending | Stage::ShutDown) => {}
                 Ok(read) => {
                     client.retry.reset();
-                    client.input.extend_from_slice(&self.scratch[..read]);
-                    client.read += read as u64;
-                    client
-                        .arrivals
-                        .push_back((client.read, self.now - time_since_last_receive(&client.stream)));
+                    let last_arrival = self.now - time_since_last_receive(&client.stream);
+                    client.input.push(&self.scratch[..read], last_arrival);
                     self.clients.buffered += read;
                     self.limit_buffered_input();
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return client.input.drain_finished(self.now),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if is_transient(&e) => return self.retry_client(key),
                 Err(_) => return self.input_ended(key, ClientClose::Broken),
@@ -305,9 +310,9 @@
     /// read at once, so the request is processed first.
     fn input_ended(&mut self, key: ClientKey, reason: ClientClose) {
         let Some(client) = self.clients.table.get(key) else { return };
-        let opening = (client.stage == Stage::Opening).then(|| pgwire::opening(&client.input));
+        let opening = (client.stage == Stage::Opening).then(|| pgwire::opening(client.input.bytes()));
         if let Some(Ok(Some((Opening::Cancel(target), size)))) = opening {
-            let at = client.arrived_at(client.input.len() - size, self.now);
+            let at = client.arrival(client.input.len() - size, self.now).latest;
             self.cancel(target, at);
         }
         self.drop_client(key, reason);
@@ -324,7 +329,7 @@
     /// Processes buffered messages until one becomes a command or more bytes are needed.
     fn process_input(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.get_mut(key) else { return };
-        let input = std::mem::take(&mut client.input);
+        let input = client.input.take();
         let mut at = 0;
         let failed = loop {
             let Some(client) = self.clients.table.get_mut(key) else { break None };
@@ -351,15 +356,7 @@
             return;
         };
         self.clients.buffered -= at;
-        client.input = input;
-        client.input.drain(..at);
-        let start = client.read - client.input.len() as u64;
-        while client.arrivals.front().is_some_and(|(read, _)| *read <= start) {
-            client.arrivals.pop_front();
-        }
-        if client.input.is_empty() {
-            client.input.shrink_to(4096);
-        }
+        client.input.restore(input, at);
         let waits = client.command.is_none() && client.unsent <= MAX_UNSENT && !client.input.is_empty();
         let due = Due::Message(key);
         if client.sent_query && (!waits || at > 0) {
@@ -381,8 +378,7 @@
         }
         let begun = !client.input.is_empty();
         self.clients.buffered -= client.input.len();
-        client.input = Vec::new();
-        client.arrivals.clear();
+        client.input.clear();
         client.stage = Stage::Ending;
         self.deadlines.clear(Due::Message(key));
         self.counters.rejected += 1;
@@ -412,7 +408,7 @@
         match opening {
             Opening::Encryption => self.send(key, b"N".to_vec()),
             Opening::Cancel(target) => {
-                let at = self.clients.table[key].arrived_at(input.len() - size, self.now);
+                let at = self.clients.table[key].arrival(input.len() - size, self.now).latest;
                 // Cancelled before the close: a client that sees the close may send its next query, which must not be
                 // cancelled.
                 self.cancel(target, at);
@@ -476,7 +472,7 @@
         let Some(client) = self.clients.table.get_mut(key) else { return };
         client.sent_query = true;
         self.deadlines.clear(Due::Message(key));
-        let arrived = client.arrived_at(left, now);
+        let arrival = client.arrival(left, now);
         let mut answer = Vec::new();
         if pgwire::is_empty(statement) {
             if self.watch.is_ready(self.now) {
@@ -486,10 +482,10 @@
             }
             return self.answer(key, answer);
         }
-        match self.take_command(key, statement, arrived) {
+        match self.take_command(key, statement, arrival.limit_start()) {
             Ok(command) => {
                 let client = &mut self.clients.table[key];
-                (client.command, client.query_at, client.served) = (Some(command), arrived, true);
+                (client.command, client.query_at, client.served) = (Some(command), arrival.latest, true);
             }
             Err((sqlstate, why)) => {
                 self.counters.rejected += 1;
@@ -520,7 +516,7 @@
     pub fn answer(&mut self, key: ClientKey, answer: Vec<u8>) {
         let Some(client) = self.clients.table.get_mut(key) else { return };
         client.command = None;
-        client.idle_since = self.now;
+        (client.idle_since, client.answered_at) = (self.now, self.now);
         let mut ready = Vec::new();
         pgwire::ready(&mut ready);
         for bytes in [answer, ready] {
@@ -647,7 +643,7 @@
     /// incomplete message is ignored.
     fn end_if_idle(&mut self, key: ClientKey) {
         let Some(client) = self.clients.table.get_mut(key) else { return };
-        let whole = || matches!(pgwire::message(&client.input), Ok(Some(_)));
+        let whole = || matches!(pgwire::message(client.input.bytes()), Ok(Some(_)));
         let behind = if self.clients.reading_stopped { whole() } else { !client.input.is_empty() };
         let between =
             client.command.is_none() && !behind && (client.unsent == 0 || self.clients.reading_stopped);
--- /dev/null
+++ b/crates/router/src/clients/input.rs
@@ -0,0 +1,121 @@
+//! A client's bytes that are read and not consumed yet, and when they arrived. The system reports the arrival time of the
+//! last byte of a connection only, so any byte before it arrived at some time since the connection was last empty.
+
+use crate::polls::TimeRange;
+use std::collections::VecDeque;
+use vetchkeel::Tenths;
+
+/// Capacity that an empty buffer keeps, in bytes.
+const KEPT_CAPACITY: usize = 4_096;
+
+/// One read.
+#[derive(Clone, Copy, Debug)]
+struct Received {
+    /// The number of bytes read on the connection up to and including this read.
+    end: u64,
+    arrived: TimeRange,
+    /// Nothing was unread behind this read, so its last byte arrived at `arrived.latest`.
+    last_byte_known: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Input {
+    bytes: Vec<u8>,
+    /// The number of bytes read so far.
+    read: u64,
+    /// The reads that contain the bytes at hand.
+    received: VecDeque<Received>,
+    /// All bytes that are unread arrived after this time.
+    unread_since: Tenths,
+    /// The last read found nothing unread.
+    drained: bool,
+}
+
+impl Input {
+    /// The input of a connection that was established at `connected_at`.
+    pub(super) fn new(connected_at: Tenths) -> Input {
+        Input {
+            bytes: Vec::new(),
+            read: 0,
+            received: VecDeque::new(),
+            unread_since: connected_at,
+            drained: true,
+        }
+    }
+
+    pub(super) fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// The number of bytes read so far.
+    pub(super) fn read(&self) -> u64 {
+        self.read
+    }
+
+    /// Reading begins; `handled_until` is the time before which all reported input has been read.
+    pub(super) fn start_reading(&mut self, handled_until: Tenths) {
+        if std::mem::take(&mut self.drained) {
+            self.unread_since = self.unread_since.max(handled_until);
+        }
+    }
+
+    /// Adds what a read returned; `last_arrival` is when the last bytes of the connection arrived, asked after the read.
+    pub(super) fn push(&mut self, bytes: &[u8], last_arrival: Tenths) {
+        self.bytes.extend_from_slice(bytes);
+        self.read += bytes.len() as u64;
+        let arrived = TimeRange::new(self.unread_since, last_arrival);
+        self.received.push_back(Received { end: self.read, arrived, last_byte_known: false });
+    }
+
+    /// A read found nothing unread; `now` was read before it.
+    pub(super) fn drain_finished(&mut self, now: Tenths) {
+        (self.drained, self.unread_since) = (true, now);
+        if let Some(last) = self.received.back_mut() {
+            last.last_byte_known = true;
+        }
+    }
+
+    /// When the byte arrived that is followed by `left` bytes.
+    pub(super) fn arrival(&self, left: usize) -> Option<TimeRange> {
+        let end = self.read - left as u64;
+        let received = self.received.iter().find(|received| received.end >= end)?;
+        let TimeRange { earliest, latest } = received.arrived;
+        let is_known = received.last_byte_known && received.end == end;
+        Some(TimeRange::new(if is_known { latest } else { earliest }, latest))
+    }
+
+    /// Takes the bytes at hand, to be given back with `restore`.
+    pub(super) fn take(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.bytes)
+    }
+
+    /// Gives back what `take` returned, of which the first `consumed` bytes are no longer needed.
+    pub(super) fn restore(&mut self, mut bytes: Vec<u8>, consumed: usize) {
+        bytes.drain(..consumed);
+        self.bytes = bytes;
+        let start = self.read - self.bytes.len() as u64;
+        while self.received.front().is_some_and(|received| received.end <= start) {
+            self.received.pop_front();
+        }
+        if self.bytes.is_empty() {
+            self.bytes.shrink_to(KEPT_CAPACITY);
+        }
+    }
+
+    /// Discards the bytes at hand.
+    pub(super) fn clear(&mut self) {
+        self.bytes = Vec::new();
+        self.received.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/clients/input/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+use rstest::rstest;
+
+const CONNECTED: Tenths = 1_000_000;
+
+fn range(earliest: Tenths, latest: Tenths) -> Option<TimeRange> {
+    Some(TimeRange::new(CONNECTED + earliest, CONNECTED + latest))
+}
+
+/// An input that was drained 100 after the connection was established, by reads of 10 bytes whose last bytes arrived at
+/// these times.
+fn input(handled_until: Tenths, last_arrivals: &[Tenths]) -> Input {
+    let mut input = Input::new(CONNECTED);
+    input.start_reading(CONNECTED);
+    input.drain_finished(CONNECTED + 100);
+    input.start_reading(CONNECTED + handled_until);
+    last_arrivals.iter().for_each(|at| input.push(&[0; 10], CONNECTED + at));
+    input
+}
+
+#[rstest]
+#[case::last_byte(0, range(900, 900))]
+#[case::byte_before_it(1, range(500, 900))]
+#[case::end_of_an_earlier_read(10, range(500, 800))]
+#[case::start_of_an_earlier_read(19, range(500, 800))]
+fn only_the_last_byte_has_a_known_arrival(#[case] left: usize, #[case] expected: Option<TimeRange>) {
+    let mut input = input(500, &[800, 900]);
+    input.drain_finished(CONNECTED + 1_000);
+    assert_eq!(input.arrival(left), expected);
+}
+
+#[rstest]
+#[case::polled_before_it_was_drained(50, range(100, 900))]
+#[case::polled_since(500, range(500, 900))]
+fn bytes_arrived_after_the_connection_was_last_empty(
+    #[case] handled_until: Tenths,
+    #[case] expected: Option<TimeRange>,
+) {
+    assert_eq!(input(handled_until, &[900]).arrival(5), expected);
+}
+
+/// Input that stays unread, as enough is buffered, arrived no earlier than what was read before it.
+#[rstest]
+fn input_that_stays_unread_keeps_its_earliest_arrival() {
+    let mut input = input(500, &[900]);
+    assert_eq!(input.arrival(0), range(500, 900), "more may be unread");
+    input.start_reading(CONNECTED + 20_000);
+    input.push(&[0; 10], CONNECTED + 21_000);
+    input.drain_finished(CONNECTED + 21_000);
+    assert_eq!((input.arrival(1), input.arrival(0)), (range(500, 21_000), range(21_000, 21_000)));
+}
+
+#[rstest]
+fn consumed_bytes_leave_the_arrival_of_the_rest() {
+    let mut input = input(500, &[800, 900]);
+    let bytes = input.take();
+    input.restore(bytes, 15);
+    assert_eq!((input.len(), input.arrival(5), input.arrival(0)), (5, range(500, 900), range(500, 900)));
+    input.clear();
+    assert_eq!((input.is_empty(), input.arrival(0)), (true, None));
+}
--- a/crates/router/tests/standstill.rs
+++ b/crates/router/tests/standstill.rs
@@ -81,3 +81,89 @@
     let took = signalled_at.elapsed();
     assert!((Duration::from_millis(3_000)..KILL_DELAY).contains(&took), "answered {took:?} after SIGTERM");
 }
+
+// ---- commands ----
+
+/// Tolerance of the operators' documentation for an answer, and for the time that an attempt tells its member.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+const TIME_LEFT_SLACK: Duration = Duration::from_millis(150);
+const STANDSTILL: Duration = Duration::from_millis(1_350);
+/// What follows a command on its connection comes so long after it.
+const FOLLOWS_AFTER: Duration = Duration::from_millis(1_200);
+const STANDSTILL_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// The time that a statement states as the client's remaining time.
+fn stated_time(statement: &str) -> Duration {
+    let (_, from) = statement.split_once(",d=").expect("a time");
+    let digits: String = from.chars().take_while(char::is_ascii_digit).collect();
+    Duration::from_millis(digits.parse().expect("a number"))
+}
+
+/// Guards against a command that counts from the arrival of the bytes behind it: its answer came after its deadline, and
+/// its member was told more time than its client had left.
+#[rstest]
+#[case::second_command(query_bytes(&order("second", 2_000)))]
+#[case::part_of_a_command(query_bytes(&order("second", 2_000))[..30].to_vec())]
+fn command_received_during_a_standstill_keeps_its_deadline(
+    #[case] behind: Vec<u8>,
+    #[values(false, true)] on_new_connection: bool,
+) {
+    let (node, router) = start_with_primary(|_| Reply::Nothing);
+    let mut client = if on_new_connection { None } else { Some(Client::connect(&router)) };
+    router.stop();
+    let stopped_at = Instant::now();
+    let client = client.get_or_insert_with(|| {
+        let mut client = Client::raw(&router);
+        client.send(&startup(3 << 16));
+        client
+    });
+    client.send(&query_bytes(&order("first", STANDSTILL_TIMEOUT.as_millis() as u32)));
+    let sent_at = Instant::now();
+    sleep_until(sent_at + FOLLOWS_AFTER);
+    client.send(&behind);
+    sleep_until(stopped_at + STANDSTILL);
+    router.signal("-CONT");
+    let stated = stated_time(&node.statement());
+    let left = STANDSTILL_TIMEOUT.saturating_sub(sent_at.elapsed());
+    assert!(stated < left + TIME_LEFT_SLACK, "{stated:?} stated of {left:?}");
+    if on_new_connection {
+        assert_eq!(client.answer(), Answer::Empty, "ready after startup");
+    }
+    let answer = client.answer();
+    assert!(matches!(answer, Answer::Error(..)), "{answer:?}");
+    let took = sent_at.elapsed();
+    assert!(took < STANDSTILL_TIMEOUT + MAX_LATENESS, "answered after {took:?}");
+}
+
+/// A command that came late in a standstill, with nothing behind it, keeps the time that its client has left.
+#[rstest]
+fn command_received_at_the_end_of_a_standstill_is_served() {
+    let (_node, router) = start_with_primary(|_| Reply::Send(row("r")));
+    let mut client = Client::connect(&router);
+    assert_eq!(client.query(&look("before", CLIENT_TIMEOUT_MS)), Answer::Row("r".into()));
+    router.stop();
+    sleep(STANDSTILL);
+    client.send(&query_bytes(&look("late", 400)));
+    router.signal("-CONT");
+    assert_eq!(client.answer(), Answer::Row("r".into()));
+}
+
+/// Guards against quiet time that is taken for a standstill: commands would be refused with time left.
+#[rstest]
+#[case::one_command(1, 60)]
+#[case::two_commands(2, 200)]
+#[case::four_commands(4, 400)]
+fn commands_after_quiet_time_are_served(#[case] count: usize, #[case] timeout_ms: u32) {
+    let (_node, router) = start_with_primary(|_| Reply::Send(row("r")));
+    let mut client = Client::connect(&router);
+    assert_eq!(client.query(&look("before", CLIENT_TIMEOUT_MS)), Answer::Row("r".into()));
+    for round in 0..3 {
+        sleep(Duration::from_millis(700));
+        for number in 0..count {
+            client.send(&query_bytes(&look(&format!("{round}-{number}"), timeout_ms)));
+        }
+        for number in 0..count {
+            assert_eq!(client.answer(), Answer::Row("r".into()), "round {round}, command {number}");
+        }
+    }
+}
