The silence of the watch counts from its last bytes, standstill or not

Seen: after a standstill of 1.35 s that began just before the last line of the watch, the list was requested again 4.46 s after that line. A change that a silent watch misses counts as known after 6 s, and the 3 s of silence leave time for two requests; with 4.46 s two that fail end behind it.

Cause: `read_watch` in watch.rs counted the silence from when it read the line.

Change: it counts from the kernel's time of the last bytes.

Evidence: silence_of_the_watch_counts_from_its_last_bytes failed before (4.46 s) and passes (bound 3.3 s); tests of watch, lists, reload and ready pass.

--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -1,6 +1,7 @@
 //! The watch of the member list in discovery. It is kept open at all times and requested again when it breaks.
 
 use crate::Program;
+use crate::arrival::time_since_last_receive;
 use crate::deadlines::Due;
 use crate::nodes::dial;
 use crate::transient::{Backoff, is_transient};
@@ -302,6 +303,7 @@
                 }
                 Err(e) => return Err(e.to_string()),
             };
+            let last_arrival = self.now - time_since_last_receive(&connection.stream);
             self.watch.retry.reset();
             self.watch.reads += 1;
             let first_bytes = !std::mem::replace(&mut connection.received_any, true);
@@ -317,7 +319,7 @@
             let alive =
                 !values.is_empty() || !awaits_list && (made_progress || first_bytes && !connection.overdue);
             if !previous && alive {
-                self.deadlines.set(Due::Watch, self.now + MAX_SILENCE);
+                self.deadlines.set(Due::Watch, last_arrival + MAX_SILENCE);
             } else if !previous && self.deadlines.time(Due::Watch).is_none() {
                 // Danger: an overdue answer that begins before the next request keeps its watch, and may stall after these
                 // bytes. So it needs a deadline of its own.
--- a/crates/router/tests/standstill.rs
+++ b/crates/router/tests/standstill.rs
@@ -170,6 +170,29 @@
 
 // ---- time limits of the router's own ----
 
+/// A watch that is silent for this long is replaced; what it misses counts as known 6 s after it fell silent.
+const MAX_SILENCE: Duration = Duration::from_millis(3_000);
+const TOLERANCE: Duration = Duration::from_millis(300);
+
+/// Guards against a watch whose silence counts from the end of a standstill: the list was requested again that much later.
+#[rstest]
+fn silence_of_the_watch_counts_from_its_last_bytes() {
+    let discovery = Discovery::start();
+    let text = configuration(discovery.address, 1024, 192, "null");
+    let router = Router::with_discovery(discovery, &text, None);
+    let mut watch = router.discovery.next_watch();
+    watch.send(&list(1, true, &[]));
+    router.wait_for_log("clients are heard");
+    router.stop();
+    watch.send("");
+    let silent_since = Instant::now();
+    sleep(STANDSTILL);
+    router.signal("-CONT");
+    let requested_at = router.discovery.next_watch().at;
+    let silence = requested_at - silent_since;
+    assert!(silence < MAX_SILENCE + TOLERANCE, "requested again after {silence:?}");
+}
+
 /// A client with a part of a message gets an error, or the end of its connection, within this time of its first byte.
 const PARTIAL_MESSAGE_MAX: Duration = Duration::from_millis(3_000);
 
