The run-time check of late answers leaves out the time spent on earlier commands

Cause: the check counted from the arrival of the command.

Change: the check of late answers counts from the answer before, if that is later; the check of the time told to a member counts from the arrival, as it did. What the router decides has not changed.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -487,7 +487,7 @@
         let Some(client) = self.clients.table.get_mut(key) else { return };
         client.sent_query = true;
         self.deadlines.clear(Due::Message(key));
-        let arrival = client.arrival(left, now);
+        let (arrival, ready_since) = (client.arrival(left, now), client.ready_since);
         let mut answer = Vec::new();
         if pgwire::is_empty(statement) {
             if self.watch.is_ready(self.now) {
@@ -497,7 +497,7 @@
             }
             return self.answer(key, answer);
         }
-        match self.take_command(key, statement, arrival.limit_start()) {
+        match self.take_command(key, statement, arrival.limit_start(), ready_since) {
             Ok(command) => {
                 let client = &mut self.clients.table[key];
                 (client.command, client.query_at, client.served) = (Some(command), arrival.latest, true);
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -177,12 +177,13 @@
         self.commands.table.values().filter(|t| t.client.is_some()).count() as u64
     }
 
-    /// Creates a command from a statement that arrived at `arrived`.
+    /// Creates a command from a statement that arrived at `arrived`; the router is ready for it since `ready_since`.
     pub fn take_command(
         &mut self,
         client: ClientKey,
         statement: &[u8],
         arrived: Tenths,
+        ready_since: Tenths,
     ) -> Result<CommandKey, Rejection> {
         let said = pgwire::parse_metadata(statement).map_err(|why| ("42601", why.to_owned()))?;
         let wait = parse_number(said.wait, "d")?;
@@ -222,8 +223,8 @@
         if self.commands.by_id.contains_key(said.id) {
             return Err(("42710", format!("a command with id {} is open", said.id)));
         }
-        let time_left =
-            self.remaining_time((wait.min(MAX_CLIENT_TIMEOUT_MS) * 10.0) as Tenths - (self.now - arrived));
+        let timeout = (wait.min(MAX_CLIENT_TIMEOUT_MS) * 10.0) as Tenths;
+        let time_left = self.remaining_time(timeout - (self.now - arrived));
         let id = Id::from(said.id);
         // The module stores each session's last write, so the session is passed on only if some command group reads
         // with session consistency.
@@ -239,12 +240,11 @@
         };
         let begun = self.capture.start_record(self.now, asked);
         let group = command_group.clone();
-        let deadline = arrived + (wait.min(MAX_CLIENT_TIMEOUT_MS) * 10.0) as Tenths;
         let command =
             Command { id: id.clone(), command_group, customer, set, time_left, token_age, session, repeat };
         self.commands.router.command_arrived(self.now, command).map_err(|why| ("22023", why))?;
         let statement = Rc::new(Statement { text: statement.to_vec(), wait_at });
-        let history = self.invariants.start_history(&group, deadline);
+        let history = self.invariants.start_history(&group, arrived + timeout, ready_since + timeout);
         let entry = OpenCommand {
             id: id.clone(),
             client: Some(client),
--- a/crates/router/src/invariants.rs
+++ b/crates/router/src/invariants.rs
@@ -23,7 +23,8 @@
     Draining,
     /// An attempt carries a time limit beyond its client's deadline.
     TooLong,
-    /// A final answer is sent more than half a second after its client's deadline.
+    /// A final answer is sent more than half a second after its client's deadline. The time spent on the command before on
+    /// its connection does not count.
     Late,
     /// The router closes a client's connection whose command is unanswered.
     ClosedOwed,
@@ -51,7 +52,10 @@
 #[derive(Debug)]
 pub struct History {
     repeat: Repeat,
+    /// Until when the client waits, counted from the arrival of its command.
     deadline: Tenths,
+    /// The same, counted from the answer to the command before on its connection, if that is later.
+    answer_by: Tenths,
     attempts: Vec<(u32, Tenths, AttemptState)>,
 }
 
@@ -98,10 +102,11 @@
         }
     }
 
-    /// Starts the history of a command whose client waits until `deadline`.
-    pub fn start_history(&self, group: &str, deadline: Tenths) -> History {
+    /// Starts the history of a command whose client waits until `deadline`, or until `answer_by` if the time spent on the
+    /// command before it does not count.
+    pub fn start_history(&self, group: &str, deadline: Tenths, answer_by: Tenths) -> History {
         let repeat = self.repeats.get(group).copied().unwrap_or(Repeat::Never);
-        History { repeat, deadline, attempts: Vec::new() }
+        History { repeat, deadline, answer_by: answer_by.max(deadline), attempts: Vec::new() }
     }
 
     /// Records a member of the list and whether it is draining or removed.
@@ -150,7 +155,7 @@
 
     /// Checks a final answer that is about to be written.
     pub fn check_answer(&mut self, now: Tenths, history: &History) -> Option<Violation> {
-        let late = now > history.deadline + MAX_LATENESS;
+        let late = now > history.answer_by + MAX_LATENESS;
         late.then(|| {
             self.violations.add(Violation::Late);
             Violation::Late
