--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -72,14 +72,14 @@
 impl NodeResult {
     /// The member, if it reports itself as a replica, and when the request was begun.
     fn reported_replica(&self) -> Option<(&Id, Tenths)> {
-        let (node, asked, told) = match self {
+        let (node, asked, reported_roles) = match self {
             NodeResult::Role { node, asked, primary } => (node, asked, [Some(*primary), None]),
             NodeResult::Dispatch { node, asked, note, report, .. }
             | NodeResult::Probe { node, asked, note, report, .. } => {
                 (node, asked, [note.primary, report.primary])
             }
         };
-        told.contains(&Some(false)).then_some((node, *asked))
+        reported_roles.contains(&Some(false)).then_some((node, *asked))
     }
 }
 
@@ -97,26 +97,26 @@
 type Rejection = (&'static str, String);
 
 impl Commands {
-    pub fn start(told: &SettingValues, seed: u64, now: Tenths) -> Result<Commands, String> {
+    pub fn start(settings: &SettingValues, seed: u64, now: Tenths) -> Result<Commands, String> {
         let (table, by_id) = (SlotMap::with_key(), BTreeMap::new());
-        let router = Router::start(told.clone(), seed, now)?;
+        let router = Router::start(settings.clone(), seed, now)?;
         let (groups, customers, sessions) = (BTreeSet::new(), BTreeSet::new(), false);
         let mut commands = Commands { router, table, by_id, groups, customers, sessions };
-        commands.apply_settings(told);
+        commands.apply_settings(settings);
         Ok(commands)
     }
 
     /// Applies new settings to commands that arrive from now on. On error nothing changes.
-    pub fn reconfigure(&mut self, told: &SettingValues) -> Result<(), String> {
-        self.router.reconfigure(told.clone())?;
-        self.apply_settings(told);
+    pub fn reconfigure(&mut self, settings: &SettingValues) -> Result<(), String> {
+        self.router.reconfigure(settings.clone())?;
+        self.apply_settings(settings);
         Ok(())
     }
 
-    fn apply_settings(&mut self, told: &SettingValues) {
-        let names = |list| vetchkeel_settings::list_names(told, list).cloned().collect();
+    fn apply_settings(&mut self, settings: &SettingValues) {
+        let names = |list| vetchkeel_settings::list_names(settings, list).cloned().collect();
         (self.groups, self.customers) = (names("request_classes"), names("projects"));
-        let reads = told.get("family_info.class_read");
+        let reads = settings.get("family_info.class_read");
         self.sessions = reads.is_some_and(|r| r.split(',').any(|r| r == "session"));
     }
 
--- a/crates/router/src/invariants.rs
+++ b/crates/router/src/invariants.rs
@@ -78,14 +78,14 @@
 }
 
 impl Invariants {
-    pub fn new(told: &SettingValues) -> Invariants {
+    pub fn new(settings: &SettingValues) -> Invariants {
         let mut invariants = Invariants::default();
-        invariants.reconfigure(told);
+        invariants.reconfigure(settings);
         invariants
     }
 
-    pub fn reconfigure(&mut self, told: &SettingValues) {
-        let text = |name: &str| told.get(name).map(String::as_str);
+    pub fn reconfigure(&mut self, settings: &SettingValues) {
+        let text = |name: &str| settings.get(name).map(String::as_str);
         let tenths = |name: &str, or: f64| {
             (text(name).and_then(|v| v.parse::<f64>().ok()).unwrap_or(or) * 10.0) as Tenths
         };
--- a/crates/router/src/invariants/tests.rs
+++ b/crates/router/src/invariants/tests.rs
@@ -4,7 +4,7 @@
 const NOW: Tenths = 1_000_000;
 
 fn invariants() -> Invariants {
-    let told = [
+    let settings = [
         ("rules.drain_grace_ms", "500"),
         ("request_classes.0.name", "look"),
         ("request_classes.0.semantics", "pure"),
@@ -14,7 +14,7 @@
         ("request_classes.2.name", "order"),
         ("request_classes.2.semantics", "side_effect"),
     ];
-    Invariants::new(&told.into_iter().map(|(name, value)| (name.to_owned(), value.to_owned())).collect())
+    Invariants::new(&settings.into_iter().map(|(name, value)| (name.to_owned(), value.to_owned())).collect())
 }
 
 fn attempt(number: u32, node: &Id) -> AttemptStart<'_> {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -104,18 +104,18 @@
     /// The longest client timeout in the settings.
     longest_client_timeout: Tenths,
     /// The settings in force.
-    told: SettingValues,
+    settings: SettingValues,
     /// Configuration values that take effect at a start only.
     startup_only: BTreeMap<&'static str, serde_json::Value>,
 }
 
-fn tenths(told: &SettingValues, name: &str, or: f64) -> Tenths {
-    (told.get(name).and_then(|v| v.parse().ok()).unwrap_or(or) * 10.0) as Tenths
+fn tenths(settings: &SettingValues, name: &str, or: f64) -> Tenths {
+    (settings.get(name).and_then(|v| v.parse().ok()).unwrap_or(or) * 10.0) as Tenths
 }
 
-fn longest_client_timeout(told: &SettingValues) -> Tenths {
+fn longest_client_timeout(settings: &SettingValues) -> Tenths {
     let names = (0..).map(|i| format!("request_classes.{i}.hard_limit_ms"));
-    names.take_while(|n| told.contains_key(n)).map(|n| tenths(told, &n, 0.0)).max().unwrap_or(0)
+    names.take_while(|n| settings.contains_key(n)).map(|n| tenths(settings, &n, 0.0)).max().unwrap_or(0)
 }
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -155,7 +155,7 @@
         (clock, polls): (Clock, Polls),
     ) -> Result<Program, String> {
         let now = clock.now();
-        let told = &start.told;
+        let settings = &start.settings;
         let fleet = Fleet::open(&start.name, start.seed, &handle)?;
         let configuration = Configuration::open(&start.name, start.seed, &handle)?;
         let mut program = Program {
@@ -164,13 +164,13 @@
             last_poll: now,
             polls,
             handle,
-            commands: Commands::start(told, start.seed, now)?,
+            commands: Commands::start(settings, start.seed, now)?,
             clients: Clients::new(start.seed),
-            nodes: Nodes::new(told),
+            nodes: Nodes::new(settings),
             watch: Watch::new(start.discovery, start.known, now),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
-            invariants: Invariants::new(told),
+            invariants: Invariants::new(settings),
             capture: Capture::open(&start.name)?,
             fleet,
             configuration,
@@ -178,8 +178,8 @@
             results: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
             stopping: None,
-            longest_client_timeout: longest_client_timeout(told),
-            told: start.told,
+            longest_client_timeout: longest_client_timeout(settings),
+            settings: start.settings,
             startup_only: start.startup_only,
         };
         program.start_watch();
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -42,8 +42,8 @@
             log!(
                 "reload: the settings come from the control machines; those of the file apply only until a control machine is reached"
             );
-        } else if start.told != self.told {
-            match self.apply_settings(start.told) {
+        } else if start.settings != self.settings {
+            match self.apply_settings(start.settings) {
                 Ok(()) => log!("reload: the settings have changed and are in force"),
                 Err(why) => return log!("reload: the configuration stays as it is: {why}"),
             }
@@ -59,14 +59,14 @@
 
     /// Applies new settings from now on, all of them or none; called between two rounds of the event loop. The error is
     /// one line that names what was expected. Open commands keep the settings with which they arrived.
-    pub fn apply_settings(&mut self, told: SettingValues) -> Result<(), String> {
-        vetchkeel_settings::check_client_names(&told)?;
+    pub fn apply_settings(&mut self, settings: SettingValues) -> Result<(), String> {
+        vetchkeel_settings::check_client_names(&settings)?;
         let refused = |why| format!("expected settings that a router can serve under: {why}");
-        self.commands.reconfigure(&told).map_err(refused)?;
-        self.nodes.reconfigure(&told);
-        self.invariants.reconfigure(&told);
-        self.longest_client_timeout = longest_client_timeout(&told);
-        self.told = told;
+        self.commands.reconfigure(&settings).map_err(refused)?;
+        self.nodes.reconfigure(&settings);
+        self.invariants.reconfigure(&settings);
+        self.longest_client_timeout = longest_client_timeout(&settings);
+        self.settings = settings;
         Ok(())
     }
 
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -15,7 +15,7 @@
     pub sockets: usize,
     /// Memory limit in bytes.
     pub memory: usize,
-    pub told: SettingValues,
+    pub settings: SettingValues,
     /// The member list that this router had most recently.
     pub known: Option<MemberList>,
     /// Configuration fields, as in the file, that take effect at a start only.
@@ -40,8 +40,8 @@
         found.parse().map_err(|_| format!("expected an address and port for '{name}', found '{found}'"))
     };
     let settings = config["settings"].as_object().ok_or("expected an object under 'settings'")?;
-    let told = vetchkeel_settings::flatten_settings(settings);
-    vetchkeel_settings::check_client_names(&told)?;
+    let settings = vetchkeel_settings::flatten_settings(settings);
+    vetchkeel_settings::check_client_names(&settings)?;
     let seed = match &config["seed"] {
         Value::String(s) => {
             u64::from_str_radix(s, 16).map_err(|_| format!("expected a hex 'seed', found '{s}'"))?
@@ -61,7 +61,7 @@
         seed,
         sockets: config["limits"]["sockets"].as_u64().unwrap_or(1024) as usize,
         memory: config["limits"]["memory_mb"].as_u64().unwrap_or(192) as usize * 1024 * 1024,
-        told,
+        settings,
         known,
     })
 }
--- a/crates/router/src/startup/tests.rs
+++ b/crates/router/src/startup/tests.rs
@@ -6,9 +6,9 @@
     let text = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
         "settings":{"kinds":["std-4","x,y"],"permissions":{"cancel":true}}}"#;
     let start = start(text, |_| None).expect("readable");
-    let told: Vec<(&str, &str)> = start.told.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    let settings: Vec<(&str, &str)> = start.settings.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
     let want = vec![("kinds", "std-4,x_y"), ("permissions.cancel", "true")];
-    assert_eq!((told, start.seed), (want, 0x8c1f30d27a5be964));
+    assert_eq!((settings, start.seed), (want, 0x8c1f30d27a5be964));
 }
 
 #[rstest]
