A connection just accepted is in no poll yet: its bytes may be older than the last poll

Cause: `Input` took a new connection as drained, so that its first bytes counted as no older than the last poll that was handled whole. A connection that waits in the accept queue (at the limit of descriptors, during the start) is in no poll.

Change: it counts as drained only once a read has found nothing.

--- a/crates/router/src/clients/input.rs
+++ b/crates/router/src/clients/input.rs
@@ -39,7 +39,8 @@
             read: 0,
             received: VecDeque::new(),
             unread_since: connected_at,
-            drained: true,
+            // It was in no poll so far.
+            drained: false,
         }
     }
 
--- a/crates/router/src/clients/input/tests.rs
+++ b/crates/router/src/clients/input/tests.rs
@@ -39,6 +39,15 @@
     assert_eq!(input(handled_until, &[900]).arrival(5), expected);
 }
 
+/// A connection that waited in the accept queue was in no poll meanwhile.
+#[rstest]
+fn first_bytes_arrived_after_the_connection_was_established() {
+    let mut input = Input::new(CONNECTED);
+    input.start_reading(CONNECTED + 20_000);
+    input.push(&[0; 10], CONNECTED + 20_900);
+    assert_eq!(input.arrival(1), range(0, 20_900));
+}
+
 /// Input that stays unread, as enough is buffered, arrived no earlier than what was read before it.
 #[rstest]
 fn input_that_stays_unread_keeps_its_earliest_arrival() {
