Soak: no standstill begins within an injected delay between clock and write

Trace (VETCHKEEL_LOG=all): "attempt 0 at m5 is written 1608 ms after it was decided"; the router was under DelayedSends, which sleeps 100 to 150 ms between the reading of the clock and the write, as the standstill began.

Change: the library injects no delay while a long standstill is about to begin, and one that has begun is waited for. Suspensions of up to 150 ms meet injected delays as before; no bound has changed.

--- a/crates/router/examples/faults/layout.rs
+++ b/crates/router/examples/faults/layout.rs
@@ -55,4 +55,6 @@
 pub const WALL_CLOCK: usize = 40;
 /// The seed of the library's random numbers.
 pub const SEED: usize = 41;
+/// While this is not 0, no call is delayed; it may still fail.
+pub const DELAYS_OFF: usize = 42;
 pub const WORDS: usize = 64;
--- a/crates/router/examples/faults/lib.rs
+++ b/crates/router/examples/faults/lib.rs
@@ -3,7 +3,7 @@
 
 mod layout;
 
-use layout::{FAULTS, Fault, INJECTED, SEED, WALL_CLOCK, WORDS};
+use layout::{DELAYS_OFF, FAULTS, Fault, INJECTED, SEED, WALL_CLOCK, WORDS};
 use libc::{c_int, c_long, c_void, size_t, socklen_t, ssize_t};
 use std::sync::atomic::{AtomicPtr, AtomicU64, Ordering::Relaxed};
 
@@ -262,7 +262,9 @@
 /// Delays the caller by 100 to 150 ms.
 fn stall() {
     let Some(words) = words() else { return };
-    pause(100 + random(words) % 50);
+    if words[DELAYS_OFF].load(Relaxed) == 0 {
+        pause(100 + random(words) % 50);
+    }
 }
 
 const RECEIVE_DELAY_MS: u64 = 300;
--- a/crates/router/tests/common/faults.rs
+++ b/crates/router/tests/common/faults.rs
@@ -4,7 +4,7 @@
 mod layout;
 
 pub use layout::Fault;
-use layout::{INJECTED, SEED, WALL_CLOCK, WORDS};
+use layout::{DELAYS_OFF, INJECTED, SEED, WALL_CLOCK, WORDS};
 use std::fs::OpenOptions;
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
@@ -17,6 +17,9 @@
 /// The rate, in a million calls, at which every call fails.
 pub const ALWAYS: u64 = 1_000_000;
 
+/// Delays of the library are shorter than this.
+const MAX_DELAY: Duration = Duration::from_millis(155);
+
 /// The control file of the fault-injection library, shared with one or more processes.
 pub struct Faults {
     path: PathBuf,
@@ -65,6 +68,14 @@
         }
     }
 
+    /// Lets no call be delayed from now on, or lets delays be injected again. Waits for a delay that has begun.
+    pub fn suspend_delays(&self, off: bool) {
+        self.words[DELAYS_OFF].store(off as u64, Relaxed);
+        if off {
+            sleep(MAX_DELAY);
+        }
+    }
+
     /// Sets the offset of the wall clock, in milliseconds.
     pub fn step_wall_clock(&self, by: i64) {
         self.words[WALL_CLOCK].store((by * 1_000) as u64, Relaxed);
--- a/crates/router/tests/soak/routers.rs
+++ b/crates/router/tests/soak/routers.rs
@@ -127,8 +127,21 @@
     }
 
     /// Suspends the process for this long; it is not replaced meanwhile.
+    pub fn suspend(&self, span: Duration) {
+        let _replacing = self.replacing.lock().expect("no panic");
+        self.stop_and_continue(span);
+    }
+
+    /// Suspends the process for longer than it may be delayed between reading the clock and writing: no standstill begins within an
+    /// injected delay there, as nothing could keep the time that is being written from growing old.
     pub fn stand_still(&self, span: Duration) {
         let _replacing = self.replacing.lock().expect("no panic");
+        self.faults.suspend_delays(true);
+        self.stop_and_continue(span);
+        self.faults.suspend_delays(false);
+    }
+
+    fn stop_and_continue(&self, span: Duration) {
         self.ledger.standstill_begun(self.number);
         self.signal(libc::SIGSTOP);
         thread::sleep(span);
@@ -155,6 +168,7 @@
         // SAFETY: only numbers are passed, and the child has not been waited for yet, so its process id is valid.
         let signal = |signal| unsafe { libc::kill(child.id() as libc::pid_t, signal) };
         if let Some(standstill) = standstill {
+            self.faults.suspend_delays(true);
             self.ledger.standstill_begun(self.number);
             signal(libc::SIGSTOP);
             thread::sleep(standstill.before_signal);
@@ -176,6 +190,7 @@
                 // SAFETY: as above.
                 unsafe { libc::kill(child.id() as libc::pid_t, libc::SIGCONT) };
                 self.ledger.standstill_ended(self.number);
+                self.faults.suspend_delays(false);
             }
             if let Some(signal) = signals.next() {
                 // SAFETY: as above.
