A poll that may have left events behind proves nothing: the loop's own events count too

By reading: a poll reports 1,024 events at most, and the event loop's timer is one of them, so that 1,023 of ours are a full poll already.

--- a/crates/router/src/polls.rs
+++ b/crates/router/src/polls.rs
@@ -17,8 +17,9 @@
 const MAX_UNDISTURBED: Tenths = MAX_SLEEP + MAX_POLL_AGE + MAX_WORK;
 /// A longer time between two polls is counted and logged as a standstill.
 const MIN_STANDSTILL: Tenths = 2_000;
-/// The number of events that one poll reports at most; the rest is left for the next poll.
-const MAX_EVENTS: usize = 1_024;
+/// A poll that reports this many events may have left others for the next one. It reports 1,024 at most, those of the
+/// event loop itself among them.
+const MAX_EVENTS: usize = 1_000;
 
 /// The time at which something happened, known to within a range.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
