--- a/crates/router/tests/standstill.rs
+++ b/crates/router/tests/standstill.rs
@@ -51,6 +51,41 @@
     assert!(signalled_at.elapsed() < KILL_DELAY, "ended {:?} after SIGTERM", signalled_at.elapsed());
 }
 
+/// A second SIGTERM, which comes during a standstill, does not begin the steps of stopping again.
+#[rstest]
+fn second_sigterm_during_a_standstill_leaves_the_time_to_sigkill() {
+    let (_node, mut router) = start_with_primary(|_| Reply::Nothing);
+    let mut client = Client::connect(&router);
+    router.signal("-TERM");
+    let signalled_at = Instant::now();
+    router.wait_for_log("stopping");
+    router.stop();
+    router.signal("-TERM");
+    sleep_until(signalled_at + Duration::from_millis(1_380));
+    router.signal("-CONT");
+    sleep_until(signalled_at + SENT_AFTER_SIGTERM);
+    let answer = client.query(&order("late", CLIENT_TIMEOUT_MS));
+    assert!(matches!(answer, Answer::Error(..)), "{answer:?}");
+    assert!(router.wait().success());
+    assert!(signalled_at.elapsed() < KILL_DELAY, "ended {:?} after SIGTERM", signalled_at.elapsed());
+}
+
+/// After SIGHUP the list of the new discovery address counts as known 4 s later, also if SIGHUP comes at the beginning of a
+/// standstill and the first request is not answered.
+#[rstest]
+fn list_is_requested_again_within_4_s_of_a_sighup_during_a_standstill() {
+    let (_node, router) = start_with_primary(|_| Reply::Send(row("r")));
+    let new = Discovery::with_handler(|_, _| {});
+    router.stop();
+    router.reload(&configuration(new.address, 1024, 192, "null"));
+    let signalled_at = Instant::now();
+    sleep(STANDSTILL);
+    router.signal("-CONT");
+    let _unanswered = new.next_watch();
+    let took = new.next_watch().at - signalled_at;
+    assert!(took < Duration::from_millis(4_000), "requested again after {took:?}");
+}
+
 /// SIGTERM may as well have come at the end of the standstill, so clients that connect from then on are still accepted.
 #[rstest]
 fn clients_connect_after_a_sigterm_during_a_standstill() {
