Router: the age of the last poll is kept beside the polls, no longer twice

Program.last_poll and Polls.began held the same time but for reads without a poll, which have a name of their own now. No change of behaviour; a unit test for each of the two uses.

--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -1,5 +1,5 @@
-//! How long ago the last bytes of a connection arrived, according to the kernel (`TCP_INFO`): after a stall of the
-//! process, or from the accept queue, bytes are read well after their arrival.
+//! How long ago a connection was established and its last bytes arrived, according to the kernel (`TCP_INFO`): after a
+//! stall of the process, or from the accept queue, bytes are read well after their arrival.
 
 use std::mem::MaybeUninit;
 use std::net::TcpStream;
@@ -28,8 +28,8 @@
     if age >= MIN_AGE { age } else { 0 }
 }
 
-/// The time since the connection was established, if nothing has been sent on it yet; until then the kernel counts the
-/// time since the last send from there.
+/// The time since the connection was established, for a connection on which nothing has been sent: until the first send,
+/// the kernel counts the time since the last one from there.
 pub fn time_since_connected(stream: &TcpStream) -> Option<Tenths> {
     info(stream).map(|info| Tenths::from(info.tcpi_last_data_sent) * 10 + MIN_AGE)
 }
--- a/crates/router/src/catch_up.rs
+++ b/crates/router/src/catch_up.rs
@@ -3,7 +3,6 @@
 //! meanwhile may forbid the write: a cancel request, a member's report that it is no longer primary, a changed member
 //! list.
 
-use crate::polls::MAX_POLL_AGE;
 use crate::{Program, STALL_THRESHOLD};
 use calloop::EventLoop;
 use std::time::Duration;
@@ -33,7 +32,6 @@
     timeout: impl Fn(&Program) -> Tenths,
 ) -> calloop::Result<()> {
     let began = program.clock.now();
-    program.last_poll = began;
     if let Some(standstill) = program.polls.begin(began) {
         log!("the process stood still: {} ms passed between two polls", standstill / 10);
     }
@@ -41,9 +39,7 @@
     event_loop
         .dispatch(Duration::from_micros(timeout as u64 * 100), program)
         .inspect_err(|_| program.polls.fail())?;
-    if program.polls.time_out(began + timeout, program.clock.now()) {
-        program.last_poll = began + timeout;
-    }
+    program.polls.end(began + timeout, program.clock.now());
     Ok(())
 }
 
@@ -55,9 +51,8 @@
             || self.deadlines.first().is_some_and(|at| at + STALL_THRESHOLD < self.clock.now())
     }
 
-    /// The operators' documentation allows 100 ms from a cancel request, or from an answer, to an attempt that it forbids.
     fn poll_is_stale(&self) -> bool {
-        self.clock.now() - self.last_poll > MAX_POLL_AGE
+        self.polls.is_stale(self.clock.now())
     }
 
     /// Reads pending input if the last poll was long ago; called before decisions are pulled and before an attempt is
@@ -72,7 +67,7 @@
 
     /// Reads all input that may forbid a write. A client's own connection is checked at each write (`drop_disconnected_client`).
     fn read_pending_input(&mut self) {
-        self.last_poll = self.now;
+        self.polls.check_input(self.now);
         self.read_watches();
         self.accept_waiting();
         for key in self.clients.opening() {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -34,11 +34,11 @@
 /// How long a client may take from connecting to its first complete query, and for any message that it has begun; to
 /// read its answers; to close after the router has shut down its side.
 const MESSAGE_TIMEOUT: Tenths = 25_000;
+const READ_TIMEOUT: Tenths = 100_000;
+const CLOSE_TIMEOUT: Tenths = 10_000;
 /// The time from the first byte of a message to the error if the rest does not come. The operators' documentation allows
 /// 3 s.
 const MAX_PARTIAL_MESSAGE: Tenths = 28_500;
-const READ_TIMEOUT: Tenths = 100_000;
-const CLOSE_TIMEOUT: Tenths = 10_000;
 /// Reads and messages that one client may use up in one round of the event loop.
 const MAX_STEPS_PER_ROUND: u32 = 32;
 /// Resolution for comparing arrival times on two connections, each of which is known to within `MIN_AGE`.
@@ -169,8 +169,8 @@
         // Not essential: without it answers are slightly delayed.
         let _ = stream.set_nodelay(true);
         // Without the system's report, a client that is accepted now has connected since the last poll.
-        let connected_at = time_since_connected(&stream)
-            .map_or(self.polls.reported(self.now).earliest, |age| self.now - age);
+        let connected_at =
+            time_since_connected(&stream).map_or(self.polls.handled_until(), |age| self.now - age);
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let key = self.clients.table.insert(Client {
@@ -281,7 +281,7 @@
 
     fn fill_input(&mut self, key: ClientKey) {
         if let Some(client) = self.clients.table.get_mut(key) {
-            client.input.start_reading(self.polls.reported(self.now).earliest);
+            client.input.start_reading(self.polls.handled_until());
             if client.paused {
                 client.ready_since = self.now;
             }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -81,8 +81,6 @@
 pub struct Program {
     clock: Clock,
     now: Tenths,
-    /// When the sockets were last polled: all input that arrived before this time has been read.
-    last_poll: Tenths,
     polls: Polls,
     handle: LoopHandle<'static, Program>,
     commands: Commands,
@@ -161,7 +159,6 @@
         let mut program = Program {
             clock,
             now,
-            last_poll: now,
             polls,
             handle,
             commands: Commands::start(settings, start.seed, now)?,
--- a/crates/router/src/polls.rs
+++ b/crates/router/src/polls.rs
@@ -9,7 +9,7 @@
 /// time shows a standstill.
 pub const MAX_SLEEP: Tenths = 800;
 /// A poll that took longer is followed by another one at once.
-pub const MAX_POLL_AGE: Tenths = 500;
+const MAX_POLL_AGE: Tenths = 500;
 /// The work of an undisturbed event loop between two polls.
 const MAX_WORK: Tenths = 200;
 /// A range of this width or less is what an undisturbed event loop shows. The operators' documentation allows the same
@@ -47,6 +47,8 @@
     began: Tenths,
     /// All input that arrived before this time has been reported by a poll that is completely handled.
     handled_until: Tenths,
+    /// All input that may forbid a write, if it arrived before this time, has been read.
+    checked_until: Tenths,
     /// Events that the last poll has reported so far.
     events: usize,
     /// Standstills so far, and the longest one.
@@ -57,7 +59,14 @@
 impl Polls {
     /// Nothing that is reported later happened before `now`.
     pub fn new(now: Tenths) -> Polls {
-        Polls { began: now, handled_until: now, events: 0, standstills: 0, longest_standstill: 0 }
+        Polls {
+            began: now,
+            handled_until: now,
+            checked_until: now,
+            events: 0,
+            standstills: 0,
+            longest_standstill: 0,
+        }
     }
 
     /// A poll begins; everything that the last one reported is handled. Returns how long the event loop stood still
@@ -67,7 +76,7 @@
         if self.events < MAX_EVENTS {
             self.handled_until = self.began;
         }
-        (self.began, self.events) = (now, 0);
+        (self.began, self.checked_until, self.events) = (now, now, 0);
         let standstill = Some(since_last).filter(|since_last| *since_last > MIN_STANDSTILL);
         if let Some(length) = standstill {
             self.standstills += 1;
@@ -81,13 +90,23 @@
         self.events += 1;
     }
 
-    /// The last poll has returned, and its sleep was to end at `until`. Returns whether it ended then, without an event.
-    pub fn time_out(&mut self, until: Tenths, now: Tenths) -> bool {
-        let timed_out = self.events == 0 && (until..=until + MAX_WORK).contains(&now);
-        if timed_out {
-            self.began = until;
+    /// The last poll has returned, and its sleep was to end at `until`. If it ended then, without an event, nothing had
+    /// arrived by then.
+    pub fn end(&mut self, until: Tenths, now: Tenths) {
+        if self.events == 0 && (until..=until + MAX_WORK).contains(&now) {
+            (self.began, self.checked_until) = (until, until);
         }
-        timed_out
+    }
+
+    /// All input that may forbid a write is being read, without a poll.
+    pub fn check_input(&mut self, now: Tenths) {
+        self.checked_until = now;
+    }
+
+    /// Whether input that forbids a write may have arrived too long ago. The operators' documentation allows 100 ms from
+    /// a cancel request, or from an answer, to an attempt that it forbids.
+    pub fn is_stale(&self, now: Tenths) -> bool {
+        now - self.checked_until > MAX_POLL_AGE
     }
 
     /// The last poll has failed: events that it should have reported may be lost.
@@ -95,6 +114,11 @@
         self.events = MAX_EVENTS;
     }
 
+    /// All input that arrived before this time has been reported and handled.
+    pub fn handled_until(&self) -> Tenths {
+        self.handled_until
+    }
+
     /// When something happened that the last poll has reported.
     pub fn reported(&self, now: Tenths) -> TimeRange {
         TimeRange::new(self.handled_until, now)
--- a/crates/router/src/polls/tests.rs
+++ b/crates/router/src/polls/tests.rs
@@ -32,7 +32,7 @@
     let mut polls = polls(&[(10, 0), (400, 1)]);
     polls.fail();
     polls.begin(START + 500);
-    assert_eq!(polls.handled_until, START + 10);
+    assert_eq!(polls.handled_until(), START + 10);
 }
 
 #[rstest]
@@ -46,9 +46,9 @@
     #[case] earliest: Tenths,
 ) {
     let mut polls = polls(&[(0, events)]);
-    polls.time_out(START + 800, START + 800 + late);
+    polls.end(START + 800, START + 800 + late);
     polls.begin(START + 20_000);
-    assert_eq!(polls.handled_until, START + earliest);
+    assert_eq!(polls.handled_until(), START + earliest);
 }
 
 #[rstest]
@@ -70,3 +70,19 @@
 ) {
     assert_eq!(TimeRange::new(START + earliest, START).limit_start(), START + expected);
 }
+
+#[rstest]
+#[case::recent(510, false)]
+#[case::old(511, true)]
+fn a_poll_is_stale_after_50_ms(#[case] at: Tenths, #[case] expected: bool) {
+    assert_eq!(polls(&[(10, 0)]).is_stale(START + at), expected);
+}
+
+/// Reading the input that may forbid a write says nothing of all other input.
+#[rstest]
+fn a_check_of_some_input_is_no_poll() {
+    let mut polls = polls(&[(10, 0), (400, 1)]);
+    polls.check_input(START + 14_000);
+    assert!(!polls.is_stale(START + 14_010));
+    assert_eq!(polls.handled_until(), START + 10);
+}
