Soak: a suspension of up to 150 ms excuses nothing, as before

Reading the change again: suspensions of the old course were recorded as standstills too, so that a late answer could have up to 150 ms more than before. Only the long standstills are recorded now; the old course judges as it did.

--- a/crates/router/tests/soak/routers.rs
+++ b/crates/router/tests/soak/routers.rs
@@ -126,7 +126,8 @@
         }
     }
 
-    /// Suspends the process for this long; it is not replaced meanwhile.
+    /// Suspends the process for this long; it is not replaced meanwhile. The tolerances of the ledger cover a short time, which
+    /// excuses nothing.
     pub fn suspend(&self, span: Duration) {
         let _replacing = self.replacing.lock().expect("no panic");
         self.stop_and_continue(span);
@@ -137,16 +138,16 @@
     pub fn stand_still(&self, span: Duration) {
         let _replacing = self.replacing.lock().expect("no panic");
         self.faults.suspend_delays(true);
+        self.ledger.standstill_begun(self.number);
         self.stop_and_continue(span);
+        self.ledger.standstill_ended(self.number);
         self.faults.suspend_delays(false);
     }
 
     fn stop_and_continue(&self, span: Duration) {
-        self.ledger.standstill_begun(self.number);
         self.signal(libc::SIGSTOP);
         thread::sleep(span);
         self.signal(libc::SIGCONT);
-        self.ledger.standstill_ended(self.number);
     }
 
     pub fn signal(&self, signal: libc::c_int) {
