--- a/docs/measured/slopes.hcl
+++ b/docs/measured/slopes.hcl
@@ -1,5 +1,117 @@
 # Measured by `vetchkeel lab slopes`, never by hand: need = base + value x size.
 
+slope "configuration.bytes.change" {
+  unit     = "bytes"
+  per      = "change"
+  base     = -3.1666666666751553
+  value    = 1701.0083333333337
+  low      = 1700.875
+  high     = 1701.1
+  residual = 1.9604960055945893e-5
+  largest  = 20
+  sizes    = [4, 8, 12, 16, 20]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.bytes.change"
+  cores    = 8
+}
+
+slope "configuration.bytes.whole" {
+  unit     = "bytes"
+  per      = "byte of settings"
+  base     = 3329.4666666666635
+  value    = 0.92096
+  low      = 0.91988
+  high     = 0.92209
+  residual = 0.004361865438568852
+  largest  = 50000
+  sizes    = [10000, 20000, 30000, 40000, 50000]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.bytes.whole"
+  cores    = 8
+}
+
+slope "configuration.cpu.change" {
+  unit     = "seconds"
+  per      = "change"
+  base     = 6.607666666666803e-6
+  value    = 5.4886816666666654e-5
+  low      = 5.4682025000000004e-5
+  high     = 5.508857500000001e-5
+  residual = 0.005480159837995093
+  largest  = 20
+  sizes    = [4, 8, 12, 16, 20]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.cpu.change"
+  cores    = 8
+}
+
+slope "configuration.machine.bytes.router" {
+  unit     = "bytes"
+  per      = "router"
+  base     = 0
+  value    = 1700.25
+  low      = 1700
+  high     = 1700.5
+  residual = 0
+  largest  = 420
+  sizes    = [25, 50, 105, 210, 420]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.machine.bytes.router"
+  cores    = 8
+}
+
+slope "configuration.machine.cpu.router" {
+  unit     = "seconds"
+  per      = "router"
+  base     = 3.0064000265880853e-5
+  value    = 2.0874595986013085e-5
+  low      = 1.6683345552547618e-5
+  high     = 2.789768234313062e-5
+  residual = 0.1204209580515697
+  largest  = 420
+  sizes    = [25, 50, 105, 210, 420]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.machine.cpu.router"
+  cores    = 8
+}
+
+slope "configuration.machine.memory.router" {
+  unit     = "bytes"
+  per      = "router"
+  base     = 172066.63237616426
+  value    = 531.3944503528957
+  low      = 528.3907570337426
+  high     = 534.471159238132
+  residual = 0.015746322377762148
+  largest  = 420
+  sizes    = [25, 50, 105, 210, 420]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.machine.memory.router"
+  cores    = 8
+}
+
+slope "configuration.memory.document" {
+  unit     = "bytes"
+  per      = "byte of settings"
+  base     = 35.19999999999709
+  value    = 1.68192
+  low      = 1.68192
+  high     = 1.68192
+  residual = 0.00900383141762439
+  largest  = 50000
+  sizes    = [10000, 20000, 30000, 40000, 50000]
+  runs     = 3
+  kind     = "simulated"
+  command  = "vetchkeel lab slopes --only configuration.memory.document"
+  cores    = 8
+}
+
 slope "list.whole.bytes" {
   unit     = "bytes"
   per      = "member"
@@ -211,11 +323,11 @@
 slope "router.cpu.idle.member" {
   unit     = "seconds"
   per      = "member"
-  base     = 1.9639121261460582e-5
-  value    = 1.9602059117926327e-9
-  low      = -1.518482774558831e-10
-  high     = 5.859374076796207e-9
-  residual = 0.1480672257313424
+  base     = 8.369949513135607e-4
+  value    = -4.373863425714506e-9
+  low      = -4.895865331132463e-9
+  high     = -3.6831439857771594e-9
+  residual = 0.011252975869401105
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -323,11 +435,11 @@
 slope "router.list.silent" {
   unit     = "bytes a second"
   per      = "member"
-  base     = 1567.730378186301
-  value    = 45.93426818056759
-  low      = 43.29490294853864
-  high     = 47.72503516227654
-  residual = 0.5925827234098452
+  base     = 20.532888120156713
+  value    = 48.05680541274248
+  low      = 47.731109646827676
+  high     = 48.259659907795346
+  residual = 7.0379544398479444e-3
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -355,11 +467,11 @@
 slope "router.memory.member" {
   unit     = "bytes"
   per      = "member"
-  base     = 3427645.5614006063
-  value    = 1819.3851535704441
-  low      = 1808.6025210918115
-  high     = 1827.9272390405295
-  residual = 0.036232594769891886
+  base     = 3526343.181692859
+  value    = 2212.684722360077
+  low      = 2211.643500413565
+  high     = 2213.2154971050454
+  residual = 0.00864453971354378
   largest  = 4900
   sizes    = [50, 500, 1225, 2450, 4900]
   runs     = 3
@@ -543,115 +655,3 @@
   command  = "vetchkeel lab slopes --only subset.cpu.router_member"
   cores    = 8
 }
-
-slope "configuration.bytes.change" {
-  unit     = "bytes"
-  per      = "change"
-  base     = -3.1666666666751553
-  value    = 1701.0083333333337
-  low      = 1700.875
-  high     = 1701.1
-  residual = 1.9604960055945893e-5
-  largest  = 20
-  sizes    = [4, 8, 12, 16, 20]
-  runs     = 3
-  kind     = "simulated"
-  command  = "vetchkeel lab slopes --only configuration.bytes.change"
-  cores    = 8
-}
-
-slope "configuration.bytes.whole" {
-  unit     = "bytes"
-  per      = "byte of settings"
-  base     = 3329.4666666666635
-  value    = 0.92096
-  low      = 0.91988
-  high     = 0.92209
-  residual = 0.004361865438568852
-  largest  = 50000
-  sizes    = [10000, 20000, 30000, 40000, 50000]
-  runs     = 3
-  kind     = "simulated"
-  command  = "vetchkeel lab slopes --only configuration.bytes.whole"
-  cores    = 8
-}
-
-slope "configuration.cpu.change" {
-  unit     = "seconds"
-  per      = "change"
-  base     = 6.607666666666803e-6
-  value    = 5.4886816666666654e-5
-  low      = 5.4682025000000004e-5
-  high     = 5.508857500000001e-5
-  residual = 0.005480159837995093
-  largest  = 20
-  sizes    = [4, 8, 12, 16, 20]
-  runs     = 3
-  kind     = "simulated"
-  command  = "vetchkeel lab slopes --only configuration.cpu.change"
-  cores    = 8
-}
-
-slope "configuration.machine.bytes.router" {
-  unit     = "bytes"
-  per      = "router"
-  base     = 0
-  value    = 1700.25
-  low      = 1700
-  high     = 1700.5
-  residual = 0
-  largest  = 420
-  sizes    = [25, 50, 105, 210, 420]
-  runs     = 3
-  kind     = "simulated"
-  command  = "vetchkeel lab slopes --only configuration.machine.bytes.router"
-  cores    = 8
-}
-
-slope "configuration.machine.cpu.router" {
-  unit     = "seconds"
-  per      = "router"
-  base     = 3.0064000265880853e-5
-  value    = 2.0874595986013085e-5
-  low      = 1.6683345552547618e-5
-  high     = 2.789768234313062e-5
-  residual = 0.1204209580515697
-  largest  = 420
-  sizes    = [25, 50, 105, 210, 420]
-  runs     = 3
-  kind     = "simulated"
-  command  = "vetchkeel lab slopes --only configuration.machine.cpu.router"
-  cores    = 8
-}
-
-slope "configuration.machine.memory.router" {
-  unit     = "bytes"
-  per      = "router"
-  base     = 172066.63237616426
-  value    = 531.3944503528957
-  low      = 528.3907570337426
-  high     = 534.471159238132
-  residual = 0.015746322377762148
-  largest  = 420
-  sizes    = [25, 50, 105, 210, 420]
-  runs     = 3
-  kind     = "simulated"
-  command  = "vetchkeel lab slopes --only configuration.machine.memory.router"
-  cores    = 8
-}
-
-slope "configuration.memory.document" {
-  unit     = "bytes"
-  per      = "byte of settings"
-  base     = 35.19999999999709
-  value    = 1.68192
-  low      = 1.68192
-  high     = 1.68192
-  residual = 0.00900383141762439
-  largest  = 50000
-  sizes    = [10000, 20000, 30000, 40000, 50000]
-  runs     = 3
-  kind     = "simulated"
-  command  = "vetchkeel lab slopes --only configuration.memory.document"
-  cores    = 8
-}
