Control: slow disks no longer keep a fleet without a writer

A vote waits for a write of the candidate and one of the voter, each with two syncs, and the first ballot wrote two records on either side. request_votes (machine/vote.rs) ended a ballot a third of `patience` after its begin, so that no vote was ever in time; run_election and run_writer had too little time for the writer's first change.

Change: machine/write_time.rs measures the writes; ballots, a keeper's wait before it stands and a writer's wait for its majority are longer by twice the slowest write of the last minute, at most by 4 times `stand`. Late votes tell of another keeper's slow disk. The host reads the clock for each decision, writes records that are ordered together once, and logs a slow write.

Result: publishing_continues_on_slow_disks (0.45 s a sync) fails before ("published: : not within 60s"), passes now.

--- a/crates/configuration/src/machine.rs
+++ b/crates/configuration/src/machine.rs
@@ -5,6 +5,7 @@
 mod serve;
 mod vote;
 mod write;
+mod write_time;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
@@ -19,6 +20,10 @@
 use serve::{Cache, Session};
 use vote::Candidacy;
 use write::WriterState;
+use write_time::WriteTime;
+
+/// Maximum by which a slow disk lengthens a timeout, in election timeouts.
+const MAX_WRITE_ALLOWANCE: Tenths = 4;
 
 /// What the host has to do, in the order in which it is returned.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -116,8 +121,13 @@
     last_writer: Option<(Name, u32, Tenths)>,
     no_writer_reported: bool,
     started_at: Tenths,
-    /// When this keeper starts an election.
+    /// When this keeper starts an election, before the allowance for writes.
     election_at: Tenths,
+    write_time: WriteTime,
+    /// The epoch of this keeper's last ballot that was not a trial, and when it began.
+    last_ballot: Option<(u32, Tenths)>,
+    /// Number of records of persisted state so far.
+    records: u64,
     /// The highest epoch seen in any message.
     highest_epoch: u32,
     /// Every version up to this one has had its verdict.
@@ -187,6 +197,9 @@
             no_writer_reported: false,
             started_at: now,
             election_at: now,
+            write_time: WriteTime::default(),
+            last_ballot: None,
+            records: 0,
             judged: Version::NONE,
             sessions: BTreeMap::new(),
             schedule: BTreeSet::new(),
@@ -246,10 +259,15 @@
         self.catch_up.connection_lost(now, from);
     }
 
-    /// The next action for the host, or `None` if there is nothing left to do.
+    /// The next action for the host, or `None` if there is nothing left to do. `now` is read anew for each call: the
+    /// time from an [`Action::Persist`] to the next call is taken for the duration of the write.
     pub fn next_decision(&mut self, now: Tenths) -> Option<Action> {
+        self.write_time.end(now);
         loop {
             if let Some(order) = self.orders.pop_front() {
+                if matches!(order, Action::Persist(_)) {
+                    self.write_time.begin(now);
+                }
                 return Some(order);
             }
             self.check_writer_contact(now);
@@ -267,11 +285,11 @@
     /// When to call `next_decision` again if nothing arrives before.
     pub fn wake_at(&self) -> Option<Tenths> {
         let role = match &self.role {
-            Role::Follower => self.is_keeper().then_some(self.election_at),
-            Role::Candidate(candidacy) => Some(candidacy.until),
+            Role::Follower => self.is_keeper().then_some(self.election_at + self.write_allowance()),
+            Role::Candidate(candidacy) => Some(candidacy.until + self.write_allowance()),
             Role::Writer(state) => Some(self.writer_wake_at(state)),
         };
-        let report = (!self.no_writer_reported).then(|| self.last_writer_contact() + self.plan.patience);
+        let report = (!self.no_writer_reported).then(|| self.last_writer_contact() + self.contact_limit());
         let due = self.schedule.first().map(|(at, _)| *at);
         [role, report, due, self.catch_up_at(), self.report_at()].into_iter().flatten().min()
     }
@@ -281,6 +299,12 @@
         &self.kept
     }
 
+    /// Number of records so far. A state that was written whole at this number needs no further write for an
+    /// [`Action::Persist`] that is returned while the number stays the same.
+    pub fn persisted_records(&self) -> u64 {
+        self.records
+    }
+
     /// The newest released version that this machine holds.
     pub fn version(&self) -> Version {
         self.kept.version()
@@ -348,17 +372,35 @@
         never || now - self.last_writer_contact() >= self.plan.patience
     }
 
-    /// Handles the loss of contact with the writer, once the plan's `patience` is over.
+    /// How long after the last contact with a writer this machine reports that it has none, and the writer itself stops.
+    fn contact_limit(&self) -> Tenths {
+        match self.role {
+            Role::Writer(_) => self.plan.patience + self.write_allowance(),
+            _ => self.plan.patience,
+        }
+    }
+
+    /// Handles the loss of contact with the writer, once the limit is over.
     fn check_writer_contact(&mut self, now: Tenths) {
-        if !self.no_writer_reported && now - self.last_writer_contact() >= self.plan.patience {
+        if !self.no_writer_reported && now - self.last_writer_contact() >= self.contact_limit() {
             self.no_writer_reported = true;
             let since = self.last_writer_contact();
             self.notify(Event::NoWriter(since));
         }
     }
 
+    /// By how much this machine's timeouts are longer because disks are slow.
+    fn write_allowance(&self) -> Tenths {
+        self.write_time.allowance(self.max_write_allowance())
+    }
+
+    fn max_write_allowance(&self) -> Tenths {
+        MAX_WRITE_ALLOWANCE * self.plan.stand
+    }
+
     fn persist(&mut self, record: Record) {
         self.kept.apply(&record, &self.plan);
+        self.records += 1;
         self.orders.push_back(Action::Persist(record));
     }
 
--- a/crates/configuration/src/machine/vote.rs
+++ b/crates/configuration/src/machine/vote.rs
@@ -11,6 +11,7 @@
     epoch: u32,
     trial: bool,
     founding: bool,
+    /// When the ballot ends, before the allowance for writes.
     pub(super) until: Tenths,
     votes: BTreeMap<Name, Vote>,
 }
@@ -31,13 +32,14 @@
 
     /// Starts an election when no writer was heard within the timeout, and ends an election that has timed out.
     pub(super) fn run_election(&mut self, now: Tenths) {
+        let allowance = self.write_allowance();
         match &self.role {
-            Role::Follower if self.is_keeper() && now >= self.election_at => {
+            Role::Follower if self.is_keeper() && now >= self.election_at + allowance => {
                 // A keeper that was partitioned would raise the epoch again and again, and depose a working writer on
                 // its return. So it first runs a trial ballot, which only asks whether votes would be granted.
                 self.request_votes(now, true, false);
             }
-            Role::Candidate(candidacy) if now >= candidacy.until => {
+            Role::Candidate(candidacy) if now >= candidacy.until + allowance => {
                 self.role = Role::Follower;
                 self.reset_election_timer(now);
             }
@@ -50,6 +52,7 @@
         if !trial {
             self.persist(Record::Promised(epoch));
             self.highest_epoch = epoch;
+            self.last_ballot = Some((epoch, now));
             if founding && self.kept.nonvoting {
                 self.settle();
             }
@@ -122,6 +125,13 @@
         if !self.keepers.contains(from) {
             return;
         }
+        // A vote that is too late for any ballot tells of a paused process or a cut link.
+        let longest = self.plan.patience / 3 + self.max_write_allowance();
+        let ballot =
+            self.last_ballot.filter(|(last, began)| !trial && *last == epoch && now - began <= longest);
+        if let Some((_, began)) = ballot {
+            self.write_time.record_vote(now, now - began);
+        }
         let Role::Candidate(candidacy) = &mut self.role else { return };
         if (candidacy.epoch, candidacy.trial) == (epoch, trial) {
             candidacy.votes.insert(from.clone(), Vote { granted, held, nonvoting });
--- a/crates/configuration/src/machine/write.rs
+++ b/crates/configuration/src/machine/write.rs
@@ -114,14 +114,15 @@
     pub(super) fn writer_wake_at(&self, state: &WriterState) -> Tenths {
         let verdict = state.awaiting_verdict.values().min().copied();
         let check = state.verdict_check_at.filter(|_| !state.awaiting_verdict.is_empty());
-        let over = Some(state.last_majority_at + self.plan.patience);
+        let over = Some(state.last_majority_at + self.contact_limit());
         let at = [Some(state.next_round), verdict, check, over].into_iter().flatten().min();
         at.unwrap_or(state.next_round)
     }
 
     pub(super) fn run_writer(&mut self, now: Tenths) {
+        let contact_limit = self.contact_limit();
         let Role::Writer(state) = &mut self.role else { return };
-        if now - state.last_majority_at >= self.plan.patience {
+        if now - state.last_majority_at >= contact_limit {
             // Without a majority nothing can be released here; stopping lets those who ask know it.
             return self.step_down(now);
         }
--- a/crates/configuration/tests/fleet.rs
+++ b/crates/configuration/tests/fleet.rs
@@ -125,6 +125,37 @@
     }
 }
 
+/// The disks of the first `slow_keepers` keepers take `write_time` for each write, as on a machine whose disk is busy.
+#[rstest]
+fn writer_is_elected_and_changes_are_released_on_slow_disks(
+    #[values((3, 3, 6), (20, 5, 60))] fleet: (usize, usize, usize),
+    #[values(2_000, 6_000, 10_000, 20_000)] write_time: Tenths,
+    #[values(1, 2, 3)] slow_keepers: usize,
+) {
+    let (machines, keepers, routers) = fleet;
+    for seed in 0..10 {
+        let mut world = World::new(machines, keepers, routers, seed);
+        for keeper in 0..slow_keepers {
+            world.nodes[keeper].write_time = write_time;
+        }
+        world.start_all();
+        let converged = world.run_until(60 * SECOND, World::has_converged);
+        assert!(converged.is_some(), "seed {seed}: not converged on one version after the start");
+        let published = publish(&mut world, "limit", "7", 30 * SECOND);
+        assert!(published.is_some(), "seed {seed}: no machine accepts the change");
+        let took = world.run_until(60 * SECOND, |world| world.in_force_everywhere("limit", "7"));
+        assert!(took.is_some(), "seed {seed}: not in force everywhere");
+        // The writer stays: a slow disk is not taken for a lost writer again and again.
+        let epoch = world.writer().and_then(|at| world.machine(at)?.writer_epoch());
+        world.events.clear();
+        world.run(120 * SECOND);
+        let no_writer = world.events.iter().find(|(.., event)| matches!(event, Event::NoWriter(_)));
+        assert_eq!(no_writer, None, "seed {seed}");
+        let later = world.writer().and_then(|at| world.machine(at)?.writer_epoch());
+        assert_eq!(later, epoch, "seed {seed}: the writer was deposed");
+    }
+}
+
 /// Kills one machine and pauses another: 0 is the writer, 1 another keeper, 2 a machine that is not a keeper.
 #[rstest]
 #[case::writer_killed_keeper_paused(0, 1)]
--- a/crates/configuration/tests/world/mod.rs
+++ b/crates/configuration/tests/world/mod.rs
@@ -36,6 +36,10 @@
     wake: Option<Tenths>,
     /// The disk of a machine.
     pub kept: Option<PersistedState>,
+    /// How long this machine's disk takes for a write; the process does nothing else meanwhile.
+    pub write_time: Tenths,
+    /// [`Machine::persisted_records`] at the last write.
+    written_records: u64,
     /// The disk of a router: the last saved version and document.
     pub saved: Option<(Version, Document)>,
     /// Whether this router saves its document to disk.
@@ -143,6 +147,8 @@
             started: 0,
             wake: None,
             kept: None,
+            write_time: 0,
+            written_records: 0,
             saved: None,
             persists: true,
             in_force: Version::NONE,
@@ -216,6 +222,7 @@
         let router = self.is_router(at);
         let node = &mut self.nodes[at];
         node.started = now;
+        node.written_records = 0;
         node.has_served = false;
         let me = node.name.clone();
         let process = if router {
@@ -358,6 +365,10 @@
             None if refused => return self.notify_refused(from, to),
             None => return,
         }
+        if self.nodes[to].write_time > 0 {
+            // All messages that came during a write are handled before the next one is ordered.
+            return self.set_wake(to, Some(now));
+        }
         self.run_node(to);
     }
 
@@ -382,10 +393,15 @@
         let Some(mut process) = self.nodes[at].process.take() else { return self.set_wake(at, None) };
         let wake = match &mut process {
             Process::Machine(machine) => {
-                while let Some(order) = machine.next_decision(self.now) {
+                while self.nodes[at].paused_until <= self.now
+                    && let Some(order) = machine.next_decision(self.now)
+                {
                     self.execute_order(at, machine, order);
                 }
-                machine.wake_at()
+                match self.nodes[at].paused_until {
+                    until if until > self.now => Some(until),
+                    _ => machine.wake_at(),
+                }
             }
             Process::Router(router) => {
                 while let Some(decision) = router.next_decision(self.now) {
@@ -407,7 +423,16 @@
         match order {
             Action::Persist(record) => {
                 let plan = self.plan;
-                self.nodes[at].kept.get_or_insert_default().apply(&record, &plan);
+                let node = &mut self.nodes[at];
+                if node.write_time == 0 {
+                    return node.kept.get_or_insert_default().apply(&record, &plan);
+                }
+                let records = machine.persisted_records();
+                if node.written_records != records {
+                    node.written_records = records;
+                    node.kept = Some(machine.persisted().clone());
+                    node.paused_until = self.now + node.write_time;
+                }
             }
             Action::Send { to, message } => {
                 if let Message::Accept { tail, .. } = &message {
--- a/crates/control/src/program/host.rs
+++ b/crates/control/src/program/host.rs
@@ -15,6 +15,8 @@
 const MAX_SLEEP: Tenths = 2_000;
 /// Delay before a failed write of the state file is retried.
 const WRITE_RETRY_DELAY: Tenths = 5_000;
+/// A write of the state file that takes this long is logged: elections and changes wait for it.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
 
 /// Command given by a signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +50,8 @@
     machine: Machine,
     /// When to retry writing the state; set while the accepted state is not on the disk.
     write_retry_at: Option<Tenths>,
+    /// [`Machine::persisted_records`] at the last successful write.
+    written_records: u64,
 }
 
 /// Checks a document before it is published, in the same way as a router would. The error is one line that states what
@@ -88,7 +92,7 @@
         let transport =
             ConfigurationTransport::bind(&me, (now / 10) as u64, control.address, configured, now, seed)?;
         log_always!("control: {me} serves version {} on {}", machine.version(), control.address);
-        Ok(Host { clock, control, transport, machine, write_retry_at: None })
+        Ok(Host { clock, control, transport, machine, write_retry_at: None, written_records: 0 })
     }
 
     pub fn waker(&self) -> Waker {
@@ -113,7 +117,7 @@
                     SignalCommand::End => return Ok(()),
                 }
             }
-            self.decide(now);
+            self.decide();
             // While the state is not on the disk, decisions wait for the next attempt to write it.
             let decides_at = self.write_retry_at.or(self.machine.wake_at());
             let due = [decides_at, self.transport.wake_at()].into_iter().flatten().min();
@@ -126,28 +130,42 @@
 
     /// Writes the state to the disk; returns true on success. Guards against a keeper that forgets a vote or an
     /// acknowledgement after a restart: while the disk fails, it sends nothing and its decisions wait.
-    fn write_state(&mut self, now: Tenths) -> bool {
+    ///
+    /// A write holds all records so far, also those whose actions are yet to be carried out.
+    fn write_state(&mut self) -> bool {
+        let records = self.machine.persisted_records();
+        if self.write_retry_at.is_none() && self.written_records == records {
+            return true;
+        }
         let path = &self.control.keep;
+        let began = Instant::now();
         let kept = replace_file(path, &self.machine.persisted().to_bytes());
+        if began.elapsed() >= SLOW_WRITE {
+            log_always!("control: writing {} took {} ms", path.display(), began.elapsed().as_millis());
+        }
         if let Err(why) = &kept {
             log_always!(
                 "control: cannot write {}; no messages are sent until it succeeds: {why}",
                 path.display()
             );
         }
-        self.write_retry_at = kept.is_err().then_some(now + WRITE_RETRY_DELAY);
+        match kept {
+            Ok(()) => (self.write_retry_at, self.written_records) = (None, records),
+            Err(_) => self.write_retry_at = Some(self.clock.now() + WRITE_RETRY_DELAY),
+        }
         self.write_retry_at.is_none()
     }
 
-    fn decide(&mut self, now: Tenths) {
-        if self.write_retry_at.is_some_and(|at| now < at || !self.write_state(now)) {
+    fn decide(&mut self) {
+        if self.write_retry_at.is_some_and(|at| self.clock.now() < at || !self.write_state()) {
             return;
         }
-        while let Some(decision) = self.machine.next_decision(now) {
+        // A write can take long, so the time is read for each decision.
+        while let Some(decision) = self.machine.next_decision(self.clock.now()) {
             match decision {
-                Decision::Persist(_) if !self.write_state(now) => return,
+                Decision::Persist(_) if !self.write_state() => return,
                 Decision::Persist(_) => {}
-                Decision::Send { to, message } => self.transport.send(now, &to, &message),
+                Decision::Send { to, message } => self.transport.send(self.clock.now(), &to, &message),
                 Decision::Verdict(verdict) => log_verdict(&verdict),
                 Decision::Notify(event) => log_event(&event),
             }
--- a/crates/router/examples/faults/layout.rs
+++ b/crates/router/examples/faults/layout.rs
@@ -57,4 +57,6 @@
 pub const SEED: usize = 41;
 /// While this is not 0, no call is delayed; it may still fail.
 pub const DELAYS_OFF: usize = 42;
+/// The delay of each `fsync`, in milliseconds.
+pub const SYNC_DELAY: usize = 43;
 pub const WORDS: usize = 64;
--- a/crates/router/examples/faults/lib.rs
+++ b/crates/router/examples/faults/lib.rs
@@ -3,7 +3,7 @@
 
 mod layout;
 
-use layout::{DELAYS_OFF, FAULTS, Fault, INJECTED, SEED, WALL_CLOCK, WORDS};
+use layout::{DELAYS_OFF, FAULTS, Fault, INJECTED, SEED, SYNC_DELAY, WALL_CLOCK, WORDS};
 use libc::{c_int, c_long, c_void, size_t, socklen_t, ssize_t};
 use std::sync::atomic::{AtomicPtr, AtomicU64, Ordering::Relaxed};
 
@@ -244,6 +244,15 @@
     read
 }
 
+#[unsafe(no_mangle)]
+unsafe extern "C" fn fsync(file: c_int) -> c_int {
+    if let Some(words) = words() {
+        pause(words[SYNC_DELAY].load(Relaxed));
+    }
+    // SAFETY: the call takes no pointer.
+    unsafe { libc::syscall(libc::SYS_fsync, file) as c_int }
+}
+
 /// When the last stall of the clock began, in milliseconds of the monotonic clock.
 static LAST_STALL_MS: AtomicU64 = AtomicU64::new(0);
 const MIN_STALL_INTERVAL_MS: u64 = 300;
@@ -270,7 +279,8 @@
 const RECEIVE_DELAY_MS: u64 = 300;
 
 fn pause(ms: u64) {
-    let span = libc::timespec { tv_sec: 0, tv_nsec: ms as c_long * 1_000_000 };
+    let (seconds, nanoseconds) = ((ms / 1_000) as libc::time_t, (ms % 1_000) as c_long * 1_000_000);
+    let span = libc::timespec { tv_sec: seconds, tv_nsec: nanoseconds };
     // SAFETY: the system reads it.
     unsafe { libc::syscall(libc::SYS_nanosleep, &span, std::ptr::null::<c_void>()) };
 }
--- a/crates/router/tests/common/faults.rs
+++ b/crates/router/tests/common/faults.rs
@@ -4,7 +4,7 @@
 mod layout;
 
 pub use layout::Fault;
-use layout::{DELAYS_OFF, INJECTED, SEED, WALL_CLOCK, WORDS};
+use layout::{DELAYS_OFF, INJECTED, SEED, SYNC_DELAY, WALL_CLOCK, WORDS};
 use std::fs::OpenOptions;
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Delays each `fsync` from now on.
+    pub fn delay_sync(&self, by: Duration) {
+        self.words[SYNC_DELAY].store(by.as_millis() as u64, Relaxed);
+    }
+
     /// Sets the offset of the wall clock, in milliseconds.
     pub fn step_wall_clock(&self, by: i64) {
         self.words[WALL_CLOCK].store((by * 1_000) as u64, Relaxed);
--- a/crates/router/tests/configuration.rs
+++ b/crates/router/tests/configuration.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use common::faults::Faults;
 use common::{Answer, Discovery, Node, Reply, configuration, entry, list, look, query_bytes, row, startup};
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -74,11 +75,11 @@
 
 impl Processes {
     fn start() -> Processes {
-        Processes::with_machines(&[])
+        Processes::with_machines(Vec::new())
     }
 
     /// Starts the control machines with these environment variables.
-    fn with_machines(variables: &'static [&'static str]) -> Processes {
+    fn with_machines(variables: Vec<String>) -> Processes {
         let node = Node::start("primary", |_| Reply::Send(row("value")));
         let known = list(41, true, &[entry("s-a", &node, "ready", "primary")]);
         let known_list = known.clone();
@@ -96,7 +97,7 @@
             if MACHINES.contains(&place.name.as_str()) {
                 std::fs::write(&hcl, control_file(place, &files)).expect("the file is written");
                 let program = [env!("CARGO_BIN_EXE_control-machine").to_owned(), hcl.display().to_string()];
-                return variables.iter().map(|v| (*v).to_owned()).chain(program).collect();
+                return variables.iter().cloned().chain(program).collect();
             }
             std::fs::write(&json, text.replace("\"n0\"", &format!("\"{}\"", place.name)))
                 .expect("the file is written");
@@ -301,7 +302,7 @@
 /// The control machines accept a document that no router can use.
 #[rstest]
 fn refused_document_is_reported_and_the_last_valid_one_stays_in_force() {
-    let processes = Processes::with_machines(&["UNCHECKED=1"]);
+    let processes = Processes::with_machines(vec!["UNCHECKED=1".into()]);
     processes.publish(&processes.settings_with(&["one"]), "control: published: ");
     processes.wait_until_all_serve("one");
     let good = processes.counters("r1")["in_force"].clone();
@@ -439,3 +440,18 @@
         ROUTERS.iter().all(|r| processes.serves(r, "two"))
     });
 }
+
+/// A write of the state syncs the file and its folder, so it takes 0.9 s here.
+#[rstest]
+fn publishing_continues_on_slow_disks() {
+    let faults = Faults::new(1);
+    faults.delay_sync(Duration::from_millis(450));
+    let variables = faults.environment().map(|(name, value)| format!("{name}={}", value.display()));
+    let processes = Processes::with_machines(variables.to_vec());
+    processes.publish(&processes.settings_with(&["one"]), "control: published: ");
+    processes.wait_until_all_serve("one");
+    assert!(processes.log("c1").contains("control: writing "), "a slow write is logged");
+    processes.act("c1", Act::Kill);
+    processes.publish(&processes.settings_with(&["one", "two"]), "control: published: ");
+    processes.wait_until_all_serve("two");
+}
