Router: the bytes held for clients are counted by owner and printed

Change: bytes held for clients are of a type that counts them for its owner (input, statements of open commands, answers of members, output to clients) from when they are held to when they are dropped. SIGUSR1 and the end print `counters memory`, and compare the counts with what the tables hold (violation BytesUnaccounted). A buffer also gives back the pages of a large message when a few bytes behind it are kept. No limit has changed.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -13,6 +13,7 @@
 use crate::invariants::Violation;
 use crate::keys::{ClientKey, CommandKey};
 use crate::leaving::is_disconnected;
+use crate::memory::{HeldBytes, Owner};
 use crate::polls::TimeRange;
 use crate::reasons::ClientClose;
 use crate::transient::{Backoff, is_transient};
@@ -64,7 +65,7 @@
     token: Option<RegistrationToken>,
     stage: Stage,
     input: Input,
-    output: VecDeque<Vec<u8>>,
+    output: VecDeque<HeldBytes>,
     /// Bytes already written of the first buffer in `output`.
     written: usize,
     unsent: usize,
@@ -99,8 +100,6 @@
     /// Clients that have used up their share of this round: they are read again in the next.
     deferred: Vec<ClientKey>,
     round: u64,
-    /// Bytes read from all clients together and not consumed yet.
-    buffered: usize,
     /// The process is about to end: nothing more is read from clients.
     reading_stopped: bool,
     /// Seed of the secrets for cancel requests.
@@ -137,6 +136,14 @@
         opening.map(|(key, _)| key).collect()
     }
 
+    pub fn input_bytes(&self) -> usize {
+        self.table.values().map(|client| client.input.len()).sum()
+    }
+
+    pub fn output_bytes(&self) -> usize {
+        self.table.values().flat_map(|client| &client.output).map(|piece| piece.len()).sum()
+    }
+
     pub fn has_unsent(&self) -> bool {
         !self.unsent.is_empty()
     }
@@ -177,7 +184,7 @@
             stream,
             token: None,
             stage: Stage::Opening,
-            input: Input::new(connected_at),
+            input: Input::new(connected_at, &self.memory),
             output: VecDeque::new(),
             written: 0,
             unsent: 0,
@@ -305,7 +312,6 @@
                     client.retry.reset();
                     let last_arrival = self.now - time_since_last_receive(&client.stream);
                     client.input.push(&self.scratch[..read], last_arrival);
-                    self.clients.buffered += read;
                     self.limit_buffered_input();
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return client.input.drain_finished(self.now),
@@ -364,11 +370,7 @@
             }
         };
         // Consumed bytes are removed; the rest is the beginning of the next message.
-        let Some(client) = self.clients.table.get_mut(key) else {
-            self.clients.buffered -= input.len();
-            return;
-        };
-        self.clients.buffered -= at;
+        let Some(client) = self.clients.table.get_mut(key) else { return };
         client.input.restore(input, at);
         let waits = client.command.is_none() && client.unsent <= MAX_UNSENT && !client.input.is_empty();
         let due = Due::Message(key);
@@ -392,7 +394,6 @@
             return;
         }
         let begun = !client.input.is_empty();
-        self.clients.buffered -= client.input.len();
         client.input.clear();
         client.stage = Stage::Ending;
         self.deadlines.clear(Due::Message(key));
@@ -527,14 +528,20 @@
         self.answer(key, answer);
     }
 
-    /// Queues the complete answer to the current query, followed by ReadyForQuery.
+    /// Queues the router's own answer to the current query, followed by ReadyForQuery.
     pub fn answer(&mut self, key: ClientKey, answer: Vec<u8>) {
+        let answer = self.memory.hold(Owner::Output, answer);
+        self.forward_answer(key, answer);
+    }
+
+    /// Queues the complete answer to the current query, followed by ReadyForQuery.
+    pub fn forward_answer(&mut self, key: ClientKey, answer: HeldBytes) {
         let Some(client) = self.clients.table.get_mut(key) else { return };
         client.command = None;
         (client.idle_since, client.ready_since) = (self.now, self.now);
         let mut ready = Vec::new();
         pgwire::ready(&mut ready);
-        for bytes in [answer, ready] {
+        for bytes in [answer.with_owner(Owner::Output), self.memory.hold(Owner::Output, ready)] {
             client.unsent += bytes.len();
             client.output.push_back(bytes);
         }
@@ -545,7 +552,7 @@
     fn send(&mut self, key: ClientKey, bytes: Vec<u8>) {
         let Some(client) = self.clients.table.get_mut(key).filter(|_| !bytes.is_empty()) else { return };
         client.unsent += bytes.len();
-        client.output.push_back(bytes);
+        client.output.push_back(self.memory.hold(Owner::Output, bytes));
         self.clients.unsent.push(key);
     }
 
@@ -627,7 +634,6 @@
                 self.report_violation(&id, Violation::ClosedOwed);
             }
         }
-        self.clients.buffered -= client.input.len();
         let dues = [Due::Client(key), Due::Message(key), Due::RetryClient(key)];
         dues.into_iter().for_each(|due| self.deadlines.clear(due));
         if self.clients.at_capacity {
--- a/crates/router/src/clients/crowd.rs
+++ b/crates/router/src/clients/crowd.rs
@@ -144,7 +144,7 @@
 
     /// If the input buffered for all clients exceeds its limit, ends the client with most input and no open command.
     pub(super) fn limit_buffered_input(&mut self) {
-        if self.clients.buffered > self.limits.buffered {
+        if self.memory.used(Owner::Input) > self.limits.buffered {
             let has_no_command = |c: &Client| c.command.is_none() && !c.input.is_empty();
             let holding = self.clients.table.iter().filter(|(_, c)| has_no_command(c));
             let most = holding.max_by_key(|(_, c)| c.input.len()).map(|(key, _)| key);
--- a/crates/router/src/clients/input.rs
+++ b/crates/router/src/clients/input.rs
@@ -1,13 +1,11 @@
 //! A client's bytes that are read and not consumed yet, and when they arrived. The system reports the arrival time of the
 //! last byte of a connection only, so any byte before it arrived at some time since the connection was last empty.
 
+use crate::memory::{HeldBytes, Memory, Owner};
 use crate::polls::TimeRange;
 use std::collections::VecDeque;
 use vetchkeel::Tenths;
 
-/// Capacity that an empty buffer keeps, in bytes.
-const KEPT_CAPACITY: usize = 4_096;
-
 /// One read.
 #[derive(Clone, Copy, Debug)]
 struct Received {
@@ -20,7 +18,7 @@
 
 #[derive(Debug)]
 pub(super) struct Input {
-    bytes: Vec<u8>,
+    bytes: HeldBytes,
     /// The number of bytes read so far.
     read: u64,
     /// The reads that contain the bytes at hand.
@@ -33,9 +31,9 @@
 
 impl Input {
     /// The input of a connection that was established at `connected_at`.
-    pub(super) fn new(connected_at: Tenths) -> Input {
+    pub(super) fn new(connected_at: Tenths, memory: &Memory) -> Input {
         Input {
-            bytes: Vec::new(),
+            bytes: memory.buffer(Owner::Input),
             read: 0,
             received: VecDeque::new(),
             unread_since: connected_at,
@@ -70,7 +68,7 @@
 
     /// Adds what a read returned; `last_arrival` is when the last bytes of the connection arrived, asked after the read.
     pub(super) fn push(&mut self, bytes: &[u8], last_arrival: Tenths) {
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.append(bytes);
         self.read += bytes.len() as u64;
         let arrived = TimeRange::new(self.unread_since, last_arrival);
         self.received.push_back(Received { end: self.read, arrived, last_byte_known: false });
@@ -94,26 +92,23 @@
     }
 
     /// Takes the bytes at hand, to be given back with `restore`.
-    pub(super) fn take(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.bytes)
+    pub(super) fn take(&mut self) -> HeldBytes {
+        self.bytes.take()
     }
 
     /// Gives back what `take` returned, of which the first `consumed` bytes are no longer needed.
-    pub(super) fn restore(&mut self, mut bytes: Vec<u8>, consumed: usize) {
-        bytes.drain(..consumed);
+    pub(super) fn restore(&mut self, mut bytes: HeldBytes, consumed: usize) {
+        bytes.discard_front(consumed);
         self.bytes = bytes;
         let start = self.read - self.bytes.len() as u64;
         while self.received.front().is_some_and(|received| received.end <= start) {
             self.received.pop_front();
         }
-        if self.bytes.is_empty() {
-            self.bytes.shrink_to(KEPT_CAPACITY);
-        }
     }
 
     /// Discards the bytes at hand.
     pub(super) fn clear(&mut self) {
-        self.bytes = Vec::new();
+        self.bytes.clear();
         self.received.clear();
     }
 }
--- a/crates/router/src/clients/input/tests.rs
+++ b/crates/router/src/clients/input/tests.rs
@@ -10,7 +10,7 @@
 /// An input that was drained 100 after the connection was established, by reads of 10 bytes whose last bytes arrived at
 /// these times.
 fn input(handled_until: Tenths, last_arrivals: &[Tenths]) -> Input {
-    let mut input = Input::new(CONNECTED);
+    let mut input = Input::new(CONNECTED, &Memory::default());
     input.start_reading(CONNECTED);
     input.drain_finished(CONNECTED + 100);
     input.start_reading(CONNECTED + handled_until);
@@ -42,7 +42,7 @@
 /// A connection that waited in the accept queue was in no poll meanwhile.
 #[rstest]
 fn first_bytes_arrived_after_the_connection_was_established() {
-    let mut input = Input::new(CONNECTED);
+    let mut input = Input::new(CONNECTED, &Memory::default());
     input.start_reading(CONNECTED + 20_000);
     input.push(&[0; 10], CONNECTED + 20_900);
     assert_eq!(input.arrival(1), range(0, 20_900));
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -6,6 +6,7 @@
 use crate::deadlines::Due;
 use crate::invariants::{AttemptStart, History, Invariants};
 use crate::keys::{ClientKey, CommandKey, Statement, Work};
+use crate::memory::{HeldBytes, Owner};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -52,7 +53,7 @@
         idled: Option<Tenths>,
         note: AnswerNote,
         report: Report,
-        answer: Vec<u8>,
+        answer: HeldBytes,
     },
     /// A member reported its role while a connection was opened; `asked` is when the dial was begun.
     Role {
@@ -120,6 +121,11 @@
         self.sessions = reads.is_some_and(|r| r.split(',').any(|r| r == "session"));
     }
 
+    /// The statements of the open commands.
+    pub fn statements(&self) -> impl Iterator<Item = &Statement> {
+        self.table.values().map(|entry| &*entry.statement)
+    }
+
     /// The client that waits for a command's answer.
     pub fn client(&self, key: CommandKey) -> Option<ClientKey> {
         self.table.get(key)?.client
@@ -243,7 +249,8 @@
         let command =
             Command { id: id.clone(), command_group, customer, set, time_left, token_age, session, repeat };
         self.commands.router.command_arrived(self.now, command).map_err(|why| ("22023", why))?;
-        let statement = Rc::new(Statement { text: statement.to_vec(), wait_at });
+        let statement =
+            Rc::new(Statement { text: self.memory.hold(Owner::Statements, statement.to_vec()), wait_at });
         let history = self.invariants.start_history(&group, arrived + timeout, ready_since + timeout);
         let entry = OpenCommand {
             id: id.clone(),
@@ -356,7 +363,7 @@
                     self.forget(key);
                     if let Some(client) = client {
                         self.counters.answered += 1;
-                        self.answer(client, answer);
+                        self.forward_answer(client, answer);
                     }
                 }
             }
--- a/crates/router/src/invariants.rs
+++ b/crates/router/src/invariants.rs
@@ -30,6 +30,8 @@
     ClosedOwed,
     /// The process ends with a command unanswered.
     EndedOwed,
+    /// The bytes counted as held for clients differ from those in the tables.
+    BytesUnaccounted,
 }
 
 /// Whether a command may run again, by its command group.
--- a/crates/router/src/keys.rs
+++ b/crates/router/src/keys.rs
@@ -1,5 +1,7 @@
-//! Keys by which clients, commands, connections and deadlines refer to each other, without dependencies on any of them.
+//! Keys by which clients, commands, connections and deadlines refer to each other, and the statements that commands and
+//! connections share, without dependencies on any of them.
 
+use crate::memory::HeldBytes;
 use slotmap::new_key_type;
 use std::ops::Range;
 
@@ -15,7 +17,7 @@
 /// A statement as its client sent it, and the position of the client timeout in its text.
 #[derive(Debug)]
 pub struct Statement {
-    pub text: Vec<u8>,
+    pub text: HeldBytes,
     pub wait_at: Range<usize>,
 }
 
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -14,6 +14,7 @@
 mod keys;
 mod leaving;
 mod limits;
+mod memory;
 mod nodes;
 mod polls;
 mod reasons;
@@ -34,6 +35,7 @@
 use fleet::{Configuration, Fleet};
 use invariants::{Invariants, Violation};
 use limits::Limits;
+use memory::Memory;
 use nodes::Nodes;
 use polls::{MAX_SLEEP, Polls};
 use reasons::{ClientClose, MemberClose};
@@ -94,6 +96,8 @@
     fleet: Fleet,
     configuration: Configuration,
     limits: Limits,
+    /// The bytes held for clients.
+    memory: Memory,
     /// Results that have not been passed to the module yet.
     results: VecDeque<NodeResult>,
     scratch: Box<[u8]>,
@@ -172,6 +176,7 @@
             fleet,
             configuration,
             limits: Limits::new(start.sockets, start.memory),
+            memory: Memory::default(),
             results: VecDeque::new(),
             scratch: vec![0; 64 * 1024].into(),
             stopping: None,
--- /dev/null
+++ b/crates/router/src/memory.rs
@@ -0,0 +1,146 @@
+//! Counts the bytes that are held for clients, by owner. Bytes are counted from the moment they are held until they are
+//! dropped, whoever drops them, so the sums cannot drift.
+
+mod parts;
+
+use std::cell::Cell;
+use std::fmt;
+use std::ops::Deref;
+use std::rc::Rc;
+
+/// Capacity, in bytes, that a buffer keeps when most of its content has been consumed.
+const KEPT_CAPACITY: usize = 4_096;
+
+/// What holds bytes for a client.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Owner {
+    /// Input of clients that has not been processed yet.
+    #[default]
+    Input,
+    /// Statements of open commands.
+    Statements,
+    /// Input from members, up to the end of their answers.
+    Answers,
+    /// Output to clients that has not been written yet.
+    Output,
+}
+
+impl Owner {
+    pub const ALL: [Owner; 4] = [Owner::Input, Owner::Statements, Owner::Answers, Owner::Output];
+}
+
+#[derive(Debug, Default)]
+struct Usage {
+    by_owner: [Cell<usize>; Owner::ALL.len()],
+    peak: Cell<usize>,
+}
+
+/// The bytes held for clients; clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct Memory(Rc<Usage>);
+
+impl Memory {
+    /// An empty buffer of this owner.
+    pub fn buffer(&self, owner: Owner) -> HeldBytes {
+        self.hold(owner, Vec::new())
+    }
+
+    /// Counts these bytes from now on.
+    pub fn hold(&self, owner: Owner, bytes: Vec<u8>) -> HeldBytes {
+        self.add(owner, bytes.len());
+        HeldBytes { bytes, owner, memory: self.clone() }
+    }
+
+    /// The bytes held by this owner.
+    pub fn used(&self, owner: Owner) -> usize {
+        self.0.by_owner[owner as usize].get()
+    }
+
+    /// The bytes held by all owners.
+    pub fn total(&self) -> usize {
+        Owner::ALL.iter().map(|owner| self.used(*owner)).sum()
+    }
+
+    fn add(&self, owner: Owner, bytes: usize) {
+        let used = &self.0.by_owner[owner as usize];
+        used.set(used.get() + bytes);
+        self.0.peak.set(self.0.peak.get().max(self.total()));
+    }
+
+    fn subtract(&self, owner: Owner, bytes: usize) {
+        let used = &self.0.by_owner[owner as usize];
+        used.set(used.get() - bytes);
+    }
+}
+
+impl fmt::Display for Memory {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let [input, statements, answers, output] = Owner::ALL.map(|owner| self.used(owner));
+        let (held, peak) = (self.total(), self.0.peak.get());
+        write!(
+            f,
+            "held={held} input={input} statements={statements} answers={answers} output={output} peak={peak}"
+        )
+    }
+}
+
+/// Bytes that are counted for their owner until they are dropped.
+#[derive(Debug, Default)]
+pub struct HeldBytes {
+    bytes: Vec<u8>,
+    owner: Owner,
+    memory: Memory,
+}
+
+impl HeldBytes {
+    pub fn append(&mut self, more: &[u8]) {
+        self.bytes.extend_from_slice(more);
+        self.memory.add(self.owner, more.len());
+    }
+
+    /// Drops the first `count` bytes, and memory that is no longer needed.
+    pub fn discard_front(&mut self, count: usize) {
+        self.bytes.drain(..count);
+        self.memory.subtract(self.owner, count);
+        // Danger: the pages of a large message would stay resident for as long as a few bytes behind it are held.
+        if self.bytes.len() < self.bytes.capacity() / 2 {
+            self.bytes.shrink_to(KEPT_CAPACITY.min(self.bytes.capacity()));
+        }
+    }
+
+    /// Drops all bytes and their memory.
+    pub fn clear(&mut self) {
+        drop(self.take());
+    }
+
+    /// Takes the bytes, which leaves an empty buffer of the same owner.
+    pub fn take(&mut self) -> HeldBytes {
+        let empty = self.memory.buffer(self.owner);
+        std::mem::replace(self, empty)
+    }
+
+    /// Moves the bytes to another owner.
+    pub fn with_owner(mut self, owner: Owner) -> HeldBytes {
+        self.memory.subtract(self.owner, self.bytes.len());
+        self.memory.add(owner, self.bytes.len());
+        self.owner = owner;
+        self
+    }
+}
+
+impl Deref for HeldBytes {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.memory.subtract(self.owner, self.bytes.len());
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -12,6 +12,7 @@
 use crate::ending::{Cause, Failure, Reached, ending, probe_ending};
 use crate::keys::{CommandKey, ConnKey, Statement, Work};
 use crate::leaving::{Unread, unread};
+use crate::memory::{HeldBytes, Memory, Owner};
 use crate::reasons::MemberClose;
 use crate::transient::{Backoff, is_local_failure, is_transient};
 use crate::{Program, tenths};
@@ -58,7 +59,7 @@
     startup_begun: bool,
     retry: Backoff,
     job: Option<Job>,
-    input: Vec<u8>,
+    input: HeldBytes,
     /// Reads that returned data, and bytes received since the connection was last idle.
     reads: u64,
     received: usize,
@@ -92,7 +93,7 @@
     pub fn new(settings: &SettingValues) -> Nodes {
         let (members, conns, writable) = (BTreeMap::new(), SlotMap::with_key(), Vec::new());
         let (dial_limit, configured_idle_limit, idle_limit) = (0, 0, Tenths::MAX);
-        let probe = Rc::new(Statement { wait_at: 0..0, text: Vec::new() });
+        let probe = Rc::new(Statement { wait_at: 0..0, text: HeldBytes::default() });
         let report_fields = Rc::new([]);
         let mut nodes = Nodes {
             members,
@@ -113,7 +114,8 @@
     pub fn reconfigure(&mut self, settings: &SettingValues) {
         let text = |name: &str| settings.get(name).map(String::as_str).unwrap_or_default();
         let probe = if text("report.via") == "probe" { "SHOW load" } else { "SELECT 1" };
-        let statement = probe.as_bytes().to_vec();
+        // Not held for a client, so it is not counted.
+        let statement = Memory::default().hold(Owner::Statements, probe.into());
         self.probe = Rc::new(Statement { wait_at: statement.len()..statement.len(), text: statement });
         self.report_fields = text("report.fields").split(',').map(str::to_owned).collect();
         self.dial_limit = tenths(settings, "permissions.dial_timeout_ms", 250.0);
@@ -131,6 +133,18 @@
         self.conns.len()
     }
 
+    /// The statements of commands that connections carry.
+    pub fn command_statements(&self) -> impl Iterator<Item = &Statement> {
+        let jobs = self.conns.values().filter_map(|conn| conn.job.as_ref());
+        jobs.filter(|job| job.work != Work::Probe).map(|job| &*job.statement)
+    }
+
+    /// The bytes received from members, up to the ends of their answers.
+    pub fn answer_bytes(&self) -> usize {
+        let answer = |conn: &Conn| conn.job.as_ref().map_or(0, |job| job.answer.raw.len());
+        self.conns.values().map(|conn| conn.input.len() + answer(conn)).sum()
+    }
+
     /// Whether any connection is ready for writing.
     pub fn has_writable(&self) -> bool {
         !self.writable.is_empty()
@@ -213,7 +227,7 @@
         limit_at: Tenths,
         until: Tenths,
     ) {
-        let (since, wait, answer) = (self.now, None, Answer::default());
+        let (since, wait, answer) = (self.now, None, Answer::new(&self.memory));
         let (idled, written, fields) = (None, 0, self.nodes.report_fields.clone());
         let checked_at = since;
         let job =
@@ -290,7 +304,7 @@
         });
         let stream = Rc::new(dialled?);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let (node, input, stage) = (node.clone(), Vec::new(), Stage::Dialling);
+        let (node, input, stage) = (node.clone(), self.memory.buffer(Owner::Answers), Stage::Dialling);
         let (token, job, reads, received, idle_since) = (None, None, 0, 0, self.now);
         let (mut startup_packet, retry) = (Vec::new(), Backoff::default());
         pgwire::startup(&mut startup_packet, "svc", "main");
@@ -376,7 +390,6 @@
         let conn = &mut self.nodes.conns[key];
         (conn.idle_since, conn.received) = (self.now, 0);
         let (usable, address) = (conn.input.is_empty(), Some(conn.address));
-        conn.input.shrink_to(4096);
         match self.nodes.members.get_mut(&node).filter(|m| usable && m.address == address) {
             Some(member) => {
                 member.idle.push(key);
--- a/crates/router/src/nodes/answer.rs
+++ b/crates/router/src/nodes/answer.rs
@@ -1,15 +1,15 @@
 //! Assembles a member's answer from its messages, and decides which role and position reports in it are used.
 
 use crate::ending::{Cause, Failure};
+use crate::memory::{HeldBytes, Memory, Owner};
 use std::ops::Range;
 use vetchkeel::{AnswerNote, Report, Tenths};
 use vetchkeel_pgwire as pgwire;
 
 /// What the member has answered so far.
-#[derive(Default)]
 pub(super) struct Answer {
     /// Row description, row and command completion, byte for byte as the member sent them.
-    pub(super) raw: Vec<u8>,
+    pub(super) raw: HeldBytes,
     /// Complete messages processed so far.
     pub(super) messages: u32,
     pub(super) described: bool,
@@ -24,6 +24,21 @@
 }
 
 impl Answer {
+    pub(super) fn new(memory: &Memory) -> Answer {
+        Answer {
+            raw: memory.buffer(Owner::Answers),
+            messages: 0,
+            described: false,
+            rows: 0,
+            value: 0..0,
+            complete: false,
+            code: None,
+            garbled: false,
+            note: AnswerNote::default(),
+            report: Report::default(),
+        }
+    }
+
     /// Processes one message. Returns true when the answer has ended.
     pub(super) fn take(&mut self, kind: u8, body: &[u8], raw_message: &[u8], fields: &[String]) -> bool {
         self.messages += 1;
@@ -31,7 +46,7 @@
             b'T' if !self.described && self.code.is_none() => {
                 self.described = true;
                 self.garbled |= !pgwire::describes_one_column(body);
-                self.raw.extend_from_slice(raw_message);
+                self.raw.append(raw_message);
             }
             b'D' if self.described && self.rows == 0 => {
                 self.rows = 1;
@@ -42,12 +57,12 @@
                     }
                     None => self.garbled = true,
                 }
-                self.raw.extend_from_slice(raw_message);
+                self.raw.append(raw_message);
             }
             b'C' if self.rows == 1 && !self.complete => {
                 self.complete = true;
                 self.garbled |= pgwire::text(body).is_none_or(|(_, rest)| !rest.is_empty());
-                self.raw.extend_from_slice(raw_message);
+                self.raw.append(raw_message);
             }
             b'E' => {
                 let code = pgwire::sqlstate(body).and_then(|c| c.try_into().ok());
--- a/crates/router/src/nodes/reading.rs
+++ b/crates/router/src/nodes/reading.rs
@@ -25,7 +25,7 @@
                 Ok(read) => {
                     conn.retry.reset();
                     conn.reads += 1;
-                    conn.input.extend_from_slice(&self.scratch[..read]);
+                    conn.input.append(&self.scratch[..read]);
                     conn.received += read;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
@@ -103,7 +103,7 @@
                 },
             };
         }
-        conn.input.drain(..at);
+        conn.input.discard_front(at);
         match done {
             None => {}
             Some(Ok(())) => self.pool_conn(key),
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -72,8 +72,10 @@
 
     pub fn print_counters(&mut self) {
         self.counters.open = self.open_commands();
+        self.check_memory();
         vetchkeel_log::log_always!("{}", self.counters);
         vetchkeel_log::log_always!("counters violations: {}", self.invariants.violations);
+        vetchkeel_log::log_always!("counters memory: {}", self.memory);
         vetchkeel_log::log_always!("counters standstills: {}", self.polls);
         self.fleet.print();
         self.configuration.print();
