Router: statements of open commands count against half of the memory

Cause: Limits::buffered counted input that was no command yet; take_command (commands.rs) copied the statement, and nothing counted it from there on. 341 clients held 341 statements of 131 KB. Seen with `counters memory`, 32 MB: 2.0 MB of statements at 2.9 s, 37.8 at 4.2, 44.5 at 4.6 with 339 open. Ruled out: input, answers, output (0 each time).

Change: all bytes held for clients count against one sum. Over it src/decide/memory.rs names what goes, and the host carries it out while it reads: of the commands that no member takes, the one worth least for its bytes first (benefit times the time it can still wait). It is refused at once with when to come back.

--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -262,6 +262,7 @@
             token_age: None,
             session: with_session.then(|| wish.session.to_string()),
             repeat: wish.tries > 1 && self.setup.clients.marks,
+            statement_bytes: Some(0),
         };
         let now = clock(self.now);
         if let Some(decider) = &mut self.hosts[router].decider {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -1,14 +1,16 @@
 //! Client connections: opening, one query at a time, answers in order, and closing. `crowd` holds admission and
-//! eviction, `closing` how the router closes a connection, `input` what was read and when it arrived, `unsent` the order
-//! of writes.
+//! eviction, `closing` how the router closes a connection, `input` what was read and when it arrived, `reclaim` what is
+//! given up for lack of memory, `unsent` the order of writes.
 
 mod closing;
 mod crowd;
 mod input;
+mod reclaim;
 mod unsent;
 
 use crate::Program;
 use crate::arrival::{MIN_AGE, time_since_connected, time_since_last_receive};
+use crate::commands::Received;
 use crate::deadlines::Due;
 use crate::invariants::Violation;
 use crate::keys::{ClientKey, CommandKey};
@@ -312,7 +314,7 @@
                     client.retry.reset();
                     let last_arrival = self.now - time_since_last_receive(&client.stream);
                     client.input.push(&self.scratch[..read], last_arrival);
-                    self.limit_buffered_input();
+                    self.limit_memory();
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return client.input.drain_finished(self.now),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -498,7 +500,8 @@
             }
             return self.answer(key, answer);
         }
-        match self.take_command(key, statement, arrival.limit_start(), ready_since) {
+        let received = Received { statement, arrived: arrival.limit_start(), ready_since };
+        match self.take_command(key, received) {
             Ok(command) => {
                 let client = &mut self.clients.table[key];
                 (client.command, client.query_at, client.served) = (Some(command), arrival.latest, true);
--- a/crates/router/src/clients/crowd.rs
+++ b/crates/router/src/clients/crowd.rs
@@ -1,4 +1,4 @@
-//! Admission and eviction of clients: the limits on connections and on buffered input.
+//! Admission and eviction of clients: the limits on connections.
 
 use super::closing::unacknowledged_bytes;
 use super::*;
@@ -142,18 +142,6 @@
         }
     }
 
-    /// If the input buffered for all clients exceeds its limit, ends the client with most input and no open command.
-    pub(super) fn limit_buffered_input(&mut self) {
-        if self.memory.used(Owner::Input) > self.limits.buffered {
-            let has_no_command = |c: &Client| c.command.is_none() && !c.input.is_empty();
-            let holding = self.clients.table.iter().filter(|(_, c)| has_no_command(c));
-            let most = holding.max_by_key(|(_, c)| c.input.len()).map(|(key, _)| key);
-            if let Some(key) = most {
-                self.end_client(key, "53200", "more is held for clients than may be");
-            }
-        }
-    }
-
     /// Once more than `Limits::staying_clients` clients have sent a query, ends the one that has been idle for
     /// longest, clients without a command first. Without this, clients that send one query and stay connected would
     /// take all connections.
--- a/crates/router/src/clients/input.rs
+++ b/crates/router/src/clients/input.rs
@@ -5,6 +5,7 @@
 use crate::polls::TimeRange;
 use std::collections::VecDeque;
 use vetchkeel::Tenths;
+use vetchkeel_pgwire as pgwire;
 
 /// One read.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +92,16 @@
         Some(TimeRange::new(if is_known { latest } else { earliest }, latest))
     }
 
+    /// When the last bytes were received; 0 if nothing is at hand.
+    pub(super) fn last_received_at(&self) -> Tenths {
+        self.received.back().map_or(0, |received| received.arrived.latest)
+    }
+
+    /// Whether the rest of the message at the front is still to come.
+    pub(super) fn is_incomplete(&self) -> bool {
+        !self.bytes.is_empty() && !matches!(pgwire::message(&self.bytes), Ok(Some(_)))
+    }
+
     /// Takes the bytes at hand, to be given back with `restore`.
     pub(super) fn take(&mut self) -> HeldBytes {
         self.bytes.take()
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -11,8 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use vetchkeel::{
-    AnswerNote, Command, DataNeed, Decision, DispatchEnd, Ending, Event, Id, MemberEntry, ProbeEnd, Report,
-    Router, SettingValues, Tenths, Written,
+    AnswerNote, Command, DataNeed, Decision, DispatchEnd, Ending, Event, Id, MemberEntry, PartialMessage,
+    ProbeEnd, ReclaimStep, Report, Router, SettingValues, Tenths, Written,
 };
 use vetchkeel_log::{log, log_trace, log_up_to};
 use vetchkeel_pgwire as pgwire;
@@ -41,6 +41,14 @@
     begun: OpenRecord,
 }
 
+/// A statement as it was received from a client.
+pub struct Received<'a> {
+    pub statement: &'a [u8],
+    pub arrived: Tenths,
+    /// Since when the router is ready for it.
+    pub ready_since: Tenths,
+}
+
 /// A result from a node: a finished dispatch or probe, or a role reported on connect.
 pub enum NodeResult {
     Dispatch {
@@ -121,6 +129,11 @@
         self.sessions = reads.is_some_and(|r| r.split(',').any(|r| r == "session"));
     }
 
+    /// What the module gives up when memory is short, in order.
+    pub fn reclaim_steps(&self, now: Tenths, messages: &[PartialMessage]) -> Vec<ReclaimStep> {
+        self.router.reclaim_steps(now, messages)
+    }
+
     /// The statements of the open commands.
     pub fn statements(&self) -> impl Iterator<Item = &Statement> {
         self.table.values().map(|entry| &*entry.statement)
@@ -183,14 +196,9 @@
         self.commands.table.values().filter(|t| t.client.is_some()).count() as u64
     }
 
-    /// Creates a command from a statement that arrived at `arrived`; the router is ready for it since `ready_since`.
-    pub fn take_command(
-        &mut self,
-        client: ClientKey,
-        statement: &[u8],
-        arrived: Tenths,
-        ready_since: Tenths,
-    ) -> Result<CommandKey, Rejection> {
+    /// Creates a command from a statement of this client.
+    pub fn take_command(&mut self, client: ClientKey, received: Received) -> Result<CommandKey, Rejection> {
+        let Received { statement, arrived, ready_since } = received;
         let said = pgwire::parse_metadata(statement).map_err(|why| ("42601", why.to_owned()))?;
         let wait = parse_number(said.wait, "d")?;
         let set = match said.set {
@@ -246,8 +254,17 @@
         };
         let begun = self.capture.start_record(self.now, asked);
         let group = command_group.clone();
-        let command =
-            Command { id: id.clone(), command_group, customer, set, time_left, token_age, session, repeat };
+        let command = Command {
+            id: id.clone(),
+            command_group,
+            customer,
+            set,
+            time_left,
+            token_age,
+            session,
+            repeat,
+            statement_bytes: Some(statement.len()),
+        };
         self.commands.router.command_arrived(self.now, command).map_err(|why| ("22023", why))?;
         let statement =
             Rc::new(Statement { text: self.memory.hold(Owner::Statements, statement.to_vec()), wait_at });
@@ -267,6 +284,13 @@
         Ok(key)
     }
 
+    /// Gives up a waiting command to get the memory of its statement back; its answer is queued at once.
+    pub fn give_up_for_memory(&mut self, id: &str) {
+        if let Some(decision) = self.commands.router.give_up_for_memory(self.now, id) {
+            self.execute(decision);
+        }
+    }
+
     /// Handles the departure of an open command's client.
     pub fn abandon_command(&mut self, key: CommandKey) {
         let Some(entry) = self.commands.table.get_mut(key) else { return };
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -1,4 +1,5 @@
-//! Derives all internal limits from the configured ones: connections of clients and to nodes, and buffered input.
+//! Derives all internal limits from the configured ones: connections of clients and to nodes, and the bytes held for
+//! clients.
 
 /// Descriptors reserved for the listener, two watches, signals, the event loop and future needs.
 const RESERVED_DESCRIPTORS: usize = 32;
@@ -18,9 +19,11 @@
 /// measured (`docs/measured/clients.md`), and queries may be longer.
 const STAYING_PART: f64 = 0.125;
 const BYTES_PER_CLIENT: usize = 2_048;
-/// The share of the memory limit for client input that is not consumed yet. Danger: memory over half of the limit is
-/// charged for, and answers, member lists and the module's tables need memory as well.
-const BUFFERED_PART: f64 = 0.125;
+/// The share of the memory limit for all bytes held for clients: input, statements, answers and output. The program, its
+/// connections, the member list and the module's tables need the rest.
+const HELD_PART: f64 = 0.5;
+/// The share of the bytes held that is given up beyond the excess, so that not every read gives something up.
+const RECLAIM_MARGIN_PART: f64 = 1.0 / 64.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -33,8 +36,10 @@
     pub spare: usize,
     /// If more clients than this have sent a query, idle ones are closed.
     pub staying_clients: usize,
-    /// Bytes of client input that may be buffered in total.
-    pub buffered: usize,
+    /// Bytes that may be held for clients in total.
+    pub held: usize,
+    /// Once more than `held` are held, bytes are given up until no more than this are.
+    pub held_after_reclaim: usize,
 }
 
 fn part(of: usize, share: f64) -> usize {
@@ -55,13 +60,15 @@
         let room = sockets.saturating_sub(RESERVED_DESCRIPTORS).max(4);
         let clients = part(room, CLIENTS_PART);
         let (nodes, spare) = (room - clients, part(room, SPARE_PART));
+        let held = part(memory, HELD_PART);
         Limits {
             room,
             clients,
             nodes,
             spare,
             staying_clients: staying_clients(sockets, memory, clients),
-            buffered: part(memory, BUFFERED_PART),
+            held,
+            held_after_reclaim: held - part(held, RECLAIM_MARGIN_PART),
         }
     }
 }
--- a/crates/router/src/nodes/reading.rs
+++ b/crates/router/src/nodes/reading.rs
@@ -34,6 +34,7 @@
                 Err(_) => ended = true,
             }
             self.take_messages(key);
+            self.limit_memory();
             // Danger: an answer that never ends would delay all other connections.
             if let Some(conn) = self.nodes.conns.get(key).filter(|conn| conn.received > MAX_RECEIVED_BYTES) {
                 let complete = conn.job.as_ref().is_some_and(|j| j.answer.outcome().is_ok());
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -552,6 +552,15 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
     }
 
+    /// Resident memory of the process, in bytes.
+    pub fn resident_memory(&self) -> usize {
+        resident_memory(self.child.id())
+    }
+
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Stops the process with SIGSTOP and waits until it has stopped.
     pub fn stop(&self) {
         self.signal("-STOP");
@@ -583,6 +592,14 @@
     }
 }
 
+/// Resident memory of a process, in bytes; 0 once it has ended.
+pub fn resident_memory(process: u32) -> usize {
+    let pages = std::fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
+    let resident = pages.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok());
+    // SAFETY: only a number is passed.
+    resident.unwrap_or(0) * unsafe { libc::sysconf(libc::_SC_PAGESIZE) } as usize
+}
+
 /// The answer that a client received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
--- /dev/null
+++ b/crates/router/tests/memory.rs
@@ -0,0 +1,130 @@
+//! Tests the memory of the router with large statements: it stays within the limit, what is given up for it is answered,
+//! and it is given back.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+/// The least memory of the deployment, in MB, and the most descriptors.
+const MEMORY_MB: u32 = 32;
+const SOCKETS: u32 = 1024;
+/// Clients hold at most a third of the descriptors.
+const CLIENTS: usize = SOCKETS as usize / 3;
+/// The longest value, in bytes; each takes two characters of a statement.
+const LONGEST_VALUE: usize = 64 * 1024;
+const MB: usize = 1 << 20;
+
+/// A write of the longest value.
+fn large_order(id: &str, wait: u32) -> String {
+    let value = "5a".repeat(LONGEST_VALUE);
+    format!(
+        r"INSERT INTO records (k, v) VALUES ('k1', '\x{value}') RETURNING v /* id={id},c=order,t=acme,d={wait},cluster=2 */"
+    )
+}
+
+/// Samples the resident memory of a process as often as the platform does.
+struct PeakMemory {
+    peak: Arc<AtomicUsize>,
+    finished: Arc<AtomicBool>,
+}
+
+impl PeakMemory {
+    fn watch(router: &Router) -> PeakMemory {
+        let watched = PeakMemory { peak: Arc::default(), finished: Arc::default() };
+        let (process, peak, finished) = (router.process_id(), watched.peak.clone(), watched.finished.clone());
+        spawn(move || {
+            while !finished.load(Relaxed) {
+                peak.fetch_max(resident_memory(process), Relaxed);
+                sleep(Duration::from_millis(5));
+            }
+        });
+        watched
+    }
+
+    fn assert_within_limit(&self) {
+        let peak = self.peak.load(Relaxed);
+        assert!(peak <= MEMORY_MB as usize * MB, "{} MB resident of {MEMORY_MB}", peak / MB);
+    }
+}
+
+impl Drop for PeakMemory {
+    fn drop(&mut self) {
+        self.finished.store(true, Relaxed);
+    }
+}
+
+/// A member that is a replica until the flag is set, and a primary from then on.
+fn future_primary(is_primary: &Arc<AtomicBool>) -> Node {
+    let is_primary = is_primary.clone();
+    Node::with_probe_replies("replica", move |statement| {
+        let role = if is_primary.load(Relaxed) { "primary" } else { "replica" };
+        let answer = match (statement, role) {
+            ("SHOW load", _) => {
+                row(&format!("x0={:.3},x1={}", unix_ms() as f64 / 1000.0, (role == "primary") as u8))
+            }
+            (_, "primary") => row("written"),
+            _ => error_response("25006"),
+        };
+        Some(Reply::Raw([parameter("role", role), answer, ready()].concat()))
+    })
+}
+
+/// Whether an answer, or the end of the connection, arrives within this time.
+fn is_answered_within(client: &Client, limit: Duration) -> bool {
+    client.stream.set_read_timeout(Some(limit)).expect("a time-out");
+    let answered = client.stream.peek(&mut [0]).is_ok();
+    client.stream.set_read_timeout(Some(WAIT)).expect("a time-out");
+    answered
+}
+
+/// An answer without its retry delay.
+fn kind(answer: &Answer) -> String {
+    match answer {
+        Answer::Error(code, _) => code.clone(),
+        other => format!("{other:?}"),
+    }
+}
+
+fn counts(answers: &[Answer]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    answers.iter().for_each(|answer| *counts.entry(kind(answer)).or_default() += 1);
+    counts
+}
+
+/// Guards against statements of open commands that nothing counts: while a set has no primary, writes of the longest value
+/// took the process over its memory limit, and the platform killed it.
+#[rstest]
+fn large_writes_held_without_a_primary_stay_within_the_memory_limit() {
+    let is_primary = Arc::new(AtomicBool::new(false));
+    let node = future_primary(&is_primary);
+    let router = Router::with_limits(&[entry("s-a", &node, "ready", "replica")], SOCKETS, MEMORY_MB);
+    let peak = PeakMemory::watch(&router);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| Client::connect(&router)).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&query_bytes(&large_order(&format!("i{i}"), 60_000)));
+    }
+    router.wait_for_loop_turn();
+    let (refused, mut held): (Vec<Client>, Vec<Client>) =
+        clients.into_iter().partition(|client| is_answered_within(client, Duration::from_millis(20)));
+    // Half of the memory holds statements. Those that can wait for longest, which are the last ones, are kept.
+    let most = MEMORY_MB as usize * MB / 2 / (2 * LONGEST_VALUE);
+    assert!((most * 9 / 10..=most).contains(&held.len()), "{} of {CLIENTS} are held", held.len());
+    for mut client in refused {
+        let answer = client.answer();
+        assert!(matches!(&answer, Answer::Error(code, Some(_)) if code == "53300"), "{answer:?}");
+    }
+    is_primary.store(true, Relaxed);
+    let answers: Vec<Answer> = held.iter_mut().map(Client::answer).collect();
+    assert_eq!(counts(&answers), [(kind(&Answer::Row("written".into())), held.len())].into());
+    peak.assert_within_limit();
+    router.take_log();
+    router.signal("-USR1");
+    assert_eq!(router.counters("violations")["total"], 0);
+    assert_eq!(router.counters("memory")["held"], 0);
+}
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -244,6 +244,8 @@
                     token_age,
                     session,
                     repeat,
+                    // The wire states no statement.
+                    statement_bytes: Some(0),
                 };
                 if let Err(why) = router.command_arrived(now, command) {
                     return Ok(Some(why));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,6 +22,7 @@
 mod freshness;
 mod gate;
 mod health;
+mod memory;
 mod patience;
 mod reads;
 mod search;
@@ -298,6 +299,7 @@
                 wait_until,
                 required_position,
                 session,
+                statement_bytes: command.statement_bytes,
                 ..OpenCommand::default()
             },
         );
@@ -676,6 +678,7 @@
         let wait_end = self.queue_deadline(now, cmd);
         let reasons = [
             (now + self.tick >= cmd.deadline, GaveUp::Deadline),
+            (cmd.statement_bytes.is_none(), GaveUp::Memory),
             (may_not_repeat, GaveUp::MayHaveRun),
             (cmd.retry_futile, GaveUp::Errors),
             (cmd.attempts() >= self.groups.slots[cmd.group_slot].attempts, GaveUp::Attempts),
--- a/src/decide/freshness/tests.rs
+++ b/src/decide/freshness/tests.rs
@@ -147,7 +147,17 @@
     r.next_key = 1;
     let (id, command_group, session) = ("w".into(), "write".into(), Some("s".into()));
     let (customer, time_left, token_age) = (None, 9_000, None);
-    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat: false };
+    let cmd = Command {
+        id,
+        command_group,
+        customer,
+        set: 1,
+        time_left,
+        token_age,
+        session,
+        repeat: false,
+        statement_bytes: Some(0),
+    };
     r.command_arrived(NOW, cmd).unwrap();
     let key = r.key_by_id["w"];
     r.open.get_mut(&key).unwrap().in_flight.insert(0, (0, NOW));
--- a/src/decide/gate.rs
+++ b/src/decide/gate.rs
@@ -14,6 +14,7 @@
         let may_be_dispatched =
             !cmd.closed && now < cmd.deadline && cmd.attempts() < group.attempts && m.set == cmd.set;
         if !may_be_dispatched
+            || cmd.statement_bytes.is_none()
             || !cmd.in_flight.is_empty()
             || self.slow_start_credit(now, m) < group.target as f64
         {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -59,6 +59,7 @@
         deadline,
         wait_until,
         required_position: NOW,
+        statement_bytes: Some(0),
         ..OpenCommand::default()
     };
     router.key_by_id.insert("cmd".into(), 0);
@@ -234,7 +235,17 @@
     r.sessions.record_write("s".into(), 77, 0, SESSIONS_BEFORE_EVICTION);
     let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
     let (customer, time_left, token_age) = (None, 9_000, age);
-    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat: false };
+    let cmd = Command {
+        id,
+        command_group,
+        customer,
+        set: 1,
+        time_left,
+        token_age,
+        session,
+        repeat: false,
+        statement_bytes: Some(0),
+    };
     r.command_arrived(NOW, cmd).unwrap();
     assert_eq!(r.open[&0].required_position, needs);
 }
@@ -435,7 +446,17 @@
     }
     let (id, command_group, customer) = ("x".into(), "any".into(), Some("p".into()));
     let (set, time_left, token_age, session) = (1, 9_000, None, None);
-    let cmd = Command { id, command_group, customer, set, time_left, token_age, session, repeat };
+    let cmd = Command {
+        id,
+        command_group,
+        customer,
+        set,
+        time_left,
+        token_age,
+        session,
+        repeat,
+        statement_bytes: Some(0),
+    };
     r.command_arrived(NOW, cmd).unwrap();
     assert_eq!(r.open[&0].rank, rank);
 }
@@ -594,7 +615,17 @@
     assert!(r.sessions.count() <= 2, "{}", r.sessions.count());
     let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
     let (customer, time_left, token_age, repeat) = (None, 9_000, None, false);
-    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat };
+    let cmd = Command {
+        id,
+        command_group,
+        customer,
+        set: 1,
+        time_left,
+        token_age,
+        session,
+        repeat,
+        statement_bytes: Some(0),
+    };
     r.command_arrived(NOW, cmd).unwrap();
     assert_eq!(r.open[&0].required_position, needs);
 }
@@ -622,7 +653,17 @@
     r.clock.learn(NOW, OffsetEvidence::from_any_member(NOW + SECOND, NOW));
     let (id, command_group) = ("x".into(), "session".into());
     let (customer, time_left, token_age, session, repeat) = (None, 9_000, None, None, false);
-    let cmd = Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat };
+    let cmd = Command {
+        id,
+        command_group,
+        customer,
+        set: 1,
+        time_left,
+        token_age,
+        session,
+        repeat,
+        statement_bytes: Some(0),
+    };
     r.command_arrived(NOW, cmd).unwrap();
     assert!(r.open[&0].required_position > NOW + SECOND);
 }
@@ -790,8 +831,17 @@
     while r.next_decision(NOW).is_some() {}
     let (id, command_group) = ("cmd".into(), "write".into());
     let (time_left, customer, token_age, session) = (1_000, None, None, None);
-    let command =
-        Command { id, command_group, customer, set: 1, time_left, token_age, session, repeat: false };
+    let command = Command {
+        id,
+        command_group,
+        customer,
+        set: 1,
+        time_left,
+        token_age,
+        session,
+        repeat: false,
+        statement_bytes: Some(0),
+    };
     r.command_arrived(NOW, command).expect("a known group");
     let sent = std::iter::from_fn(|| r.next_decision(NOW)).any(|d| matches!(d, Decision::Dispatch { .. }));
     assert!(sent, "the first dispatch is sent");
@@ -1679,7 +1729,17 @@
         (true, NOW - 4_000, NOW - SECOND);
     let (id, command_group, customer, time_left) = ("x".into(), "bounded".into(), None, 2_000);
     let (set, token_age, session, repeat) = (1, None, None, false);
-    let cmd = Command { id, command_group, customer, set, time_left, token_age, session, repeat };
+    let cmd = Command {
+        id,
+        command_group,
+        customer,
+        set,
+        time_left,
+        token_age,
+        session,
+        repeat,
+        statement_bytes: Some(0),
+    };
     r.command_arrived(NOW, cmd).unwrap();
     let mut decisions: Vec<Decision> = std::iter::from_fn(|| r.next_decision(NOW)).collect();
     decisions.retain(|d| matches!(d, Decision::Probe { node } if &**node == "b"));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -27,6 +27,29 @@
     pub session: Option<String>,
     /// Set if the command is known to be a retry by the client.
     pub repeat: bool,
+    /// The bytes of the statement that the host holds until the command ends. None if it could not hold the whole
+    /// statement: then the command cannot be sent.
+    pub statement_bytes: Option<usize>,
+}
+
+/// A message that a client has begun to send and the host holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartialMessage {
+    /// When its last bytes were received.
+    pub received_at: Tenths,
+    /// Whether the host may shorten it: it holds a value that a refusal does not need.
+    pub can_be_shortened: bool,
+}
+
+/// One step by which the host gets memory back. Partial messages go by their place in the list that the host passed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReclaimStep {
+    /// Give up this command, which waits: `Router::give_up_for_memory`.
+    GiveUp(Id),
+    /// Drop the values of this message: once it is complete, its command is refused.
+    Shorten(usize),
+    /// End the client that sends this message.
+    EndClient(usize),
 }
 
 /// How a dispatch or a probe ended.
@@ -243,6 +266,8 @@
     MayHaveRun,
     /// The command failed with an error that a further attempt is unlikely to cure.
     Errors,
+    /// The host has no memory left for the command's statement.
+    Memory,
 }
 
 /// An event inside a router, only for the log and the counters: no decision depends on it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -253,6 +253,8 @@
     /// The position that the data of a session or fresh read must include.
     pub required_position: Tenths,
     pub session: Option<String>,
+    /// The bytes of the statement that the host holds; None if it holds too little of it to send the command.
+    pub statement_bytes: Option<usize>,
     pub dispatches: u32,
     /// Dispatches for which this machine could not open a connection; they do not count as attempts.
     pub uncounted_dispatches: u32,
@@ -289,6 +291,11 @@
 }
 
 impl OpenCommand {
+    /// Whether the command waits for a member: it has not ended and no dispatch is in flight.
+    pub(crate) fn is_waiting(&self) -> bool {
+        !self.closed && self.in_flight.is_empty()
+    }
+
     /// The number of dispatches that count as attempts.
     pub(crate) fn attempts(&self) -> u32 {
         self.dispatches - self.uncounted_dispatches
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -307,6 +307,7 @@
             token_age: None,
             session: None,
             repeat,
+            statement_bytes: Some(0),
         };
         self.routers[router].command_arrived(now, command).expect("a known group");
         self.run_decisions(now, router);
--- a/tests/stale_reads/simulation.rs
+++ b/tests/stale_reads/simulation.rs
@@ -323,6 +323,7 @@
             token_age: None,
             session: session.clone(),
             repeat: false,
+            statement_bytes: Some(0),
         };
         let now = self.now;
         let host = &mut self.hosts[router];
