Router: lack of memory drops values of messages, not the clients that send them

Callers saw connections ended with 53200 in the middle of a message while all members were well: 583 of 2,400 commands where 300 other clients had stopped within a message, 1,433 where messages came in two halves 0.3 s apart.

Cause: limit_buffered_input (crowd.rs) ended whoever had the most input, a healthy client that is nearly through; clients that had stopped stayed. Seen: input at 4.07 MB all the time, 11 to 14 MB resident of 32.

Change: over the limit the long literals of a message that has begun are left out (pgwire::shortened, its length adapted), first of those without progress for 0.5 s, then waiting commands go, then other messages. Once complete, the command is refused by its own rules and never sent (statement_bytes None).

--- a/crates/pgwire/src/statement.rs
+++ b/crates/pgwire/src/statement.rs
@@ -18,23 +18,26 @@
     pub wait_at: Range<usize>,
 }
 
-/// The first quoted literal and the last comment of a statement, as ranges without their delimiters, and whether
-/// there is anything outside comments.
-fn scan(text: &[u8]) -> (Option<Range<usize>>, Option<Range<usize>>, bool) {
-    let (mut literal, mut comment, mut more) = (None, None, false);
+/// The kind and the length of a message.
+const HEAD_SIZE: usize = 5;
+
+/// Calls `on_literal` with each quoted literal; returns the last comment of a statement, and whether there is anything
+/// outside comments. Ranges are without delimiters; a literal that does not end extends to the end of the text.
+fn scan(text: &[u8], mut on_literal: impl FnMut(Range<usize>)) -> (Option<Range<usize>>, bool) {
+    let (mut comment, mut more) = (None, false);
     let mut at = 0;
     while at < text.len() {
         let rest = &text[at + 1..];
         match text[at] {
             b'\'' => {
                 let length = rest.iter().position(|b| *b == b'\'').unwrap_or(rest.len());
-                literal = literal.or(Some(at + 1..at + 1 + length));
+                on_literal(at + 1..at + 1 + length);
                 (at, more) = (at + length + 2, true);
             }
             b'/' if rest.first() == Some(&b'*') => {
                 let body = &rest[1..];
                 let Some(length) = body.windows(2).position(|w| w == b"*/") else {
-                    return (literal, None, true);
+                    return (None, true);
                 };
                 comment = Some(at + 2..at + 2 + length);
                 at += length + 4;
@@ -45,18 +48,65 @@
             }
         }
     }
-    (literal, comment, more)
+    (comment, more)
+}
+
+/// The beginning of a literal that `shortened` keeps, in bytes.
+const KEPT_LITERAL: usize = 64;
+
+/// The positions that `shortened` leaves out: what follows the first bytes of each literal, up to its end or to the end of
+/// the text. Characters are left out whole.
+fn long_literals(text: &[u8]) -> Vec<Range<usize>> {
+    let is_character_start = |at: &usize| text.get(*at).is_none_or(|byte| byte & 0xc0 != 0x80);
+    let mut cuts = Vec::new();
+    scan(text, |literal| {
+        let from = (literal.start + KEPT_LITERAL..literal.end).find(is_character_start);
+        // Of an unfinished literal, the last character may be incomplete.
+        let is_finished = literal.end < text.len();
+        let last_character = (literal.start..literal.end).rev().find(is_character_start);
+        let until = if is_finished { Some(literal.end) } else { last_character };
+        if let (Some(from), Some(until)) = (from, until)
+            && from < until
+        {
+            cuts.push(from..until);
+        }
+    });
+    cuts
+}
+
+/// The same query, or its beginning, with all long literals shortened and its length adapted. `None` if that saves nothing. More
+/// bytes may follow a shortened beginning as if it were whole. What remains has the metadata of the query; it must not be
+/// sent.
+pub fn shortened(query: &[u8]) -> Option<Vec<u8>> {
+    let (head, text) = query.split_at_checked(HEAD_SIZE).filter(|(head, _)| head[0] == b'Q')?;
+    let cuts = long_literals(text);
+    let saved: usize = cuts.iter().map(Range::len).sum();
+    let length = u32::from_be_bytes(head[1..].try_into().ok()?).checked_sub(saved as u32)?;
+    if saved == 0 {
+        return None;
+    }
+    let mut out = Vec::with_capacity(query.len() - saved);
+    out.push(head[0]);
+    out.extend(length.to_be_bytes());
+    let mut at = 0;
+    for cut in cuts {
+        out.extend_from_slice(&text[at..cut.start]);
+        at = cut.end;
+    }
+    out.extend_from_slice(&text[at..]);
+    Some(out)
 }
 
 /// True for a statement that consists of comments, blanks and semicolons only.
 pub fn is_empty(statement: &[u8]) -> bool {
-    !scan(statement).2
+    !scan(statement, |_| {}).1
 }
 
 /// Parses the comment; the error names what is missing.
 pub fn parse_metadata(statement: &[u8]) -> Result<StatementMetadata<'_>, &'static str> {
     let whole = std::str::from_utf8(statement).map_err(|_| "the statement is not UTF-8")?;
-    let (literal, comment, _) = scan(statement);
+    let mut first_literal = None;
+    let (comment, _) = scan(statement, |literal| _ = first_literal.get_or_insert(literal));
     let comment = comment.ok_or("the statement has no comment")?;
     let (mut id, mut group, mut customer, mut set, mut after) = (None, None, None, None, None);
     let (mut wait, mut repeat) = (None, false);
@@ -94,7 +144,7 @@
         set,
         after,
         repeat,
-        key: literal.map(|l| &whole[l]),
+        key: first_literal.map(|literal| &whole[literal]),
         wait,
         wait_at,
     })
--- a/crates/pgwire/src/tests.rs
+++ b/crates/pgwire/src/tests.rs
@@ -157,3 +157,47 @@
 fn row_description_must_have_one_column(#[case] body: &[u8], #[case] one: bool) {
     assert_eq!(describes_one_column(body), one);
 }
+
+/// A write with a value of at least 6,000 bytes, made of `filler`.
+fn long_write(filler: &str) -> Vec<u8> {
+    let value = filler.repeat(6_000 / filler.len() + 1);
+    query(&format!("INSERT INTO r (k, v) VALUES ('k1', '{value}') /* id=i1,c=order,d=480,cluster=2 */"))
+}
+
+/// Whatever part of a query was shortened before the rest arrived, the same metadata is read from it.
+#[rstest]
+#[case::hexadecimal("5a".into())]
+#[case::quotes("ab".repeat(200) + "''")]
+#[case::comment_marks("/**/ -- ".into())]
+#[case::long_characters("\u{20ac}\u{1d11e}".into())]
+fn shortened_query_keeps_its_metadata(#[case] filler: String) {
+    let whole = long_write(&filler);
+    let metadata = |query: &[u8]| {
+        let found = message(query).expect("readable").expect("whole");
+        let (statement, _) = text(found.body).expect("terminated");
+        let said = parse_metadata(statement).expect("complete metadata");
+        let fields = [said.id, said.group, said.wait, said.set.unwrap_or_default()].map(str::to_owned);
+        (found.size == query.len(), fields)
+    };
+    for end in (HEAD..whole.len()).step_by(7) {
+        let Some(shorter) = shortened(&whole[..end]) else { continue };
+        assert!(shorter.len() < end, "cut at {end}");
+        let query = [&shorter, &whole[end..]].concat();
+        assert_eq!(metadata(&query), metadata(&whole), "cut at {end}");
+        let again = shortened(&query).unwrap_or(query);
+        assert_eq!(metadata(&again), metadata(&whole), "cut at {end}, shortened again");
+        assert!(again.len() < whole.len() / 2, "cut at {end}: {} bytes left", again.len());
+    }
+}
+
+const HEAD: usize = 5;
+
+#[rstest]
+#[case::short(query(QUERY))]
+#[case::no_literal(query(&"x".repeat(3_000)))]
+#[case::unfinished_comment(query(&format!("/* '{}'", "x".repeat(3_000))))]
+#[case::other_kind(b"P\0\0\x10\0'".iter().copied().chain([b'x'; 3_000]).collect())]
+#[case::part_of_a_head(b"Q\0\0".to_vec())]
+fn message_without_a_long_literal_is_not_shortened(#[case] message: Vec<u8>) {
+    assert_eq!(shortened(&message), None);
+}
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -159,13 +159,18 @@
     /// When the message arrived that ends `left` bytes before the end of what was read. The time spent on the commands
     /// before it does not count, so it is taken to have arrived once the router was ready for it.
     fn arrival(&self, left: usize, now: Tenths) -> TimeRange {
-        let TimeRange { earliest, latest } = self.input.arrival(left).unwrap_or(TimeRange::new(now, now));
+        self.after_ready(self.input.arrival(left), now)
+    }
+
+    /// The time spent on commands before does not count.
+    fn after_ready(&self, arrival: Option<TimeRange>, now: Tenths) -> TimeRange {
+        let TimeRange { earliest, latest } = arrival.unwrap_or(TimeRange::new(now, now));
         TimeRange::new(earliest.max(self.ready_since), latest)
     }
 
     /// When the message that has begun must be complete.
     fn message_deadline(&self, now: Tenths) -> Tenths {
-        let first_byte = self.arrival(self.input.len() - 1, now);
+        let first_byte = self.after_ready(self.input.first_arrival(), now);
         (first_byte.latest + MESSAGE_TIMEOUT).min(first_byte.earliest + MAX_PARTIAL_MESSAGE)
     }
 }
@@ -491,6 +496,7 @@
         client.sent_query = true;
         self.deadlines.clear(Due::Message(key));
         let (arrival, ready_since) = (client.arrival(left, now), client.ready_since);
+        let is_whole = !client.input.take_shortened();
         let mut answer = Vec::new();
         if pgwire::is_empty(statement) {
             if self.watch.is_ready(self.now) {
@@ -500,7 +506,7 @@
             }
             return self.answer(key, answer);
         }
-        let received = Received { statement, arrived: arrival.limit_start(), ready_since };
+        let received = Received { statement, is_whole, arrived: arrival.limit_start(), ready_since };
         match self.take_command(key, received) {
             Ok(command) => {
                 let client = &mut self.clients.table[key];
--- a/crates/router/src/clients/input.rs
+++ b/crates/router/src/clients/input.rs
@@ -7,6 +7,9 @@
 use vetchkeel::Tenths;
 use vetchkeel_pgwire as pgwire;
 
+/// Fewer bytes than this are not worth shortening.
+const MIN_SHORTENED: usize = 1_024;
+
 /// One read.
 #[derive(Clone, Copy, Debug)]
 struct Received {
@@ -20,6 +23,10 @@
 #[derive(Debug)]
 pub(super) struct Input {
     bytes: HeldBytes,
+    /// How many bytes of the message at the front were dropped (`shorten`).
+    dropped: usize,
+    /// The length up to which the bytes at hand are known to hold nothing that can be dropped.
+    kept_whole: usize,
     /// The number of bytes read so far.
     read: u64,
     /// The reads that contain the bytes at hand.
@@ -35,6 +42,8 @@
     pub(super) fn new(connected_at: Tenths, memory: &Memory) -> Input {
         Input {
             bytes: memory.buffer(Owner::Input),
+            dropped: 0,
+            kept_whole: 0,
             read: 0,
             received: VecDeque::new(),
             unread_since: connected_at,
@@ -92,6 +101,11 @@
         Some(TimeRange::new(if is_known { latest } else { earliest }, latest))
     }
 
+    /// When the first byte at hand arrived.
+    pub(super) fn first_arrival(&self) -> Option<TimeRange> {
+        self.arrival((self.bytes.len() + self.dropped).checked_sub(1)?)
+    }
+
     /// When the last bytes were received; 0 if nothing is at hand.
     pub(super) fn last_received_at(&self) -> Tenths {
         self.received.back().map_or(0, |received| received.arrived.latest)
@@ -102,6 +116,28 @@
         !self.bytes.is_empty() && !matches!(pgwire::message(&self.bytes), Ok(Some(_)))
     }
 
+    /// Whether `shorten` may be of use: enough bytes of an incomplete message are at hand and not known to be needed.
+    pub(super) fn can_be_shortened(&self) -> bool {
+        self.bytes.len() >= MIN_SHORTENED.max(2 * self.kept_whole) && self.is_incomplete()
+    }
+
+    /// Drops the long values of the incomplete message at the front.
+    pub(super) fn shorten(&mut self) {
+        match pgwire::shortened(&self.bytes) {
+            Some(shorter) => {
+                self.dropped += self.bytes.len() - shorter.len();
+                self.bytes.clear();
+                self.bytes.append(&shorter);
+            }
+            None => self.kept_whole = self.bytes.len(),
+        }
+    }
+
+    /// Called when the message at the front is complete: whether values of it were dropped, so that it must not be sent on.
+    pub(super) fn take_shortened(&mut self) -> bool {
+        std::mem::take(&mut self.dropped) > 0
+    }
+
     /// Takes the bytes at hand, to be given back with `restore`.
     pub(super) fn take(&mut self) -> HeldBytes {
         self.bytes.take()
@@ -111,7 +147,10 @@
     pub(super) fn restore(&mut self, mut bytes: HeldBytes, consumed: usize) {
         bytes.discard_front(consumed);
         self.bytes = bytes;
-        let start = self.read - self.bytes.len() as u64;
+        if consumed > 0 {
+            (self.dropped, self.kept_whole) = (0, 0);
+        }
+        let start = self.read - (self.bytes.len() + self.dropped) as u64;
         while self.received.front().is_some_and(|received| received.end <= start) {
             self.received.pop_front();
         }
@@ -120,6 +159,7 @@
     /// Discards the bytes at hand.
     pub(super) fn clear(&mut self) {
         self.bytes.clear();
+        (self.dropped, self.kept_whole) = (0, 0);
         self.received.clear();
     }
 }
--- a/crates/router/src/clients/input/tests.rs
+++ b/crates/router/src/clients/input/tests.rs
@@ -68,3 +68,30 @@
     input.clear();
     assert_eq!((input.is_empty(), input.arrival(0)), (true, None));
 }
+
+/// Guards against a longer time limit for a message of which the value was dropped, and against sending it.
+#[rstest]
+fn shortened_message_keeps_its_first_arrival_and_is_marked() {
+    let text = format!("INSERT INTO r VALUES ('{}'", "5a".repeat(5_000));
+    let mut query = Vec::new();
+    pgwire::query(&mut query, &text);
+    let (first, rest) = query.split_at(4_000);
+    let mut input = Input::new(CONNECTED, &Memory::default());
+    input.start_reading(CONNECTED);
+    input.push(first, CONNECTED + 100);
+    input.drain_finished(CONNECTED + 100);
+    assert!(input.can_be_shortened());
+    input.shorten();
+    assert!(input.len() < 200 && !input.can_be_shortened());
+    input.start_reading(CONNECTED + 5_000);
+    input.push(rest, CONNECTED + 6_000);
+    input.drain_finished(CONNECTED + 6_000);
+    assert_eq!(input.first_arrival(), range(0, 100));
+    assert!(!input.is_incomplete(), "its length was adapted");
+    assert!(input.take_shortened());
+    let bytes = input.take();
+    let size = bytes.len();
+    input.restore(bytes, size);
+    input.push(first, CONNECTED + 7_000);
+    assert!(!input.take_shortened(), "the next message is whole");
+}
--- a/crates/router/src/clients/reclaim.rs
+++ b/crates/router/src/clients/reclaim.rs
@@ -20,8 +20,7 @@
             }
             match step {
                 ReclaimStep::GiveUp(command) => self.give_up_for_memory(&command),
-                // No message is offered for it.
-                ReclaimStep::Shorten(_) => {}
+                ReclaimStep::Shorten(place) => self.shorten_message(keys[place]),
                 ReclaimStep::EndClient(place) => self.end_for_memory(keys[place]),
             }
         }
@@ -32,11 +31,20 @@
         let begun = self.clients.table.iter().filter(|(_, c)| c.command.is_none() && !c.input.is_empty());
         let message = |client: &Client| PartialMessage {
             received_at: client.input.last_received_at(),
-            can_be_shortened: false,
+            can_be_shortened: client.stage == Stage::Ready && client.input.can_be_shortened(),
         };
         begun.map(|(key, client)| (key, message(client))).unzip()
     }
 
+    fn shorten_message(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.table.get_mut(key) else { return };
+        let before = client.input.len();
+        client.input.shorten();
+        if client.input.len() < before {
+            self.counters.shortened += 1;
+        }
+    }
+
     fn end_for_memory(&mut self, key: ClientKey) {
         let holds_memory = |c: &Client| c.input.len() >= MIN_ENDED_INPUT && c.input.is_incomplete();
         if self.clients.table.get(key).is_some_and(holds_memory) {
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -44,6 +44,8 @@
 /// A statement as it was received from a client.
 pub struct Received<'a> {
     pub statement: &'a [u8],
+    /// False if its values were dropped for lack of memory, so that it must not be sent on.
+    pub is_whole: bool,
     pub arrived: Tenths,
     /// Since when the router is ready for it.
     pub ready_since: Tenths,
@@ -198,7 +200,7 @@
 
     /// Creates a command from a statement of this client.
     pub fn take_command(&mut self, client: ClientKey, received: Received) -> Result<CommandKey, Rejection> {
-        let Received { statement, arrived, ready_since } = received;
+        let Received { statement, is_whole, arrived, ready_since } = received;
         let said = pgwire::parse_metadata(statement).map_err(|why| ("42601", why.to_owned()))?;
         let wait = parse_number(said.wait, "d")?;
         let set = match said.set {
@@ -263,7 +265,7 @@
             token_age,
             session,
             repeat,
-            statement_bytes: Some(statement.len()),
+            statement_bytes: is_whole.then_some(statement.len()),
         };
         self.commands.router.command_arrived(self.now, command).map_err(|why| ("22023", why))?;
         let statement =
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -24,6 +24,8 @@
     pub reloads: u64,
     /// Clients closed to make room for others.
     pub gave_way: u64,
+    /// Messages whose values were dropped for lack of memory; their commands are refused.
+    pub shortened: u64,
     /// Idle clients ended because many clients had sent a query.
     pub quiet: u64,
     pub clients_closed: Tally<ClientClose>,
@@ -116,11 +118,11 @@
         writeln!(f, "counters given up: {}", self.given_up)?;
         writeln!(f, "counters closed clients: {}", self.clients_closed)?;
         writeln!(f, "counters closed members: {}", self.members_closed)?;
-        let Counters { dials, reused, lists, watches_broken, reloads, gave_way, quiet, .. } = self;
+        let Counters { dials, reused, lists, watches_broken, reloads, gave_way, quiet, shortened, .. } = self;
         write!(
             f,
             "counters connections: clients={connections} dials={dials} reused={reused} lists={lists} \
-             watches_broken={watches_broken} reloads={reloads} gave_way={gave_way} quiet={quiet}"
+             watches_broken={watches_broken} reloads={reloads} gave_way={gave_way} quiet={quiet} shortened={shortened}"
         )
     }
 }
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -128,3 +128,82 @@
     assert_eq!(router.counters("violations")["total"], 0);
     assert_eq!(router.counters("memory")["held"], 0);
 }
+
+/// A primary, and a router that may hold 4 MB for its clients.
+fn start_with_little_memory() -> (Node, Router) {
+    let node = Node::start("primary", |_| Reply::Send(row("written")));
+    let router = Router::with_limits(&[entry("s-a", &node, "ready", "primary")], SOCKETS, 8);
+    (node, router)
+}
+
+/// The two halves of a query.
+fn halves(query: &[u8]) -> [Vec<u8>; 2] {
+    let (first, second) = query.split_at(query.len() / 2);
+    [first.to_vec(), second.to_vec()]
+}
+
+/// Guards against ending healthy clients in the middle of a message while there is memory.
+#[rstest]
+fn large_writes_that_arrive_in_two_halves_are_served() {
+    let (_node, router) = start_with_little_memory();
+    let mut clients: Vec<Client> = (0..24).map(|_| Client::connect(&router)).collect();
+    let queries: Vec<[Vec<u8>; 2]> =
+        (0..24).map(|i| halves(&query_bytes(&large_order(&format!("i{i}"), 60_000)))).collect();
+    for part in 0..2 {
+        clients.iter_mut().zip(&queries).for_each(|(client, query)| client.send(&query[part]));
+        router.wait_for_loop_turn();
+    }
+    let answers: Vec<Answer> = clients.iter_mut().map(Client::answer).collect();
+    assert_eq!(counts(&answers), [(kind(&Answer::Row("written".into())), 24)].into());
+}
+
+/// Guards against ending or refusing healthy clients while others have sent half a message and stopped.
+#[rstest]
+fn clients_that_stop_within_a_message_cost_others_nothing() {
+    let (_node, router) = start_with_little_memory();
+    let mut stopped: Vec<Client> = (0..70)
+        .map(|i| {
+            let mut client = Client::connect(&router);
+            client.send(&halves(&query_bytes(&large_order(&format!("s{i}"), 60_000)))[0]);
+            client
+        })
+        .collect();
+    sleep(Duration::from_millis(600));
+    for i in 0..20 {
+        let mut client = Client::connect(&router);
+        assert_eq!(client.query(&large_order(&format!("i{i}"), 60_000)), Answer::Row("written".into()));
+    }
+    for client in &mut stopped {
+        assert_eq!(kind(&client.answer()), "08P01");
+    }
+}
+
+/// A command whose value could not be held gets the answer that its own text deserves, and is never sent.
+#[rstest]
+#[case::refused("c=order,t=acme", "53300")]
+#[case::unknown_group("c=other,t=acme", "22023")]
+#[case::unknown_customer("c=order,t=nobody", "22023")]
+fn command_whose_value_was_dropped_is_answered(#[case] fields: &str, #[case] code: &str) {
+    let (node, router) = start_with_little_memory();
+    let query = query_bytes(&large_order("i1", 60_000).replace("c=order,t=acme", fields));
+    let [first, second] = halves(&query);
+    let mut client = Client::connect(&router);
+    client.send(&first);
+    sleep(Duration::from_millis(600));
+    // This makes the first message the one that has made no progress for longest.
+    let others: Vec<Client> = (0..70)
+        .map(|i| {
+            let mut other = Client::connect(&router);
+            other.send(&halves(&query_bytes(&large_order(&format!("o{i}"), 60_000)))[0]);
+            other
+        })
+        .collect();
+    router.wait_for_loop_turn();
+    client.send(&second);
+    let answer = client.answer();
+    assert_eq!(kind(&answer), code);
+    assert_eq!(matches!(answer, Answer::Error(_, Some(_))), code == "53300", "{answer:?}");
+    assert_eq!(client.query(&order("i2", 60_000)), Answer::Row("written".into()), "the connection goes on");
+    assert!(node.statement().contains("id=i2,"), "the first command is never sent");
+    drop(others);
+}
