Router: a message's time counts from when its client is read again

Callers saw 08P01 for a large command sent behind one that was answered after 2.5 s or later; 1 or 2 of 682 in two of six plays of a test of memory.

Change: resumed_at; a message's time counts from it if it is later. A client that stops by itself is not paused and gets its error as before.

Result: message_behind_a_command_that_waits_keeps_its_time_limit, red before and on; tests of standstill, closing, pieces and crowd pass.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -77,6 +77,8 @@
     /// Since when the router is ready for the client's next message: the last answer was queued, or reading resumed. 0 if
     /// it always was.
     ready_since: Tenths,
+    /// When reading resumed after it was paused; 0 if it never was.
+    resumed_at: Tenths,
     /// The client has sent a query (`sent_query`), and one that became a command (`served`).
     sent_query: bool,
     served: bool,
@@ -168,10 +170,11 @@
         TimeRange::new(earliest.max(self.ready_since), latest)
     }
 
-    /// When the message that has begun must be complete.
+    /// When the message that has begun must be complete. While reading is paused, its client may be unable to send the rest.
     fn message_deadline(&self, now: Tenths) -> Tenths {
         let first_byte = self.after_ready(self.input.first_arrival(), now);
-        (first_byte.latest + MESSAGE_TIMEOUT).min(first_byte.earliest + MAX_PARTIAL_MESSAGE)
+        let [earliest, latest] = [first_byte.earliest, first_byte.latest].map(|at| at.max(self.resumed_at));
+        (latest + MESSAGE_TIMEOUT).min(earliest + MAX_PARTIAL_MESSAGE)
     }
 }
 
@@ -198,6 +201,7 @@
             command: None,
             query_at: 0,
             ready_since: 0,
+            resumed_at: 0,
             sent_query: false,
             served: false,
             paused: false,
@@ -297,7 +301,7 @@
         if let Some(client) = self.clients.table.get_mut(key) {
             client.input.start_reading(self.polls.handled_until());
             if client.paused {
-                client.ready_since = self.now;
+                (client.ready_since, client.resumed_at) = (self.now, self.now);
             }
         }
         loop {
--- a/crates/router/tests/pieces.rs
+++ b/crates/router/tests/pieces.rs
@@ -8,7 +8,9 @@
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
-use std::thread::spawn;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
 /// Sends the bytes and returns once the router has read them, so that later bytes arrive in a separate read.
@@ -292,3 +294,24 @@
         assert!(in_time, "{chunking:?}: never sent in time, or the connection was closed in each trial");
     }
 }
+
+/// Guards against a time limit for a message that runs while the router does not read on, so that its client cannot send the
+/// rest.
+#[rstest]
+fn message_behind_a_command_that_waits_keeps_its_time_limit() {
+    let is_primary = Arc::new(AtomicBool::new(false));
+    let node = Node::promoted_by(&is_primary);
+    let router = Router::start(&[entry("s-a", &node, "ready", "replica")]);
+    let mut client = Client::connect(&router);
+    let [first, second] = [order("i1", 60_000), large_order("i2", 60_000)].map(|text| query_bytes(&text));
+    // More than the router reads ahead.
+    let (begun, rest) = second.split_at(70_000);
+    client.send(&[&first, begun].concat());
+    // Longer than the time that a message may take.
+    sleep(Duration::from_millis(2_900));
+    is_primary.store(true, Relaxed);
+    assert_eq!(client.answer(), Answer::Row("written".into()));
+    sleep(Duration::from_millis(50));
+    client.send(rest);
+    assert_eq!(client.answer(), Answer::Row("written".into()));
+}
