Router: nothing is read behind a message while memory is short

Callers saw small writes refused for memory, 257 of 341, where each client sends one of 64 KiB behind its small one while a set has no primary.

Cause: fill_input reads a message and up to 64 KiB beyond before a command comes out of it, 131 KB behind each small command. Giving these up frees 100 bytes each, so all go. Ruled out: the order of what is given up (large waiting commands go first; there are none).

Change: while over half of what may be held is held, a client is read to the end of its current message and one byte more. Not always, as a close may be behind unread bytes: then two cases of no_command_starts_for_a_client_that_left_while_the_router_was_suspended fail.

Red before: case 2 of large_writes_sent_ahead_stay_within_the_memory_limit (84 of 341).

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -49,6 +49,8 @@
 /// Unsent bytes above which a client is not read any more, and bytes read ahead while its command is open.
 const MAX_UNSENT: usize = 64 * 1024;
 const MAX_READ_AHEAD: usize = 16 * 1024;
+/// The bytes read of a message whose size is not known yet while memory is short.
+const SHORT_READ: usize = 1_024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -158,6 +160,20 @@
         self.command.is_none() && self.unsent == 0 && self.input.is_empty()
     }
 
+    /// The bytes of input above which reading is paused, and the most that the next read may add. While memory is short,
+    /// nothing is read behind the current message but one byte, which shows whether anything is there. Otherwise more is
+    /// read, as the end of a connection may be behind it.
+    fn read_limits(&self, memory_is_short: bool) -> (usize, usize) {
+        let most = match self.command {
+            Some(_) if memory_is_short => 0,
+            Some(_) => MAX_READ_AHEAD,
+            None if memory_is_short => pgwire::message_size(self.input.bytes()).unwrap_or(SHORT_READ),
+            None => MAX_MESSAGE,
+        };
+        let room = if memory_is_short { (most + 1).saturating_sub(self.input.len()) } else { usize::MAX };
+        (most, room)
+    }
+
     /// When the message arrived that ends `left` bytes before the end of what was read. The time spent on the commands
     /// before it does not count, so it is taken to have arrived once the router was ready for it.
     fn arrival(&self, left: usize, now: Tenths) -> TimeRange {
@@ -306,7 +322,7 @@
         }
         loop {
             let Some(client) = self.clients.table.get_mut(key) else { return };
-            let most = if client.command.is_some() { MAX_READ_AHEAD } else { MAX_MESSAGE };
+            let (most, room) = client.read_limits(self.memory.total() > self.limits.held_for_read_ahead);
             client.paused = client.input.len() > most || client.unsent > MAX_UNSENT;
             // Danger: if a client sends much and leaves, the end of its connection is behind unread bytes and no event
             // reports it again: its commands would be dispatched without a client.
@@ -316,7 +332,8 @@
             if client.paused || self.clients.reading_stopped {
                 return;
             }
-            match (&*client.stream).read(&mut self.scratch) {
+            let room = room.min(self.scratch.len());
+            match (&*client.stream).read(&mut self.scratch[..room]) {
                 Ok(0) => return self.input_ended(key, ClientClose::Left),
                 Ok(_) if matches!(client.stage, Stage::Ending | Stage::ShutDown) => {}
                 Ok(read) => {
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -22,6 +22,8 @@
 /// The share of the memory limit for all bytes held for clients: input, statements, answers and output. The program, its
 /// connections, the member list and the module's tables need the rest.
 const HELD_PART: f64 = 0.5;
+/// The share of the bytes held above which nothing more is read ahead of an open command.
+const READ_AHEAD_PART: f64 = 0.5;
 /// The share of the bytes held that is given up beyond the excess, so that not every read gives something up.
 const RECLAIM_MARGIN_PART: f64 = 1.0 / 64.0;
 
@@ -38,6 +40,8 @@
     pub staying_clients: usize,
     /// Bytes that may be held for clients in total.
     pub held: usize,
+    /// While more bytes than this are held, nothing is read ahead of an open command.
+    pub held_for_read_ahead: usize,
     /// Once more than `held` are held, bytes are given up until no more than this are.
     pub held_after_reclaim: usize,
 }
@@ -68,6 +72,7 @@
             spare,
             staying_clients: staying_clients(sockets, memory, clients),
             held,
+            held_for_read_ahead: part(held, READ_AHEAD_PART),
             held_after_reclaim: held - part(held, RECLAIM_MARGIN_PART),
         }
     }
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -128,6 +128,43 @@
     }
 }
 
+/// Guards against commands sent ahead of an answer that fill the memory, and against giving up the small commands before
+/// them, which frees nothing. Where the first command of each client is small, all of these are served.
+#[rstest]
+#[case::behind_large_commands(large_order, 0)]
+#[case::behind_small_commands(order, CLIENTS)]
+fn large_writes_sent_ahead_stay_within_the_memory_limit(
+    #[case] first: fn(&str, u32) -> String,
+    #[case] least_served: usize,
+) {
+    let is_primary = Arc::new(AtomicBool::new(false));
+    let node = Node::promoted_by(&is_primary);
+    let router = Router::with_limits(&[entry("s-a", &node, "ready", "replica")], SOCKETS, MEMORY_MB);
+    let peak = PeakMemory::watch(&router);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|i| {
+            let mut client = Client::connect(&router);
+            spawn(move || {
+                let ahead = large_order(&format!("b{i}"), 60_000);
+                let both = [first(&format!("a{i}"), 60_000), ahead].map(|text| query_bytes(&text));
+                client.send(&both.concat());
+                [client.answer(), client.answer()]
+            })
+        })
+        .collect();
+    sleep(Duration::from_secs(3));
+    is_primary.store(true, Relaxed);
+    let answers: Vec<[Answer; 2]> =
+        clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    peak.assert_within_limit();
+    let is_written = |answer: &&Answer| **answer == Answer::Row("written".into());
+    let served = answers.iter().map(|[first, _]| first).filter(is_written).count();
+    assert!(served >= least_served, "{served} of {CLIENTS} first commands are served");
+    let counts = counts(answers.as_flattened());
+    let count = |kind: &str| counts.get(kind).copied().unwrap_or(0);
+    assert_eq!(count("Row(\"written\")") + count("53300"), 2 * CLIENTS, "{counts:?}");
+}
+
 /// A primary, and a router that may hold 4 MB for its clients.
 fn start_with_little_memory() -> (Node, Router) {
     let node = Node::start("primary", |_| Reply::Send(row("written")));
