Tests: one command to start from, and limits that must fit together

The fields of a command stood written out in eight tests of the decisions; now they change what their case needs of one. A test derives that the bytes held for clients, connections, 3,200 listed members and the program fit into the memory at every corner of 256 to 1,024 descriptors and 32 to 192 MB: with the limits of input alone nothing would have shown that statements had none.

--- a/crates/router/src/limits/tests.rs
+++ b/crates/router/src/limits/tests.rs
@@ -38,3 +38,25 @@
         }
     }
 }
+
+/// What the program needs beside the bytes held for clients, in bytes: itself, a connection with the buffers that it keeps, and
+/// a listed member (`docs/measured/slopes.hcl`).
+const PROGRAM: usize = 4_200_000;
+const CONNECTION: usize = 5 * 1_024;
+const MEMBER: usize = 2_213;
+/// The most members that the deployment lists.
+const MEMBERS: usize = 3_200;
+
+/// Guards against limits that are sound one by one and take more than the memory together.
+#[rstest]
+fn bytes_held_for_clients_fit_into_the_memory_beside_everything_else(
+    #[values(256, 384, 512, 768, 1024)] sockets: usize,
+    #[values(32, 48, 64, 128, 192)] mb: usize,
+) {
+    let limits = Limits::new(sockets, mb << 20);
+    let needed = limits.held + PROGRAM + limits.room * CONNECTION + MEMBERS * MEMBER;
+    assert!(needed <= mb << 20, "{needed} bytes of {mb} MB");
+    assert!(
+        limits.held_for_read_ahead < limits.held_after_reclaim && limits.held_after_reclaim < limits.held
+    );
+}
--- a/src/decide/freshness/tests.rs
+++ b/src/decide/freshness/tests.rs
@@ -145,19 +145,7 @@
 /// A write of the session is answered at NOW + 20, with its commit at NOW + 10.
 fn session_writes(r: &mut Router) {
     r.next_key = 1;
-    let (id, command_group, session) = ("w".into(), "write".into(), Some("s".into()));
-    let (customer, time_left, token_age) = (None, 9_000, None);
-    let cmd = Command {
-        id,
-        command_group,
-        customer,
-        set: 1,
-        time_left,
-        token_age,
-        session,
-        repeat: false,
-        statement_bytes: Some(0),
-    };
+    let cmd = Command { session: Some("s".into()), ..command("w", "write") };
     r.command_arrived(NOW, cmd).unwrap();
     let key = r.key_by_id["w"];
     r.open.get_mut(&key).unwrap().in_flight.insert(0, (0, NOW));
--- a/src/decide/memory/tests.rs
+++ b/src/decide/memory/tests.rs
@@ -102,17 +102,7 @@
 #[rstest]
 fn command_without_a_statement_is_refused_at_once() {
     let mut router = router(&[]);
-    let command = Command {
-        id: "x".into(),
-        command_group: "write".into(),
-        customer: None,
-        set: 1,
-        time_left: 30_000,
-        token_age: None,
-        session: None,
-        repeat: false,
-        statement_bytes: None,
-    };
+    let command = Command { time_left: 30_000, statement_bytes: None, ..command("x", "write") };
     router.command_arrived(NOW, command).expect("a known group");
     let decisions: Vec<Decision> = std::iter::from_fn(|| router.next_decision(NOW)).collect();
     let refused = Decision::Throttle { command: "x".into(), retry_after: 2_500 };
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -66,6 +66,21 @@
     router.open.insert(0, cmd);
 }
 
+/// A command of the set that arrives with 0.9 s left.
+pub(super) fn command(id: &str, command_group: &str) -> Command {
+    Command {
+        id: id.into(),
+        command_group: command_group.into(),
+        customer: None,
+        set: 1,
+        time_left: 9_000,
+        token_age: None,
+        session: None,
+        repeat: false,
+        statement_bytes: Some(0),
+    }
+}
+
 pub(super) fn dispatch_end(ending: Ending, primary: Option<bool>) -> DispatchEnd {
     let note = AnswerNote { primary, position: 0 };
     let (report, idled) = (Report::default(), None);
@@ -233,19 +248,7 @@
 ) {
     let mut r = router(&[("family_info.token_mode", mode)]);
     r.sessions.record_write("s".into(), 77, 0, SESSIONS_BEFORE_EVICTION);
-    let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
-    let (customer, time_left, token_age) = (None, 9_000, age);
-    let cmd = Command {
-        id,
-        command_group,
-        customer,
-        set: 1,
-        time_left,
-        token_age,
-        session,
-        repeat: false,
-        statement_bytes: Some(0),
-    };
+    let cmd = Command { token_age: age, session: Some("s".into()), ..command("x", "session") };
     r.command_arrived(NOW, cmd).unwrap();
     assert_eq!(r.open[&0].required_position, needs);
 }
@@ -444,19 +447,7 @@
         r.exceeds_share(NOW, if excess { "p" } else { "other" });
         r.all_traffic.add(NOW, LATENCY_HALF_LIFE, if excess { 0.0 } else { 1.0 });
     }
-    let (id, command_group, customer) = ("x".into(), "any".into(), Some("p".into()));
-    let (set, time_left, token_age, session) = (1, 9_000, None, None);
-    let cmd = Command {
-        id,
-        command_group,
-        customer,
-        set,
-        time_left,
-        token_age,
-        session,
-        repeat,
-        statement_bytes: Some(0),
-    };
+    let cmd = Command { customer: Some("p".into()), repeat, ..command("x", "any") };
     r.command_arrived(NOW, cmd).unwrap();
     assert_eq!(r.open[&0].rank, rank);
 }
@@ -613,19 +604,7 @@
     (cmd.session, cmd.in_flight) = (Some("t".into()), BTreeMap::from([(0, (0, NOW))]));
     r.dispatch_ended(NOW, "cmd", dispatch_end(Ending::Answered, None));
     assert!(r.sessions.count() <= 2, "{}", r.sessions.count());
-    let (id, command_group, session) = ("x".into(), "session".into(), Some("s".into()));
-    let (customer, time_left, token_age, repeat) = (None, 9_000, None, false);
-    let cmd = Command {
-        id,
-        command_group,
-        customer,
-        set: 1,
-        time_left,
-        token_age,
-        session,
-        repeat,
-        statement_bytes: Some(0),
-    };
+    let cmd = Command { session: Some("s".into()), ..command("x", "session") };
     r.command_arrived(NOW, cmd).unwrap();
     assert_eq!(r.open[&0].required_position, needs);
 }
@@ -651,20 +630,7 @@
 fn missing_session_token_requires_the_latest_possible_member_time() {
     let mut r = router(&[("family_info.token_mode", "carried")]);
     r.clock.learn(NOW, OffsetEvidence::from_any_member(NOW + SECOND, NOW));
-    let (id, command_group) = ("x".into(), "session".into());
-    let (customer, time_left, token_age, session, repeat) = (None, 9_000, None, None, false);
-    let cmd = Command {
-        id,
-        command_group,
-        customer,
-        set: 1,
-        time_left,
-        token_age,
-        session,
-        repeat,
-        statement_bytes: Some(0),
-    };
-    r.command_arrived(NOW, cmd).unwrap();
+    r.command_arrived(NOW, command("x", "session")).unwrap();
     assert!(r.open[&0].required_position > NOW + SECOND);
 }
 
@@ -829,19 +795,7 @@
 fn retry_is_offered_although_an_older_settle_task_is_due(#[case] ends: Tenths) {
     let mut r = router(&[]);
     while r.next_decision(NOW).is_some() {}
-    let (id, command_group) = ("cmd".into(), "write".into());
-    let (time_left, customer, token_age, session) = (1_000, None, None, None);
-    let command = Command {
-        id,
-        command_group,
-        customer,
-        set: 1,
-        time_left,
-        token_age,
-        session,
-        repeat: false,
-        statement_bytes: Some(0),
-    };
+    let command = Command { time_left: 1_000, ..command("cmd", "write") };
     r.command_arrived(NOW, command).expect("a known group");
     let sent = std::iter::from_fn(|| r.next_decision(NOW)).any(|d| matches!(d, Decision::Dispatch { .. }));
     assert!(sent, "the first dispatch is sent");
@@ -1727,19 +1681,7 @@
     r.members[2].excluded = true;
     (r.members[1].known_to_exist, r.members[1].position, r.members[1].checked_at) =
         (true, NOW - 4_000, NOW - SECOND);
-    let (id, command_group, customer, time_left) = ("x".into(), "bounded".into(), None, 2_000);
-    let (set, token_age, session, repeat) = (1, None, None, false);
-    let cmd = Command {
-        id,
-        command_group,
-        customer,
-        set,
-        time_left,
-        token_age,
-        session,
-        repeat,
-        statement_bytes: Some(0),
-    };
+    let cmd = Command { time_left: 2_000, ..command("x", "bounded") };
     r.command_arrived(NOW, cmd).unwrap();
     let mut decisions: Vec<Decision> = std::iter::from_fn(|| r.next_decision(NOW)).collect();
     decisions.retain(|d| matches!(d, Decision::Probe { node } if &**node == "b"));
