Router: a command larger than the receive buffer is no longer dated by its reading

Cause: Input::drain_finished takes the system's time of the last bytes for the last command of a read. What the receive buffer does not take comes in only while the router reads, though its client wrote it long before. Seen: 131 KB written to a stopped router, continued after 1.35 s: 1.987 s told of 0.646.

--- a/crates/router/src/clients/input.rs
+++ b/crates/router/src/clients/input.rs
@@ -7,6 +7,8 @@
 use vetchkeel::Tenths;
 use vetchkeel_pgwire as pgwire;
 
+/// Bytes that the system surely takes for a connection while nothing is read from it: half of its usual first window.
+const MIN_RECEIVE_BUFFER: u64 = 32 * 1_024;
 /// Fewer bytes than this are not worth shortening.
 const MIN_SHORTENED: usize = 1_024;
 
@@ -16,7 +18,7 @@
     /// The number of bytes read on the connection up to and including this read.
     end: u64,
     arrived: TimeRange,
-    /// Nothing was unread behind this read, so its last byte arrived at `arrived.latest`.
+    /// Nothing was unread behind this read and nothing held up its sender, so its last byte arrived at `arrived.latest`.
     last_byte_known: bool,
 }
 
@@ -35,6 +37,8 @@
     unread_since: Tenths,
     /// The last read found nothing unread.
     drained: bool,
+    /// The number of bytes read when the connection was last found empty.
+    read_when_drained: u64,
 }
 
 impl Input {
@@ -49,6 +53,7 @@
             unread_since: connected_at,
             // It was in no poll so far.
             drained: false,
+            read_when_drained: 0,
         }
     }
 
@@ -90,9 +95,13 @@
     /// A read found nothing unread; `now` was read before it.
     pub(super) fn drain_finished(&mut self, now: Tenths) {
         (self.drained, self.unread_since) = (true, now);
-        if let Some(last) = self.received.back_mut() {
-            last.last_byte_known = true;
+        // Danger: of more bytes than the system holds, the last ones come in only while the others are read, and their client
+        // may have written them long before.
+        let fits_receive_buffer = self.read - self.read_when_drained <= MIN_RECEIVE_BUFFER;
+        if let Some(last) = self.received.back_mut().filter(|last| last.end > self.read_when_drained) {
+            last.last_byte_known = fits_receive_buffer;
         }
+        self.read_when_drained = self.read;
     }
 
     /// When the byte arrived that is followed by `left` bytes.
--- a/crates/router/src/clients/input/tests.rs
+++ b/crates/router/src/clients/input/tests.rs
@@ -95,3 +95,21 @@
     input.push(first, CONNECTED + 7_000);
     assert!(!input.take_shortened(), "the next message is whole");
 }
+
+/// Guards against a message larger than the receive buffer that counts from when its last bytes could come in at last.
+#[rstest]
+#[case::fits(32 * 1_024, range(20_900, 20_900))]
+#[case::does_not_fit(32 * 1_024 + 1, range(500, 20_900))]
+fn last_byte_is_known_only_if_the_receive_buffer_took_all(
+    #[case] size: usize,
+    #[case] expected: Option<TimeRange>,
+) {
+    let mut input = input(500, &[]);
+    input.push(&vec![0; size / 2], CONNECTED + 20_900);
+    input.push(&vec![0; size - size / 2], CONNECTED + 20_900);
+    // A second look that finds nothing new tells nothing new.
+    for now in [20_900, 20_950] {
+        input.drain_finished(CONNECTED + now);
+        assert_eq!(input.arrival(0), expected);
+    }
+}
--- a/crates/router/tests/standstill.rs
+++ b/crates/router/tests/standstill.rs
@@ -171,6 +171,31 @@
 }
 
 /// A command that came late in a standstill, with nothing behind it, keeps the time that its client has left.
+/// Guards against a command that is larger than the system's receive buffer and counts from when its last bytes came in, which
+/// they could only once the router read: its client had written them long before.
+#[rstest]
+#[case::on_an_open_connection(false)]
+#[case::on_a_new_connection(true)]
+fn large_command_sent_during_a_standstill_keeps_its_deadline(#[case] on_new_connection: bool) {
+    let (node, router) = start_with_primary(|_| Reply::Nothing);
+    let mut client = if on_new_connection { None } else { Some(Client::connect(&router)) };
+    router.stop();
+    let stopped_at = Instant::now();
+    let client = client.get_or_insert_with(|| {
+        let mut client = Client::raw(&router);
+        client.send(&startup(3 << 16));
+        client
+    });
+    client.send(&query_bytes(&large_order("first", STANDSTILL_TIMEOUT.as_millis() as u32)));
+    let sent_at = Instant::now();
+    assert!(sent_at - stopped_at < Duration::from_millis(100), "written while the router stood still");
+    sleep_until(stopped_at + STANDSTILL);
+    router.signal("-CONT");
+    let stated = stated_time(&node.statement());
+    let left = STANDSTILL_TIMEOUT.saturating_sub(sent_at.elapsed());
+    assert!(stated < left + TIME_LEFT_SLACK, "{stated:?} stated of {left:?}");
+}
+
 #[rstest]
 fn command_received_at_the_end_of_a_standstill_is_served() {
     let (_node, router) = start_with_primary(|_| Reply::Send(row("r")));
