Soak: a course with large values, drawn limits and a judge of resident memory

Change: 32 to 192 MB and 256 to 1,024 descriptors by seed, clients on a third of them that write up to 64 KiB, all sets without a primary at once for 1.5 to 2.5 s (down or hanging), resident memory read every 10 ms under the lock that keeps the process id valid.

--- a/crates/router/tests/soak/clients.rs
+++ b/crates/router/tests/soak/clients.rs
@@ -10,7 +10,7 @@
 use std::net::TcpStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -23,6 +23,13 @@
 const CROWD: usize = 150;
 const CROWD_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The largest value in bytes, as a hex literal, and the longest time between two commands of a client that writes large
+/// values, in milliseconds.
+const LARGEST_VALUE: u64 = 64 * 1024;
+const LARGE_WRITE_INTERVAL_MS: u64 = 2_500;
+/// When all sets lose their primaries, each of these clients writes once within this time, in milliseconds.
+const OUTAGE_WRITE_MS: u64 = 500;
+
 /// The pauses between commands that are sent without waiting for answers, in milliseconds.
 const PIPELINE_PAUSES_MS: [u64; 3] = [0, 5, 300];
 
@@ -34,6 +41,8 @@
     pub finished: Arc<AtomicBool>,
     /// While this is set, every client that is about to disconnect does so at once.
     pub disconnect_now: Arc<AtomicBool>,
+    /// How often all sets have lost their primaries at once.
+    pub outages: Arc<AtomicU32>,
     /// Whether it also sends commands before the one before is answered.
     pub pipelines: bool,
 }
@@ -94,6 +103,45 @@
         }
     }
 
+    /// Writes values of up to the largest size, every second one of the largest.
+    pub fn write_large_values(&self, seed: u64) {
+        let (mut rng, mut number, mut session) = (Rng::new(seed), 0, None);
+        while !self.finished.load(Relaxed) {
+            number += 1;
+            self.wait_for_large_write(&mut rng);
+            let Some(open) = session.take().or_else(|| self.open()) else { continue };
+            let (id, set) = (format!("{}-{number}", self.name), rng.below(SETS as u64));
+            let size = if rng.below(2) == 0 { LARGEST_VALUE } else { 1 + rng.below(LARGEST_VALUE) };
+            let value = "01".repeat(size as usize);
+            let text = format!(
+                r"INSERT INTO records (k, v) VALUES ('k', '\x{value}') RETURNING v /* id={id},c=order,d=1400,cluster={set} */"
+            );
+            session = self.write_large(open, &id, &text);
+        }
+    }
+
+    fn write_large(&self, mut open: Session, id: &str, text: &str) -> Option<Session> {
+        self.ledger.command_sent(id, Class::Order, self.router.number, Duration::from_millis(1_400));
+        let written = open.client.stream.write_all(&query_bytes(text));
+        self.ledger.command_written(id);
+        if written.is_err() || !self.await_answer(&mut open, id) {
+            self.unanswered(&open, id);
+            return None;
+        }
+        Some(open)
+    }
+
+    fn wait_for_large_write(&self, rng: &mut Rng) {
+        let outages = self.outages.load(Relaxed);
+        let until = Instant::now() + Duration::from_millis(rng.below(LARGE_WRITE_INTERVAL_MS));
+        while Instant::now() < until && !self.finished.load(Relaxed) {
+            thread::sleep(Duration::from_millis(10));
+            if self.outages.load(Relaxed) != outages {
+                return thread::sleep(Duration::from_millis(rng.below(OUTAGE_WRITE_MS)));
+            }
+        }
+    }
+
     fn open(&self) -> Option<Session> {
         let killed = self.router.killed.load(Relaxed);
         let broken = self.router.faults.injected(Fault::BrokenReceive);
--- a/crates/router/tests/soak/disturbances.rs
+++ b/crates/router/tests/soak/disturbances.rs
@@ -1,5 +1,6 @@
 //! Disturbances that overlap in time, drawn from a seed; each starts, lasts for a while and ends.
 
+use super::Course;
 use super::common::draw::Rng;
 use super::common::faults::Fault;
 use super::members::{MEMBERS, MEMBERS_PER_SET, Member, SETS};
@@ -17,6 +18,8 @@
     pub disconnect_now: Arc<AtomicBool>,
     /// The rate of delayed writes during `DelayedSends`, in a million writes.
     pub send_delay_rate: u64,
+    /// How often all sets have lost their primaries at once.
+    pub outages: Arc<AtomicU32>,
     /// For each set, held while its primary changes.
     pub role_changes: [Mutex<()>; SETS],
 }
@@ -60,6 +63,10 @@
 /// How long routers stand still in the operators' deployments, in milliseconds, and the time between two standstills.
 const STANDSTILL_RANGES: [(u64, u64); 2] = [(280, 580), (680, 1_400)];
 const BETWEEN_STANDSTILLS: Duration = Duration::from_millis(600);
+/// In the course with large values, how long all sets are without a primary, in milliseconds, and the time between two such
+/// outages.
+const OUTAGE_RANGE: (u64, u64) = (1_500, 2_500);
+const BETWEEN_OUTAGES: Duration = Duration::from_millis(1_000);
 /// SIGTERM comes at most this long after a standstill begins.
 const MAX_BEFORE_SIGTERM: u64 = 100;
 
@@ -164,11 +171,13 @@
 
 impl Environment {
     /// Starts disturbances, about two or three at a time, until the span is over, and waits for all of them to end.
-    pub fn run(&self, seed: u64, span: Duration, has_standstills: bool) {
+    pub fn run(&self, seed: u64, span: Duration, course: Course) {
         let (begun, mut rng) = (Instant::now(), Rng::new(seed ^ 0x50a6));
         thread::scope(|scope| {
-            if has_standstills {
-                scope.spawn(|| self.run_standstills(seed, span, begun));
+            match course {
+                Course::Usual => {}
+                Course::Standstills => _ = scope.spawn(|| self.run_standstills(seed, span, begun)),
+                Course::LargeValues => _ = scope.spawn(|| self.run_outages(seed, span, begun)),
             }
             while begun.elapsed() < span {
                 let kinds = if rng.below(2) == 0 { &ALL } else { FOCUS[seed as usize % FOCUS.len()] };
@@ -193,6 +202,27 @@
         });
     }
 
+    /// Takes the primaries of all sets away at once, again and again: they go down or hang.
+    fn run_outages(&self, seed: u64, span: Duration, begun: Instant) {
+        let mut rng = Rng::new(seed ^ 0x01a7);
+        while begun.elapsed() < span {
+            thread::sleep(BETWEEN_OUTAGES);
+            let (least, most) = OUTAGE_RANGE;
+            let without_primary = Duration::from_millis(least + rng.below(most - least));
+            let hangs = rng.below(2) == 0;
+            println!("{:>6} ms outage of all sets: hangs {hangs}", begun.elapsed().as_millis());
+            self.outages.fetch_add(1, Relaxed);
+            thread::scope(|scope| {
+                for set in 0..SETS {
+                    scope.spawn(move || match hangs {
+                        true => self.hang_failover(set, 2 * without_primary.saturating_sub(DETECTION_TIME)),
+                        false => self.failover(set, 2 * without_primary),
+                    });
+                }
+            });
+        }
+    }
+
     fn run_one(&self, disturbance: Disturbance, mut rng: Rng, begun: Instant) {
         let duration = Duration::from_millis(300 + rng.below(1_500));
         let routers: Vec<&Arc<Router>> =
--- a/crates/router/tests/soak/ledger.rs
+++ b/crates/router/tests/soak/ledger.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// The last byte of a large command has been written: its time runs from then.
+    pub fn command_written(&self, id: &str) {
+        self.command_is_next(id, Instant::now());
+    }
+
     /// The client disconnects without waiting for an answer; called just before it closes the connection.
     pub fn client_disconnects(&self, id: &str) {
         if let Some(command) = self.records().commands.get_mut(id) {
--- a/crates/router/tests/soak/main.rs
+++ b/crates/router/tests/soak/main.rs
@@ -21,10 +21,10 @@
 use disturbances::Environment;
 use ledger::{Ledger, Outcome};
 use members::{MEMBERS, Member};
-use routers::Router;
+use routers::{Limits, Router};
 use rstest::rstest;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
+use std::sync::{Arc, RwLock};
 use std::thread;
 use std::time::Duration;
 
@@ -44,8 +44,9 @@
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(or)
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..3".into());
+/// The seeds from the environment, or else these.
+fn seeds(or: &str) -> std::ops::Range<u64> {
+    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| or.into());
     let (first, end) = text.split_once("..").expect("SOAK_SEEDS as in 1..20");
     first.parse().expect("a number")..end.parse().expect("a number")
 }
@@ -56,8 +57,23 @@
     Usual,
     /// Routers stand still, also when SIGTERM comes, and some clients send a command before the one before it is answered.
     Standstills,
+    /// Many clients write values of up to the largest size, also while all sets are without a primary, and routers have the deployment's limits of memory and
+    /// descriptors, which the seed draws. Resident memory is judged as the platform does.
+    LargeValues,
 }
 
+impl Course {
+    /// The limits of its routers.
+    fn limits(self, seed: u64) -> Limits {
+        if self == Course::LargeValues { Limits::drawn(seed) } else { Limits::USUAL }
+    }
+}
+
+/// Runs with large values need the machine for themselves: held for writing by these, for reading by all others.
+static MACHINE: RwLock<()> = RwLock::new(());
+/// How often the platform looks at the memory of a router.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Runs one seed; returns the rules that were violated.
 fn run_seed(seed: u64, count: usize, span: Duration, course: Course) -> Vec<String> {
     let bound = Duration::from_millis(BOUNDS[seed as usize % BOUNDS.len()]);
@@ -67,11 +83,13 @@
     let members: Vec<_> = (0..MEMBERS).map(|number| Member::start(number, ledger.clone())).collect();
     let start = |number| {
         let agent = Agent::start(number, &members, &version, &ledger);
-        Router::start(number, seed, agent, ledger.clone())
+        Router::start(number, seed, course.limits(seed), agent, ledger.clone())
     };
     let routers: Vec<Arc<Router>> = (0..count).map(start).collect();
     let (finished, disconnect_now) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let pipelines = course == Course::Standstills;
+    let trouble_ends = Arc::new(AtomicBool::new(false));
+    let outages = Arc::new(AtomicU32::new(0));
     let mut threads = Vec::new();
     for (router, client) in routers.iter().flat_map(|r| (0..CLIENTS).map(move |client| (r, client))) {
         let name = format!("s{seed}r{}c{client}", router.number);
@@ -83,10 +101,36 @@
             name,
             finished,
             disconnect_now,
+            outages: outages.clone(),
             pipelines,
         };
         threads.push(thread::spawn(move || clients.run(seed_of_it)));
     }
+    if course == Course::LargeValues {
+        for (router, client) in routers
+            .iter()
+            .flat_map(|r| (CLIENTS..r.limits.sockets as usize / 3).map(move |client| (r, client)))
+        {
+            let clients = Clients {
+                router: router.clone(),
+                ledger: ledger.clone(),
+                name: format!("s{seed}r{}l{client}", router.number),
+                finished: trouble_ends.clone(),
+                disconnect_now: disconnect_now.clone(),
+                outages: outages.clone(),
+                pipelines: false,
+            };
+            let seed_of_it = seed * 1_000_000 + (router.number * 1_000 + client) as u64;
+            threads.push(thread::spawn(move || clients.write_large_values(seed_of_it)));
+        }
+        let monitored = (routers.clone(), finished.clone());
+        threads.push(thread::spawn(move || {
+            while !monitored.1.load(Relaxed) {
+                monitored.0.iter().for_each(|router| router.check_memory());
+                thread::sleep(MEMORY_INTERVAL);
+            }
+        }));
+    }
     let monitored = (routers.clone(), finished.clone());
     threads.push(thread::spawn(move || {
         while !monitored.1.load(Relaxed) {
@@ -106,9 +150,11 @@
         version,
         disconnect_now,
         send_delay_rate,
+        outages,
         role_changes,
     };
-    environment.run(seed, span, course == Course::Standstills);
+    environment.run(seed, span, course);
+    trouble_ends.store(true, Relaxed);
     thread::sleep(RECOVERY_TIME);
     let before = ledger.outcomes();
     thread::sleep(OBSERVATION_TIME);
@@ -132,6 +178,7 @@
 /// staleness bound with few descriptors and no permission to cancel.
 #[rstest]
 fn short_timeouts_are_served_after_a_slow_period() {
+    let _machine = MACHINE.read().expect("no panic");
     let violations = run_seed(39, 8, Duration::from_secs(10), Course::Usual);
     assert!(violations.is_empty(), "{violations:?}");
 }
@@ -142,11 +189,22 @@
 #[case::usual(Course::Usual)]
 #[case::standstills(Course::Standstills)]
 fn overlapping_faults_break_no_rule(#[case] course: Course) {
-    let count = number("SOAK_ROUTERS", 8) as usize;
+    let _machine = MACHINE.read().expect("no panic");
+    run_seeds(seeds("1..3"), number("SOAK_ROUTERS", 8), course);
+}
+
+/// Guards against statements, messages and answers that take a router over its memory limit.
+#[rstest]
+fn large_values_stay_within_the_memory_limit() {
+    let _machine = MACHINE.write().expect("no panic");
+    run_seeds(seeds("1..2"), number("SOAK_ROUTERS", 2), Course::LargeValues);
+}
+
+fn run_seeds(seeds: std::ops::Range<u64>, count: u64, course: Course) {
     let span = Duration::from_secs(number("SOAK_SECONDS", 8));
     let mut failed = Vec::new();
-    for seed in seeds() {
-        let violations = run_seed(seed, count, span, course);
+    for seed in seeds {
+        let violations = run_seed(seed, count as usize, span, course);
         violations.iter().take(20).for_each(|violation| println!("seed {seed}: {violation}"));
         println!("seed {seed}: {} violations", violations.len());
         if !violations.is_empty() {
--- a/crates/router/tests/soak/routers.rs
+++ b/crates/router/tests/soak/routers.rs
@@ -3,7 +3,7 @@
 
 use super::agents::Agent;
 use super::common::faults::Faults;
-use super::common::{configuration, with_replacements};
+use super::common::{configuration, resident_memory, with_replacements};
 use super::ledger::Ledger;
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom};
@@ -12,7 +12,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -52,12 +52,44 @@
     pub after_signal: Duration,
 }
 
+/// The limits that a router is given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub sockets: u32,
+    pub memory_mb: u32,
+}
+
+impl Limits {
+    pub const USUAL: Limits = Limits { sockets: 1024, memory_mb: 192 };
+    /// The deployment's range of each limit.
+    const SOCKETS: [u32; 3] = [1024, 512, 256];
+    const MEMORY_MB: [u32; 5] = [32, 48, 64, 128, 192];
+
+    /// Limits within the deployment's range; seeds that follow one another meet all pairs.
+    pub fn drawn(seed: u64) -> Limits {
+        let seed = (seed as usize).saturating_sub(1);
+        Limits {
+            sockets: Limits::SOCKETS[seed % Limits::SOCKETS.len()],
+            memory_mb: Limits::MEMORY_MB[seed % Limits::MEMORY_MB.len()],
+        }
+    }
+
+    /// The changes to the settings that fit: the last one replaces the usual number of descriptors.
+    fn variants(self) -> &'static [&'static [(&'static str, &'static str)]] {
+        let count = if self == Limits::USUAL { VARIANTS.len() } else { VARIANTS.len() - 1 };
+        &VARIANTS[..count]
+    }
+}
+
 /// A router process and its configuration.
 pub struct Router {
     pub number: usize,
     pub address: SocketAddr,
     pub agent: Arc<Agent>,
     pub faults: Faults,
+    pub limits: Limits,
+    /// Its resident memory was over the limit.
+    over_memory: AtomicBool,
     variant: &'static [(&'static str, &'static str)],
     /// Counts the processes that were killed or crashed; commands in flight at that time are excused.
     pub killed: AtomicU32,
@@ -71,7 +103,13 @@
 }
 
 impl Router {
-    pub fn start(number: usize, seed: u64, agent: Arc<Agent>, ledger: Arc<Ledger>) -> Arc<Router> {
+    pub fn start(
+        number: usize,
+        seed: u64,
+        limits: Limits,
+        agent: Arc<Agent>,
+        ledger: Arc<Ledger>,
+    ) -> Arc<Router> {
         let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
         // Numbered across runs, because two runs of the soak may share one process.
         static STARTED: AtomicU32 = AtomicU32::new(0);
@@ -81,7 +119,9 @@
             address: free,
             agent,
             faults: Faults::new(seed * 1_000 + number as u64),
-            variant: VARIANTS[seed as usize % VARIANTS.len()],
+            limits,
+            over_memory: AtomicBool::new(false),
+            variant: limits.variants()[seed as usize % limits.variants().len()],
             killed: AtomicU32::new(0),
             process: Mutex::new(None),
             replacing: Mutex::new(()),
@@ -98,7 +138,7 @@
 
     fn configure(&self) {
         let agent = self.agent.addresses[self.reloads.load(Relaxed) as usize % 2];
-        let text = configuration(agent, 1024, 192, "null");
+        let text = configuration(agent, self.limits.sockets, self.limits.memory_mb, "null");
         let (head, _) = text.split_once(r#""settings":"#).expect("settings");
         let head = head.replace("127.0.0.1:0", &self.address.to_string());
         let bound = self.ledger.bound.as_millis().to_string();
@@ -257,6 +297,17 @@
         }
     }
 
+    /// Records a violation if the resident memory of the process is over its limit, where the platform would kill it.
+    pub fn check_memory(&self) {
+        // While the lock is held, the process is not waited for, so its id is valid.
+        let process = self.process.lock().expect("no panic");
+        let resident = process.as_ref().map_or(0, |child| resident_memory(child.id())) >> 20;
+        if resident >= self.limits.memory_mb as usize && !self.over_memory.swap(true, Relaxed) {
+            let (number, limit) = (self.number, self.limits.memory_mb);
+            self.ledger.violation(format!("router {number}: {resident} MB resident of {limit}"));
+        }
+    }
+
     /// The end of the log.
     fn last_lines(&self) -> String {
         let mut text = String::new();
