Known red: the soak with large values, a router that did not exit in its last 50 ms

Nothing was owed, no router was over its memory.

A red run of that course no longer takes the two others with it, which waited for the same lock.

--- a/crates/router/tests/soak/main.rs
+++ b/crates/router/tests/soak/main.rs
@@ -24,7 +24,7 @@
 use routers::{Limits, Router};
 use rstest::rstest;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::thread;
 use std::time::Duration;
 
@@ -178,7 +178,7 @@
 /// staleness bound with few descriptors and no permission to cancel.
 #[rstest]
 fn short_timeouts_are_served_after_a_slow_period() {
-    let _machine = MACHINE.read().expect("no panic");
+    let _machine = MACHINE.read().unwrap_or_else(PoisonError::into_inner);
     let violations = run_seed(39, 8, Duration::from_secs(10), Course::Usual);
     assert!(violations.is_empty(), "{violations:?}");
 }
@@ -189,14 +189,14 @@
 #[case::usual(Course::Usual)]
 #[case::standstills(Course::Standstills)]
 fn overlapping_faults_break_no_rule(#[case] course: Course) {
-    let _machine = MACHINE.read().expect("no panic");
+    let _machine = MACHINE.read().unwrap_or_else(PoisonError::into_inner);
     run_seeds(seeds("1..3"), number("SOAK_ROUTERS", 8), course);
 }
 
 /// Guards against statements, messages and answers that take a router over its memory limit.
 #[rstest]
 fn large_values_stay_within_the_memory_limit() {
-    let _machine = MACHINE.write().expect("no panic");
+    let _machine = MACHINE.write().unwrap_or_else(PoisonError::into_inner);
     run_seeds(seeds("1..2"), number("SOAK_ROUTERS", 2), Course::LargeValues);
 }
 
