Tests: what two standstill tests share stands once; a comment back at its test

The test of large commands had been put between another test's comment and that test, and repeated ten of its lines. Both check what they did.

--- a/crates/router/tests/standstill.rs
+++ b/crates/router/tests/standstill.rs
@@ -134,6 +134,29 @@
     Duration::from_millis(digits.parse().expect("a number"))
 }
 
+/// Stops a router; a client that is connected before or after that, and the time of the stop.
+fn stop_with_client(router: &Router, on_new_connection: bool) -> (Client, Instant) {
+    let connected = (!on_new_connection).then(|| Client::connect(router));
+    router.stop();
+    let stopped_at = Instant::now();
+    let client = connected.unwrap_or_else(|| {
+        let mut client = Client::raw(router);
+        client.send(&startup(3 << 16));
+        client
+    });
+    (client, stopped_at)
+}
+
+/// Lets a router go on once it has stood still for the whole time, and checks the time that its member is told of what the
+/// client has left since `sent_at`.
+fn assert_stated_time_after_standstill(router: &Router, node: &Node, stopped_at: Instant, sent_at: Instant) {
+    sleep_until(stopped_at + STANDSTILL);
+    router.signal("-CONT");
+    let stated = stated_time(&node.statement());
+    let left = STANDSTILL_TIMEOUT.saturating_sub(sent_at.elapsed());
+    assert!(stated < left + TIME_LEFT_SLACK, "{stated:?} stated of {left:?}");
+}
+
 /// Guards against a command that counts from the arrival of the bytes behind it: its answer came after its deadline, and
 /// its member was told more time than its client had left.
 #[rstest]
@@ -144,23 +167,12 @@
     #[values(false, true)] on_new_connection: bool,
 ) {
     let (node, router) = start_with_primary(|_| Reply::Nothing);
-    let mut client = if on_new_connection { None } else { Some(Client::connect(&router)) };
-    router.stop();
-    let stopped_at = Instant::now();
-    let client = client.get_or_insert_with(|| {
-        let mut client = Client::raw(&router);
-        client.send(&startup(3 << 16));
-        client
-    });
+    let (mut client, stopped_at) = stop_with_client(&router, on_new_connection);
     client.send(&query_bytes(&order("first", STANDSTILL_TIMEOUT.as_millis() as u32)));
     let sent_at = Instant::now();
     sleep_until(sent_at + FOLLOWS_AFTER);
     client.send(&behind);
-    sleep_until(stopped_at + STANDSTILL);
-    router.signal("-CONT");
-    let stated = stated_time(&node.statement());
-    let left = STANDSTILL_TIMEOUT.saturating_sub(sent_at.elapsed());
-    assert!(stated < left + TIME_LEFT_SLACK, "{stated:?} stated of {left:?}");
+    assert_stated_time_after_standstill(&router, &node, stopped_at, sent_at);
     if on_new_connection {
         assert_eq!(client.answer(), Answer::Empty, "ready after startup");
     }
@@ -170,7 +182,6 @@
     assert!(took < STANDSTILL_TIMEOUT + MAX_LATENESS, "answered after {took:?}");
 }
 
-/// A command that came late in a standstill, with nothing behind it, keeps the time that its client has left.
 /// Guards against a command that is larger than the system's receive buffer and counts from when its last bytes came in, which
 /// they could only once the router read: its client had written them long before.
 #[rstest]
@@ -178,24 +189,14 @@
 #[case::on_a_new_connection(true)]
 fn large_command_sent_during_a_standstill_keeps_its_deadline(#[case] on_new_connection: bool) {
     let (node, router) = start_with_primary(|_| Reply::Nothing);
-    let mut client = if on_new_connection { None } else { Some(Client::connect(&router)) };
-    router.stop();
-    let stopped_at = Instant::now();
-    let client = client.get_or_insert_with(|| {
-        let mut client = Client::raw(&router);
-        client.send(&startup(3 << 16));
-        client
-    });
+    let (mut client, stopped_at) = stop_with_client(&router, on_new_connection);
     client.send(&query_bytes(&large_order("first", STANDSTILL_TIMEOUT.as_millis() as u32)));
     let sent_at = Instant::now();
     assert!(sent_at - stopped_at < Duration::from_millis(100), "written while the router stood still");
-    sleep_until(stopped_at + STANDSTILL);
-    router.signal("-CONT");
-    let stated = stated_time(&node.statement());
-    let left = STANDSTILL_TIMEOUT.saturating_sub(sent_at.elapsed());
-    assert!(stated < left + TIME_LEFT_SLACK, "{stated:?} stated of {left:?}");
+    assert_stated_time_after_standstill(&router, &node, stopped_at, sent_at);
 }
 
+/// A command that came late in a standstill, with nothing behind it, keeps the time that its client has left.
 #[rstest]
 fn command_received_at_the_end_of_a_standstill_is_served() {
     let (_node, router) = start_with_primary(|_| Reply::Send(row("r")));
