Router: the end leaves time for a SIGTERM that waited behind a round's work

Nothing was owed.

Cause: EXIT_MARGIN, 50 ms, counts from when SIGTERM was handled, and up to 150 ms of delay are not told from an undisturbed loop.

Change: EXIT_MARGIN is MAX_UNDISTURBED. The ends that steps_of_stopping expects are 0.1 s earlier; clients keep MIN_CLOSING_TIME.

--- a/crates/router/src/polls.rs
+++ b/crates/router/src/polls.rs
@@ -14,7 +14,7 @@
 const MAX_WORK: Tenths = 200;
 /// A range of this width or less is what an undisturbed event loop shows. The operators' documentation allows the same
 /// time between reading the clock and writing.
-const MAX_UNDISTURBED: Tenths = MAX_SLEEP + MAX_POLL_AGE + MAX_WORK;
+pub const MAX_UNDISTURBED: Tenths = MAX_SLEEP + MAX_POLL_AGE + MAX_WORK;
 /// A longer time between two polls is counted and logged as a standstill.
 const MIN_STANDSTILL: Tenths = 2_000;
 /// A poll that reports this many events may have left others for the next one. It reports 1,024 at most, those of the
--- a/crates/router/src/stopping.rs
+++ b/crates/router/src/stopping.rs
@@ -2,7 +2,7 @@
 //! so the steps count from the earliest time at which SIGTERM may have come. New clients connect for a while after
 //! SIGTERM, so the listener stays open for as long counted from the latest such time.
 
-use crate::polls::TimeRange;
+use crate::polls::{MAX_UNDISTURBED, TimeRange};
 use vetchkeel::Tenths;
 
 /// After SIGTERM the process runs for the longest client timeout, capped at `MAX_CLIENT_TIMEOUT`, plus this time, in
@@ -15,12 +15,12 @@
 /// Steps of stopping, as the time that remains until the process may be killed: when the listener closes
 /// (`STOP_ACCEPTING_MARGIN`); what commands that arrive after SIGTERM must leave unused (`COMMAND_MARGIN`); when all
 /// open commands are answered (`FINAL_ANSWER_MARGIN`); when the process ends, whether or not all clients have closed
-/// by then (`EXIT_MARGIN`). A router may be stalled for 0.15 s between reading the clock and writing, and again before
-/// it sleeps.
+/// by then (`EXIT_MARGIN`, as SIGTERM may have come that much before it was handled, without a standstill). A router may
+/// be stalled for 0.15 s between reading the clock and writing, and again before it sleeps.
 const STOP_ACCEPTING_MARGIN: Tenths = 12_000;
 const COMMAND_MARGIN: Tenths = 3_600;
 const FINAL_ANSWER_MARGIN: Tenths = 3_500;
-const EXIT_MARGIN: Tenths = 500;
+const EXIT_MARGIN: Tenths = MAX_UNDISTURBED;
 /// After the final answers clients have at least this long to read them and to close.
 const MIN_CLOSING_TIME: Tenths = 2_000;
 
