--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -7,7 +7,9 @@
 import json
 import os
 import re
+import shutil
 import signal
+import socket
 import struct
 import sys
 import tempfile
@@ -251,6 +253,7 @@
         if self.process and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def log_text(self):
         return open(os.path.join(self.folder, "log.txt"), errors="replace").read()
@@ -308,7 +311,6 @@
 
 
 def free_port():
-    import socket
     with socket.socket() as found:
         found.bind(("127.0.0.1", 0))
         return found.getsockname()[1]
@@ -346,6 +348,11 @@
     except asyncio.TimeoutError:
         record("the case took longer than %d s" % limit)
         os._exit(2)
+    except Exception as why:
+        # Anything else is a fault of the script, or a router that has ended: neither is what the case looks for.
+        record("the case could not run: %r" % why)
+        print("could not run: %r" % why)
+        os._exit(2)
     for line in broken:
         record("BROKEN: " + line)
     result = "broken: %s" % broken[0] if broken else "the rule held"
