Router: a late second copy of an answer is not taken for the next one

A connection was used again 1 ms after its answer (REUSE_DELAY in crates/router/src/nodes.rs). A second copy that a member sends directly behind comes later than that where the time of the way varies by more, lands behind the next statement's last byte, and take_messages in nodes/reading.rs takes it for that statement's answer. Ruled out: the long way itself, noise, greetings.

Order in place of time: an empty query (a barrier) follows each answer, and only once EmptyQueryResponse and ReadyForQuery have come is the connection used again; what comes before is older and is discarded. src/connection_reuse.rs decides without I/O: members that don't answer an empty query are found out with one connection at a time and are served by a time that follows their longest recent exchange. A statement waits for a barrier that is expected soon instead of a new connection. Work on a pooled connection that turns out unusable moves to another. A second copy of a barrier's answer is passed over. nodes.rs, which had grown large, is split: assigning.rs, pool.rs, barrier.rs.

Why it works: a connection delivers in order, the member sends the copy before it reads the barrier, and no statement's answer has that message.

--- a/crates/pgwire/src/read.rs
+++ b/crates/pgwire/src/read.rs
@@ -82,11 +82,15 @@
 
 /// The next message of a node. An invalid message is rejected by its header, before the rest has arrived.
 pub fn node_message(bytes: &[u8]) -> Result<Option<Message<'_>>, Unreadable> {
-    if let Some(kind) = bytes.first().filter(|kind| !b"RKvSNATDCEZ".contains(kind)) {
+    if let Some(kind) = bytes.first().filter(|kind| !b"RKvSNATDCIEZ".contains(kind)) {
         return Err(Unreadable::Kind(*kind));
     }
     if let Some(length) = read_u32(bytes, 1) {
-        let fits = if bytes[0] == b'Z' { length == 5 } else { length as usize <= MAX_NODE_MESSAGE };
+        let fits = match bytes[0] {
+            b'Z' => length == 5,
+            b'I' => length == 4,
+            _ => length as usize <= MAX_NODE_MESSAGE,
+        };
         if !fits {
             return Err(Unreadable::Length(length));
         }
--- a/crates/pgwire/src/tests.rs
+++ b/crates/pgwire/src/tests.rs
@@ -128,6 +128,7 @@
 #[case::three_gigabytes(b"D\xb2\xd0\x5e\x00", Unreadable::Length(3_000_000_000))]
 #[case::too_long(b"S\x00\x01\x10\x00", Unreadable::Length(69_632))]
 #[case::ready_too_long(b"Z\x00\x00\x00\x06", Unreadable::Length(6))]
+#[case::empty_query_too_long(b"I\x00\x00\x00\x05", Unreadable::Length(5))]
 #[case::two_columns(b"D\x00\x00\x00\x0b\x00\x02\x00\x00\x00\x01", Unreadable::Row)]
 #[case::column_beyond_its_row(b"D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x09", Unreadable::Row)]
 #[case::null(b"D\x00\x00\x00\x0b\x00\x01\xff\xff\xff\xff", Unreadable::Row)]
--- a/crates/router/examples/member.rs
+++ b/crates/router/examples/member.rs
@@ -5,10 +5,17 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{SystemTime, UNIX_EPOCH};
-use vetchkeel_pgwire::{message, one_row, opening, parameter_status, ready, text, welcome};
+use vetchkeel_pgwire::{
+    empty_query, is_empty, message, one_row, opening, parameter_status, ready, text, welcome,
+};
 
 fn answer(statement: &[u8]) -> Vec<u8> {
     let mut out = Vec::new();
+    if is_empty(statement) {
+        empty_query(&mut out);
+        ready(&mut out);
+        return out;
+    }
     parameter_status(&mut out, "role", "primary");
     if statement == b"SHOW load" {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -38,6 +38,16 @@
     pub dispatches: Endings,
     pub probes: Endings,
     pub freshness: Freshness,
+    pub barriers: Barriers,
+}
+
+/// Barriers on connections to members, and whole answers that arrived before the answer to one: they belong to an earlier
+/// statement that was already answered.
+#[derive(Debug, Default)]
+pub struct Barriers {
+    pub written: u64,
+    pub answered: u64,
+    pub late_answers: u64,
 }
 
 /// Reads with a staleness bound or session consistency, by outcome, and related events.
@@ -119,6 +129,8 @@
         writeln!(f, "counters dispatches: {}", self.dispatches)?;
         writeln!(f, "counters probes: {}", self.probes)?;
         writeln!(f, "counters freshness: {}", self.freshness)?;
+        let Barriers { written, answered: passed, late_answers } = self.barriers;
+        writeln!(f, "counters barriers: written={written} answered={passed} late_answers={late_answers}")?;
         writeln!(f, "counters given up: {}", self.given_up)?;
         writeln!(f, "counters closed clients: {}", self.clients_closed)?;
         writeln!(f, "counters closed members: {}", self.members_closed)?;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -247,7 +247,7 @@
             match due {
                 Due::Wake | Due::End => {}
                 Due::Work(key) => self.give_up_work(key, Cause::Limit),
-                Due::Dial(key) => self.break_conn(key, Cause::DialLimit),
+                Due::Dial(key) => self.handle_dial_timeout(key),
                 Due::Idle(key) => self.drop_conn(key, MemberClose::Idle),
                 Due::Client(key) => self.close_client(key, ClientClose::Overdue),
                 Due::RetryClient(key) => self.client_event(key, true),
--- a/crates/router/src/nodes.rs
+++ b/crates/router/src/nodes.rs
@@ -1,9 +1,12 @@
-//! Connections to members. Each connection carries one command or probe at a time and is pooled for reuse, the most
+//! Connections to members. Each connection carries one command or probe at a time and is pooled for reuse (`pool`), the most
 //! recently used first. No statement is ever written twice here. Giving up a statement that has begun to be written
 //! closes its connection.
 
 mod answer;
+mod assigning;
+mod barrier;
 mod job;
+mod pool;
 mod reading;
 mod writing;
 
@@ -20,19 +23,17 @@
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use job::Job;
+use pool::Availability;
 use slotmap::SlotMap;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use vetchkeel::{Ending, Id, SettingValues, Tenths};
+use vetchkeel::{ConnectionReuse, Ending, Id, SettingValues, Tenths};
 use vetchkeel_log::log;
 use vetchkeel_pgwire as pgwire;
 
-/// A connection is not reused until this long after its last answer: trailing bytes or the end of the stream arrive
-/// within this time. The member sends them right after the answer, so the time does not depend on the round-trip time.
-const REUSE_DELAY: Tenths = 10;
 /// An answer that has begun and then makes no progress for this long is treated as truncated.
 const ANSWER_STALL_LIMIT: Tenths = 1_000;
 /// Maximum bytes received on a connection from its opening, or from its last idle period, to the end of an answer. A
@@ -65,14 +66,16 @@
     received: usize,
     /// When the connection was opened or last became idle.
     idle_since: Tenths,
+    availability: Availability,
 }
 
 #[derive(Default)]
 struct Member {
     address: Option<SocketAddr>,
     started: Tenths,
-    /// Idle pooled connections, the most recently used at the end.
+    /// Idle pooled connections, the most recently used at the end. Some may have to wait before they are used again.
     idle: Vec<ConnKey>,
+    reuse: ConnectionReuse,
 }
 
 /// The members of the router's list and the connections to them.
@@ -197,101 +200,27 @@
         Ok(())
     }
 
-    /// Whether a part of the startup answer or of a query's answer has arrived and the rest is still to come.
+    /// Whether a part of the startup answer, of a query's answer or of a barrier's has arrived and the rest is still to come.
     fn awaits_more(&self) -> bool {
         let answer = self.job.as_ref().is_some_and(|job| job.answer.messages > 0 || !self.input.is_empty());
-        answer || (self.stage == Stage::Handshake && self.reads > 0)
+        let barrier = self.has_barrier() && !self.input.is_empty();
+        answer || barrier || (self.stage == Stage::Handshake && self.reads > 0)
     }
 
-    /// Whether the connection is open and carries a statement that is not completely written.
+    /// Whether nothing may arrive now: no answer and no barrier is awaited.
+    fn expects_nothing(&self) -> bool {
+        let awaits_answer = self.job.is_some() && !self.has_unwritten_work();
+        self.stage == Stage::Open && !awaits_answer && !self.has_barrier()
+    }
+
+    /// Whether the connection is ready for a statement, and carries one that is not completely written.
     fn has_unwritten_work(&self) -> bool {
-        let job = self.job.as_ref().filter(|_| self.stage == Stage::Open);
+        let job = self.job.as_ref().filter(|_| self.stage == Stage::Open && !self.has_barrier());
         job.is_some_and(|j| j.reached(self.stage) == Reached::Writing)
     }
 }
 
 impl Program {
-    /// Sends a health probe to a member.
-    pub fn probe(&mut self, node: &Id) {
-        let limit_at = self.now + self.nodes.dial_limit;
-        self.begin_work(node, Work::Probe, self.nodes.probe.clone(), limit_at, limit_at);
-    }
-
-    /// Assigns work to a pooled connection, or to a new one that it starts to dial. A statement that is not completely
-    /// written by `until` is not written any more.
-    pub fn begin_work(
-        &mut self,
-        node: &Id,
-        work: Work,
-        statement: Rc<Statement>,
-        limit_at: Tenths,
-        until: Tenths,
-    ) {
-        let (since, wait, answer) = (self.now, None, Answer::new(&self.memory));
-        let (idled, written, fields) = (None, 0, self.nodes.report_fields.clone());
-        let checked_at = since;
-        let job =
-            Job { work, statement, wait, since, idled, limit_at, until, fields, written, checked_at, answer };
-        while let Some(key) = self.take_reusable(node) {
-            self.deadlines.clear(Due::Idle(key));
-            let Some(conn) = self.nodes.conns.get_mut(key) else { continue };
-            let idled = self.now - conn.idle_since;
-            if idled > self.nodes.idle_limit {
-                self.drop_conn(key, MemberClose::Idle);
-                continue;
-            }
-            // A connection that has ended meanwhile, or that holds unsolicited bytes, cannot be reused.
-            let checked_at = self.clock.now();
-            match unread(&conn.stream) {
-                Ok(Unread::Nothing) => {
-                    self.counters.reused += 1;
-                    conn.job = Some(Job { idled: Some(idled), checked_at, ..job });
-                    self.deadlines.set(Due::Work(key), limit_at.min(until));
-                    // Danger: the writes of many decisions may each be held up, and answers that are ready would wait for all.
-                    if self.round_is_long() {
-                        return self.nodes.writable.push(key);
-                    }
-                    return self.write_work(key);
-                }
-                _ => self.drop_conn(key, MemberClose::EndedIdle),
-            }
-        }
-        match self.open_conn(node) {
-            Ok(key) => {
-                self.counters.dials += 1;
-                self.deadlines.set(Due::Work(key), limit_at.min(until));
-                self.deadlines.set(Due::Dial(key), self.now + self.nodes.dial_limit);
-                self.nodes.conns[key].job = Some(job);
-            }
-            Err(e) => {
-                log!("node {node}: cannot open a connection: {e}");
-                let cause = dial_cause(&e);
-                self.queue_outcome(node.clone(), job, Err(Failure { reached: Reached::Dialling, cause }));
-            }
-        }
-    }
-
-    /// Takes the most recently used idle connection that has been idle for at least the reuse delay.
-    fn take_reusable(&mut self, node: &Id) -> Option<ConnKey> {
-        let Nodes { members, conns, .. } = &mut self.nodes;
-        let idle = &mut members.get_mut(node)?.idle;
-        let just_used =
-            |key: &ConnKey| conns.get(*key).is_some_and(|c| self.now - c.idle_since < REUSE_DELAY);
-        let at = idle.iter().rposition(|key| !just_used(key))?;
-        Some(idle.remove(at))
-    }
-
-    /// Frees a descriptor by closing the connection that has been idle longest. Without one it closes a client, even if that
-    /// may not have received its last answer yet.
-    fn free_descriptor(&mut self) -> bool {
-        let idle = self.nodes.members.values().filter_map(|m| m.idle.first().copied());
-        match idle.min_by_key(|key| self.deadlines.time(Due::Idle(*key))) {
-            Some(key) => self.drop_conn(key, MemberClose::GaveWay),
-            None => return self.nodes.count() < self.limits.nodes && self.make_room(true),
-        }
-        true
-    }
-
     fn open_conn(&mut self, node: &Id) -> io::Result<ConnKey> {
         // Clients may use descriptors that are reserved for members while these are free; they are reclaimed here.
         let at_limit = self.nodes.count() + self.clients.count() >= self.limits.room;
@@ -326,6 +255,7 @@
             reads,
             received,
             idle_since,
+            availability: Availability::Ready,
         };
         let key = self.nodes.conns.insert(conn);
         let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
@@ -383,32 +313,15 @@
         self.deadlines.set(Due::RetryConn(key), at);
     }
 
-    /// Returns a connection to the pool once its answer is complete, or once it is open and carries no work.
-    fn pool_conn(&mut self, key: ConnKey) {
-        self.deadlines.clear(Due::Work(key));
-        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
-        let node = conn.node.clone();
-        if let Some(job) = conn.job.take() {
-            self.queue_outcome(node.clone(), job, Ok(()));
-        }
-        let conn = &mut self.nodes.conns[key];
-        (conn.idle_since, conn.received) = (self.now, 0);
-        let (usable, address) = (conn.input.is_empty(), Some(conn.address));
-        match self.nodes.members.get_mut(&node).filter(|m| usable && m.address == address) {
-            Some(member) => {
-                member.idle.push(key);
-                self.deadlines.set(Due::Idle(key), self.now + self.nodes.idle_limit);
-            }
-            None => self.drop_conn(key, MemberClose::LetGo),
-        }
-    }
-
     /// Closes a connection and reports how its work ended, which depends on how far the work had come.
     pub fn break_conn(&mut self, key: ConnKey, cause: Cause) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
         let (node, stage, job) = (conn.node.clone(), conn.stage, conn.job.take());
         self.drop_conn(key, MemberClose::Attempt(cause));
         let Some(job) = job else { return };
+        if job.can_move() && matches!(cause, Cause::Broken | Cause::Garbled) {
+            return self.move_work(&node, job);
+        }
         let reached = job.reached(stage);
         // A complete answer counts, and so does an error, even if the connection failed after it.
         let result = match (job.answer.outcome(), cause) {
@@ -423,6 +336,7 @@
     pub fn drop_conn(&mut self, key: ConnKey, reason: MemberClose) {
         let Some(conn) = self.nodes.conns.remove(key) else { return };
         self.counters.members_closed.add(reason);
+        self.end_barrier(&conn, reason);
         [Due::Work(key), Due::Dial(key), Due::Idle(key), Due::RetryConn(key)]
             .into_iter()
             .for_each(|due| self.deadlines.clear(due));
@@ -497,6 +411,15 @@
         Some(job.work)
     }
 
+    /// Handles a connection that has not become ready for its work in time. An open one may still become ready for other work.
+    pub fn handle_dial_timeout(&mut self, key: ConnKey) {
+        if self.nodes.conns.get(key).is_some_and(|conn| conn.stage == Stage::Open) {
+            self.give_up_work(key, Cause::DialLimit);
+        } else {
+            self.break_conn(key, Cause::DialLimit);
+        }
+    }
+
     /// Removes the work from a connection. A connection that is still dialling continues without it, and an open one that
     /// nothing was written to is pooled. Any other connection is closed.
     pub fn give_up_work(&mut self, key: ConnKey, cause: Cause) {
@@ -523,12 +446,6 @@
         }
     }
 
-    /// Closes the idle pooled connections to a member.
-    pub fn close_idle_conns(&mut self, node: &str) {
-        let idle = self.nodes.members.get_mut(node).map(|m| std::mem::take(&mut m.idle)).unwrap_or_default();
-        idle.into_iter().for_each(|key| self.drop_conn(key, MemberClose::LetGo));
-    }
-
     /// Removes a member. Statements that are in flight there may finish.
     pub fn forget_node(&mut self, node: &Id) {
         self.invariants.remove_member(node);
@@ -546,6 +463,9 @@
         member.started = started;
         if changed {
             self.close_idle_conns(node);
+            if let Some(member) = self.nodes.members.get_mut(node) {
+                member.reuse = ConnectionReuse::default();
+            }
         }
         // Danger: a statement that is not completely written yet would run on whichever server now has the old address.
         let elsewhere = |c: &Conn| c.node == *node && moved && Some(c.address) != address;
--- a/crates/router/src/nodes/answer.rs
+++ b/crates/router/src/nodes/answer.rs
@@ -19,6 +19,8 @@
     pub(super) complete: bool,
     pub(super) code: Option<[u8; 5]>,
     pub(super) garbled: bool,
+    /// Whether a late second answer to the barrier before has begun to arrive.
+    late_barrier: bool,
     pub(super) note: AnswerNote,
     pub(super) report: Report,
 }
@@ -34,6 +36,7 @@
             complete: false,
             code: None,
             garbled: false,
+            late_barrier: false,
             note: AnswerNote::default(),
             report: Report::default(),
         }
@@ -42,7 +45,12 @@
     /// Processes one message. Returns true when the answer has ended.
     pub(super) fn take(&mut self, kind: u8, body: &[u8], raw_message: &[u8], fields: &[String]) -> bool {
         self.messages += 1;
+        if self.late_barrier {
+            self.take_late_barrier(kind);
+            return self.garbled;
+        }
         match kind {
+            b'I' if !self.described && self.code.is_none() => self.late_barrier = true,
             b'T' if !self.described && self.code.is_none() => {
                 self.described = true;
                 self.garbled |= !pgwire::describes_one_column(body);
@@ -85,6 +93,18 @@
         self.garbled
     }
 
+    /// Processes a message of a second answer to the barrier before. What it reported is older than the statement.
+    fn take_late_barrier(&mut self, kind: u8) {
+        match kind {
+            b'Z' => {
+                self.late_barrier = false;
+                (self.note, self.report) = (AnswerNote::default(), Report::default());
+            }
+            b'S' | b'N' | b'A' => {}
+            _ => self.garbled = true,
+        }
+    }
+
     /// The result of the answer so far: success, an error code, or malformed.
     pub(super) fn outcome(&self) -> Result<(), Cause> {
         match self.code {
--- a/crates/router/src/nodes/job.rs
+++ b/crates/router/src/nodes/job.rs
@@ -59,6 +59,11 @@
         self.answer.described || self.answer.code.is_some() || !conn.input.is_empty()
     }
 
+    /// Whether another connection may carry it instead: it was waiting on a pooled connection and nothing was written.
+    pub(super) fn can_move(&self) -> bool {
+        self.idled.is_some() && self.wait.is_none()
+    }
+
     pub(super) fn reached(&self, stage: Stage) -> Reached {
         match stage {
             Stage::Open if self.wait.is_some() && self.written == self.size() => Reached::Written,
--- a/crates/router/src/nodes/reading.rs
+++ b/crates/router/src/nodes/reading.rs
@@ -1,5 +1,7 @@
 //! Reads from members: parses bytes into messages, and messages into startup replies and answers.
 
+use super::barrier::BarrierStep;
+use super::pool::Availability;
 use super::{ANSWER_STALL_LIMIT, MAX_RECEIVED_BYTES, Stage, answer};
 use crate::Program;
 use crate::commands::NodeResult;
@@ -19,7 +21,7 @@
                 Ok(0) => ended = true,
                 // Bytes that are unsolicited, or that arrive before the statement is completely written, put the
                 // connection out of step. Danger: a partial message would be read as the beginning of the next answer.
-                Ok(_) if conn.stage == Stage::Open && (conn.job.is_none() || conn.has_unwritten_work()) => {
+                Ok(_) if conn.expects_nothing() => {
                     return self.break_conn(key, Cause::Garbled);
                 }
                 Ok(read) => {
@@ -59,64 +61,101 @@
     fn take_messages(&mut self, key: ConnKey) {
         let Some(conn) = self.nodes.conns.get_mut(key) else { return };
         let mut at = 0;
-        let mut done = None;
-        while done.is_none() {
+        let mut step = Step::Pending;
+        while step == Step::Pending {
             let message = match pgwire::node_message(&conn.input[at..]) {
                 Ok(Some(message)) => message,
                 Ok(None) => break,
                 Err(_) => {
-                    done = Some(Err(Cause::Garbled));
+                    step = Step::Ended(Err(Cause::Garbled));
                     break;
                 }
             };
             let raw_message = &conn.input[at..at + message.size];
             at += message.size;
-            done = match (conn.stage, &mut conn.job) {
-                (Stage::Open, Some(job)) => {
+            let is_last = at == conn.input.len();
+            step = match (conn.stage, &mut conn.job, &mut conn.availability) {
+                (Stage::Open, _, Availability::Behind(barrier)) => {
+                    let step = barrier.take(message.kind);
+                    self.counters.barriers.late_answers += barrier.is_late(message.kind) as u64;
+                    match step {
+                        // More is here: a second answer to the barrier, which ends alike.
+                        BarrierStep::Passed if is_last => Step::Passed,
+                        BarrierStep::Passed | BarrierStep::Pending => Step::Pending,
+                        BarrierStep::Garbled => Step::Ended(Err(Cause::Garbled)),
+                    }
+                }
+                (Stage::Open, Some(job), _) => {
                     let ended = job.answer.take(message.kind, message.body, raw_message, &job.fields);
-                    ended.then(|| job.answer.outcome())
+                    if ended { Step::Ended(job.answer.outcome()) } else { Step::Pending }
                 }
-                (Stage::Open, None) => Some(Err(Cause::Garbled)),
-                (_, job) => match message.kind {
-                    b'Z' => {
-                        conn.stage = Stage::Open;
-                        self.deadlines.clear(Due::Dial(key));
-                        match job {
-                            // These bytes precede the query, which is not sent yet.
-                            Some(_) if at < conn.input.len() => Some(Err(Cause::Garbled)),
-                            Some(_) => None,
-                            None => Some(Ok(())),
-                        }
-                    }
+                (Stage::Open, None, _) => Step::Ended(Err(Cause::Garbled)),
+                (_, job, _) => match message.kind {
+                    // These bytes precede the query, which is not sent yet.
+                    b'Z' if job.is_some() && !is_last => Step::Ended(Err(Cause::Garbled)),
+                    b'Z' => Step::Opened,
                     b'E' => {
                         let code = pgwire::sqlstate(message.body).and_then(|c| c.try_into().ok());
-                        Some(Err(code.map_or(Cause::Garbled, Cause::Code)))
+                        Step::Ended(Err(code.map_or(Cause::Garbled, Cause::Code)))
                     }
-                    b'R' if message.body != [0; 4] => Some(Err(Cause::Garbled)),
+                    b'R' if message.body != [0; 4] => Step::Ended(Err(Cause::Garbled)),
                     b'S' => {
                         if let Some(primary) = answer::role(message.body) {
                             let (node, asked) = (conn.node.clone(), conn.idle_since);
                             self.results.push_back(NodeResult::Role { node, asked, primary });
                         }
-                        None
+                        Step::Pending
                     }
-                    _ => None,
+                    _ => Step::Pending,
                 },
             };
         }
         conn.input.discard_front(at);
-        match done {
-            None => {}
-            Some(Ok(())) => self.pool_conn(key),
-            // After an error that leaves the member ready for the next query, the connection can be reused.
-            Some(Err(cause @ Cause::Code(_))) if conn.stage == Stage::Open => {
-                if let Some(job) = conn.job.take() {
-                    let node = conn.node.clone();
-                    self.queue_outcome(node, job, Err(Failure { reached: Reached::Written, cause }));
-                }
-                self.pool_conn(key);
-            }
-            Some(Err(cause)) => self.break_conn(key, cause),
+        match step {
+            Step::Pending => {}
+            Step::Opened => self.finish_startup_of(key),
+            Step::Passed => self.pass_barrier(key),
+            Step::Ended(result) => self.end_answer(key, result),
+        }
+    }
+
+    /// Handles the end of a startup.
+    fn finish_startup_of(&mut self, key: ConnKey) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        conn.stage = Stage::Open;
+        self.deadlines.clear(Due::Dial(key));
+        if conn.job.is_none() {
+            self.pool_conn(key);
         }
     }
+
+    /// Handles the end of an answer, or a message that cannot be processed. After an error that leaves the member ready for the
+    /// next query, the connection can be used again.
+    fn end_answer(&mut self, key: ConnKey, result: Result<(), Cause>) {
+        let Some(conn) = self.nodes.conns.get_mut(key) else { return };
+        let result = match result {
+            Ok(()) => Ok(()),
+            Err(cause @ Cause::Code(_)) if conn.stage == Stage::Open => {
+                Err(Failure { reached: Reached::Written, cause })
+            }
+            Err(cause) => return self.break_conn(key, cause),
+        };
+        let Some(job) = conn.job.take() else { return };
+        let (node, took) = (conn.node.clone(), self.now - job.checked_at);
+        self.queue_outcome(node, job, result);
+        self.pool_after_answer(key, took);
+    }
+}
+
+/// What the latest message of a member leads to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// More messages are needed.
+    Pending,
+    /// The connection is open.
+    Opened,
+    /// The barrier of the connection is answered.
+    Passed,
+    /// The answer has ended, or cannot be processed.
+    Ended(Result<(), Cause>),
 }
--- a/crates/router/src/reasons.rs
+++ b/crates/router/src/reasons.rs
@@ -49,6 +49,13 @@
     GaveWay,
 }
 
+impl MemberClose {
+    /// True if the member closed or reset the connection.
+    pub fn is_by_member(self) -> bool {
+        self == MemberClose::Attempt(Cause::Broken)
+    }
+}
+
 /// Counts by reason.
 #[derive(Debug)]
 pub struct Tally<T>(BTreeMap<T, u64>);
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -61,6 +61,11 @@
     framed(b'Z', b"I")
 }
 
+/// The answer to an empty query.
+pub fn empty_query_answer() -> Vec<u8> {
+    [framed(b'I', &[]), ready()].concat()
+}
+
 /// How a simulated node replies to a statement.
 pub enum Reply {
     /// Sends these bytes and ReadyForQuery.
@@ -203,6 +208,10 @@
         let mut had_command = false;
         while let Some((b'Q', body)) = read_packet(&mut stream, false) {
             let statement = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
+            if statement.is_empty() {
+                stream.write_all(&empty_query_answer()).ok()?;
+                continue;
+            }
             if statement != "SHOW load" {
                 had_command = true;
                 sender.send(NodeEvent::Statement(statement.clone())).ok()?;
--- a/crates/router/tests/freshness/cluster.rs
+++ b/crates/router/tests/freshness/cluster.rs
@@ -4,7 +4,9 @@
 
 use super::common::draw::Rng;
 use super::common::history::{History, Need};
-use super::common::{error_response, parameter, read_packet, ready, row, since_last_byte};
+use super::common::{
+    empty_query_answer, error_response, parameter, read_packet, ready, row, since_last_byte,
+};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -210,6 +212,10 @@
             let (_, body) = std::panic::catch_unwind(|| read_packet(&mut &stream, false)).ok()??;
             let arrived_at = Instant::now() - since_last_byte(&stream);
             let statement = String::from_utf8_lossy(&body[..body.len().saturating_sub(1)]).into_owned();
+            if statement.is_empty() {
+                stream.write_all(&empty_query_answer()).ok()?;
+                continue;
+            }
             let (answer, replica) = self.answer(member, &statement, arrived_at);
             thread::sleep(answer_delay);
             stream.write_all(&answer).ok()?;
--- a/crates/slopes/src/router/stage.rs
+++ b/crates/slopes/src/router/stage.rs
@@ -306,7 +306,9 @@
             if kind == b'Q' {
                 let role = if *primary { "primary" } else { "replica" };
                 pg::parameter_status(&mut conn.output, "role", role);
-                if body.starts_with(b"SHOW load") {
+                if body == [0] {
+                    pg::empty_query(&mut conn.output);
+                } else if body.starts_with(b"SHOW load") {
                     self.tally.probes += 1;
                     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
                     let report = format!("x0={unix:.3},x1={}", u8::from(*primary));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Query routing for sharded, replicated databases: decides which member each command is sent to.
 //! The decisions are made in `decide`; `interface` holds the public types.
 
+mod connection_reuse;
 mod decay;
 mod decide;
 mod fair_share;
@@ -11,6 +12,7 @@
 mod setting_values;
 mod state;
 
+pub use connection_reuse::{ConnectionReuse, NextUse};
 pub use decide::Router;
 pub use fair_share::{FairShare, RoundUsage, may_continue};
 pub use interface::*;
