Router: a late answer to a request for the member list counts when it comes

Where no list is known at the start, such a router served nothing at all.

Cause: `RESPONSE_TIMEOUT` (1 s, crates/router/src/watch.rs) bounded the time to the whole list, and `handle_watch_timeout` closed the connection as soon as a head had come; `open_watch` closed the one before as well. Each further request began from nothing with the same limit, so an answer that takes longer never arrived, however often it was requested.

Change: src/list_requests.rs, a decision module without I/O, keeps a late request open and makes a further one beside it, three at most; whichever brings the list first is the watch and closes the others. The first is kept, of the rest the older goes. A stalled answer holds nothing back. An older list is confirmed only by a request made after the first older one: with two open, both answers could be from before. A reload closes what is unanswered. watch.rs carries this out (connection.rs reads). The log tells what has arrived on an overdue request, a counter how many were made.

Why it works: the time that an answer may take no longer depends on the time after which a further request is made.

--- a/crates/capacity/src/constants.rs
+++ b/crates/capacity/src/constants.rs
@@ -317,19 +317,24 @@
         "client timeout",
     ),
     told(
-        "watch MAX_SILENCE",
+        "list requests MAX_SILENCE",
         3.0,
         "s",
-        ("crates/router/src/watch.rs", "const MAX_SILENCE: Tenths = 30_000;"),
+        ("src/list_requests.rs", "const MAX_SILENCE: Tenths = 30_000;"),
         |a| format!("a silent agent is asked for all {:.0} members again each 3.1 s and more", a.members()),
         "bytes of what is asked for again over control bytes a second; resume from the version held",
     ),
-    bound(
-        "watch RESPONSE_TIMEOUT",
+    told(
+        "list requests RESPONSE_TIMEOUT",
         1.0,
-        "s for the whole list",
-        ("crates/router/src/watch.rs", "const RESPONSE_TIMEOUT: Tenths = 10_000;"),
-        whole_list_seconds,
+        "s",
+        ("src/list_requests.rs", "const RESPONSE_TIMEOUT: Tenths = 10_000;"),
+        |a| {
+            format!(
+                "a full list of {:.0} members takes longer, so three requests for it are open at once",
+                a.members()
+            )
+        },
         "bytes of the list over control bytes a second",
     ),
     bound(
--- a/crates/capacity/src/rows/control.rs
+++ b/crates/capacity/src/rows/control.rs
@@ -11,7 +11,7 @@
 const FOLLOWED: &str = "crates/subsets (own.rs, set.rs); not wired to the router";
 pub(super) const CONFIGURATION: &str = "crates/configuration (subscriber.rs)";
 
-/// From the last word of a silent agent until it is asked again: `MAX_SILENCE` in `crates/router/src/watch.rs` and `PAUSE`
+/// From the last word of a silent agent until it is asked again: `MAX_SILENCE` in `src/list_requests.rs` and `PAUSE`
 /// in `src/decide.rs`.
 const ASKED_AGAIN: f64 = 3.1;
 
--- a/crates/capacity/src/tests.rs
+++ b/crates/capacity/src/tests.rs
@@ -636,7 +636,7 @@
     "const RESERVED_FOR_NEW_CLIENTS: usize = MAX_DEPLOYED_DESCRIPTORS / 12;"
 )]
 #[case::deployed("crates/router/src/limits.rs", "const MAX_DEPLOYED_DESCRIPTORS: usize = 1_024;")]
-#[case::silence("crates/router/src/watch.rs", "const MAX_SILENCE: Tenths = 30_000;")]
+#[case::silence("src/list_requests.rs", "const MAX_SILENCE: Tenths = 30_000;")]
 #[case::pause("src/decide.rs", "const BASE_PAUSE: Tenths = 1_000;")]
 #[case::period("crates/membership/src/plan.rs", "period: 5_000,")]
 #[case::patience("crates/membership/src/plan.rs", "patience: 4,")]
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -545,7 +545,7 @@
             // Danger: a member that was listed again in the same round would lose its new address.
             Decision::ForgetMember { node } if self.commands.router.is_known_member(&node) => {}
             Decision::ForgetMember { node } => self.forget_node(&node),
-            Decision::WatchMembers => self.open_watch(),
+            Decision::WatchMembers => self.request_list(),
         }
     }
 
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -20,6 +20,8 @@
     pub dials: u64,
     pub reused: u64,
     pub lists: u64,
+    /// Requests for the list, and those that failed or were not answered in time.
+    pub list_requests: u64,
     pub watches_broken: u64,
     pub reloads: u64,
     /// Clients closed to make room for others.
@@ -140,11 +142,12 @@
             self.longest_output_wait / 10,
             self.presence_probes
         )?;
-        let Counters { dials, reused, lists, watches_broken, reloads, gave_way, quiet, shortened, .. } = self;
+        let Counters { dials, reused, lists, list_requests, watches_broken, .. } = self;
+        let Counters { reloads, gave_way, quiet, shortened, .. } = self;
         write!(
             f,
             "counters connections: clients={connections} dials={dials} reused={reused} lists={lists} \
-             watches_broken={watches_broken} reloads={reloads} gave_way={gave_way} quiet={quiet} shortened={shortened}"
+             list_requests={list_requests} watches_broken={watches_broken} reloads={reloads} gave_way={gave_way} quiet={quiet} shortened={shortened}"
         )
     }
 }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -1,7 +1,7 @@
 //! Derives all internal limits from the configured ones: connections of clients and to nodes, and the bytes held for
 //! clients.
 
-/// Descriptors reserved for the listener, two watches, signals, the event loop and future needs.
+/// Descriptors reserved for the listener, four connections to discovery, signals, the event loop and future needs.
 const RESERVED_DESCRIPTORS: usize = 32;
 /// The share of connections that belongs to clients. The rest is enough for one node connection per open command, and
 /// for probes and idle connections.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -228,7 +228,7 @@
             let broken = |p: &mut Program| p.break_conn(key, Cause::Garbled);
             self.guarded("a node's connection", |p| p.conn_event(key, false), broken);
         }
-        self.guarded("the watch", Program::read_watches, |p| p.break_watch("a panic"));
+        self.guarded("the watch", Program::read_watches, |p| p.break_watches("a panic"));
     }
 
     /// Runs the steps that follow each poll of the event loop.
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -1,28 +1,24 @@
-//! The watch of the member list in discovery. It is kept open at all times and requested again when it breaks.
+//! The watch of the member list in discovery. It is kept open at all times and requested again when it breaks;
+//! `ListRequests` decides when, and which of several open requests are kept.
+
+mod connection;
 
 use crate::Program;
-use crate::arrival::time_since_last_receive;
 use crate::deadlines::Due;
 use crate::nodes::dial;
-use crate::transient::{Backoff, is_transient};
+use crate::transient::Backoff;
 use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use std::collections::BTreeSet;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use calloop::{Interest, Mode, PostAction};
+use connection::{Connection, Input, ReadStep};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use vetchkeel::{MemberEntry, Phase, Tenths};
-use vetchkeel_discovery::{MemberList, WatchParser, parse_list, watch_request};
+use vetchkeel::{ListRequests, ListTimeout, MemberEntry, NewRequest, Phase, RequestId, Tenths};
+use vetchkeel_discovery::{MemberList, parse_list, watch_request};
 use vetchkeel_log::log;
 
-/// Danger: a change that a silent watch misses counts as known to this router 6 s after the watch fell silent. While nothing
-/// changes, the agent sends an empty line every 2 s. 1 s after a missing line the watch is broken, so that two new watches
-/// can be requested and fail to answer within the 6 s.
-const MAX_SILENCE: Tenths = 30_000;
-/// Limit from the request to the first byte, and to the last byte of the list where the full list is requested. The agent
-/// runs on this machine and answers at once.
-const RESPONSE_TIMEOUT: Tenths = 10_000;
 /// How long the start waits for the agent before the router serves by the list known at the start; and how long after its
 /// start a process without any list reports that it is ready nevertheless.
 const STARTUP_LIST_TIMEOUT: Tenths = 10_000;
@@ -34,18 +30,9 @@
 /// State of the watch of discovery.
 pub struct Watch {
     address: SocketAddr,
-    /// The version of the list in use; 0 if there is none.
-    version: u64,
-    /// Watches request the full list until one of them has received it.
-    request_full: bool,
-    /// A list older than the one in use was received. If the full list that is requested next is older too, it is the
-    /// agent's current list.
-    version_regressed: bool,
-    current: Option<Connection>,
-    /// The watch at the previous address after a reload. It continues until the new watch has received its list.
-    previous: Option<Connection>,
-    /// Counts the connections, so that late events of an earlier one can be recognised.
-    generation: u64,
+    requests: ListRequests,
+    /// The open connections; late events of one that was closed find none.
+    connections: BTreeMap<RequestId, Connection>,
     /// The list known at the start. Until the agent has sent its list, or has not answered for too long, no client is
     /// accepted and nothing is sent to a member that only this list names.
     known_at_start: Option<MemberList>,
@@ -61,34 +48,12 @@
     pub sets: BTreeSet<i64>,
 }
 
-/// One connection to discovery.
-struct Connection {
-    generation: u64,
-    stream: Rc<TcpStream>,
-    token: RegistrationToken,
-    watched: WatchParser,
-    /// The rest of the request that is still to be written.
-    request: Vec<u8>,
-    /// The last version received on it; before that, the version since which changes were requested.
-    version: u64,
-    /// Whether the full list was requested.
-    full: bool,
-    /// Whether any byte has arrived; whether none arrived in time; whether a list or a change has arrived.
-    received_any: bool,
-    overdue: bool,
-    list_received: bool,
-}
-
 impl Watch {
     pub fn new(address: SocketAddr, known_at_start: Option<MemberList>, now: Tenths) -> Watch {
         Watch {
             address,
-            version: known_at_start.as_ref().map_or(0, |list| list.version),
-            request_full: true,
-            version_regressed: false,
-            current: None,
-            previous: None,
-            generation: 0,
+            requests: ListRequests::new(known_at_start.as_ref().map_or(0, |list| list.version)),
+            connections: BTreeMap::new(),
             known_at_start,
             starting: true,
             ready_without_list_at: now + READY_WITHOUT_LIST_AFTER,
@@ -124,7 +89,7 @@
     /// Opens the first watch and limits how long the start waits for it.
     pub fn start_watch(&mut self) {
         self.deadlines.set(Due::Start, self.now + STARTUP_LIST_TIMEOUT);
-        self.open_watch();
+        self.request_list();
     }
 
     /// Ends the start, once the agent has sent its list or the wait for it has timed out. From now on clients are accepted.
@@ -145,132 +110,126 @@
         self.accept();
     }
 
-    /// Opens the watch unless one is open. A watch whose first byte is overdue is replaced.
-    pub fn open_watch(&mut self) {
-        match self.watch.current.take() {
-            Some(open) if open.received_any || !open.overdue => return self.watch.current = Some(open),
-            Some(open) => self.handle.remove(open.token),
-            None => {}
+    /// Requests the list, if that is due now.
+    pub fn request_list(&mut self) {
+        if let Some(request) = self.watch.requests.next_request(self.now) {
+            self.close_watches(request.replaces);
+            self.counters.list_requests += 1;
+            match self.open_watch(request) {
+                Ok(connection) => _ = self.watch.connections.insert(request.id, connection),
+                Err(e) => self.break_watch(request.id, &e.to_string()),
+            }
         }
-        self.watch.generation += 1;
-        let generation = self.watch.generation;
-        let opened = dial(self.watch.address).and_then(|stream| {
-            let stream = Rc::new(stream);
-            let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-            let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
-                program.polls.count_event();
-                let event = |p: &mut Program| p.watch_event(generation, ready.readable);
-                program.guarded("the watch", event, |p| p.break_watch("a panic"));
-                Ok(PostAction::Continue)
-            });
-            Ok((stream, token.map_err(|e| io::Error::other(e.to_string()))?))
+        self.set_watch_deadline();
+    }
+
+    fn open_watch(&mut self, request: NewRequest) -> io::Result<Connection> {
+        let id = request.id;
+        let stream = Rc::new(dial(self.watch.address)?);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let token = self.handle.insert_source(source, move |ready, _, program: &mut Program| {
+            program.polls.count_event();
+            let event = |p: &mut Program| p.watch_event(id, ready.readable);
+            program.guarded("the watch", event, |p| p.break_watch(id, "a panic"));
+            Ok(PostAction::Continue)
         });
-        self.deadlines.set(Due::Watch, self.now + RESPONSE_TIMEOUT);
-        match opened {
-            Ok((stream, token)) => {
-                let full = self.watch.request_full || self.watch.version == 0;
-                let version = if full { 0 } else { self.watch.version };
-                let request = watch_request(&self.watch.address.to_string(), version);
-                let watched = WatchParser::default();
-                let (received_any, overdue, list_received) = (false, false, false);
-                let current = Connection {
-                    generation,
-                    stream,
-                    token,
-                    watched,
-                    request,
-                    version,
-                    full,
-                    received_any,
-                    overdue,
-                    list_received,
-                };
-                self.watch.current = Some(current);
-            }
-            Err(e) => self.break_watch(&e.to_string()),
+        let token = token.map_err(|e| io::Error::other(e.to_string()))?;
+        let request = watch_request(&self.watch.address.to_string(), request.since_version);
+        Ok(Connection::new(stream, token, request))
+    }
+
+    fn set_watch_deadline(&mut self) {
+        match self.watch.requests.due_at() {
+            Some(at) => self.deadlines.set(Due::Watch, at),
+            None => self.deadlines.clear(Due::Watch),
         }
     }
 
-    /// Handles a silent watch. The full list is requested next, because it arrives at once: an answer that stalls is
-    /// detected well within the permitted silence. A watch that was never answered stays open until the next one replaces
-    /// it, as the agent may answer before then.
+    /// Handles a watch that has been silent, or a request that has not been answered, for too long.
     pub fn handle_watch_timeout(&mut self) {
-        self.watch.request_full = true;
-        if let Some(current) = self.watch.current.as_mut().filter(|current| !current.received_any) {
-            current.overdue = true;
-            log!("watch not answered");
-            self.counters.watches_broken += 1;
-            return self.list_failed();
+        match self.watch.requests.handle_timeout(self.now) {
+            Some(ListTimeout::Silent { id }) => self.break_watch(id, "silence"),
+            Some(ListTimeout::NotAnswered { id, waited }) => {
+                let received = self.watch.connections.get(&id).map(Connection::received);
+                let (began, bytes) = received.unwrap_or_default();
+                log!(
+                    "watch not answered: request {id} was made {} ms ago, response begun: {began}, bytes of its body: {bytes}",
+                    waited / 10
+                );
+                self.counters.watches_broken += 1;
+                self.schedule_list_request();
+            }
+            None => {}
         }
-        self.break_watch("silence");
+        self.set_watch_deadline();
     }
 
     /// Applies the address of discovery after a reload. The current list stays in use, and the watch at the previous address
-    /// continues until the new one has received its list. The new watch requests the full list, because the versions at the
-    /// new address may be unrelated.
+    /// continues until the new address has sent its list.
     pub fn change_discovery_address(&mut self, address: SocketAddr) {
         if self.watch.address == address {
             return log!("reload: discovery stays at {address}");
         }
         log!("reload: discovery moves from {} to {address}", self.watch.address);
         self.watch.address = address;
-        (self.watch.version, self.watch.request_full, self.watch.version_regressed) = (0, true, false);
         // Failures at the previous address do not apply to this one: its list is due 4 s from now, and the backoff is reset.
         self.members_changed(false, &[]);
-        let before = self.watch.current.take();
-        if before.as_ref().is_some_and(|current| current.list_received) {
-            self.close_previous_watch();
-            self.watch.previous = before;
-        } else if let Some(current) = before {
-            self.handle.remove(current.token);
-        }
-        self.open_watch();
+        let closes = self.watch.requests.change_address();
+        self.close_watches(closes);
+        self.request_list();
     }
 
-    fn close_previous_watch(&mut self) {
-        if let Some(previous) = self.watch.previous.take() {
-            self.handle.remove(previous.token);
+    fn close_watches(&mut self, ids: impl IntoIterator<Item = RequestId>) {
+        for id in ids {
+            if let Some(connection) = self.watch.connections.remove(&id) {
+                self.handle.remove(connection.token);
+            }
         }
     }
 
-    /// Closes the watch. The module decides when to open the next one.
-    pub fn break_watch(&mut self, why: &str) {
+    /// Closes a watch that has failed.
+    fn break_watch(&mut self, id: RequestId, why: &str) {
         log!("watch broken: {why}");
         self.counters.watches_broken += 1;
-        self.deadlines.clear(Due::Watch);
-        if let Some(current) = self.watch.current.take() {
-            self.handle.remove(current.token);
+        self.close_watches([id]);
+        self.watch.requests.connection_closed(id);
+        self.schedule_list_request();
+        self.set_watch_deadline();
+    }
+
+    /// Closes all watches, as any of them may have caused a panic.
+    pub fn break_watches(&mut self, why: &str) {
+        let ids: Vec<RequestId> = self.watch.connections.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.break_watch(id, why));
+    }
+
+    /// The module decides after which pause the list is requested again.
+    fn schedule_list_request(&mut self) {
+        if self.watch.requests.needs_retry() {
+            self.list_failed();
         }
-        self.list_failed();
     }
 
     /// Handles a readiness event of a watch. A read that returns nothing all the same is retried a few times.
-    fn watch_event(&mut self, generation: u64, readable: bool) {
+    fn watch_event(&mut self, id: RequestId, readable: bool) {
         let before = self.watch.reads;
-        self.watch_ready(generation);
-        if readable && self.watch.reads == before && !self.watch.retry.is_at_maximum() {
-            self.retry_watch();
+        self.read_watch(id);
+        if readable && self.watch.reads == before {
+            self.retry_watch_if_useful();
         }
     }
 
     pub fn retry_watch_now(&mut self) {
         let before = self.watch.reads;
         self.read_watches();
-        if self.watch.reads == before && !self.watch.retry.is_at_maximum() {
-            self.retry_watch();
+        if self.watch.reads == before {
+            self.retry_watch_if_useful();
         }
     }
 
-    /// Reads the current watch, or the previous one, which is never reopened.
-    fn watch_ready(&mut self, generation: u64) {
-        if self.watch.current.as_ref().is_some_and(|o| o.generation == generation) {
-            if let Err(why) = self.read_watch(false) {
-                self.break_watch(&why);
-            }
-        } else if self.watch.previous.as_ref().is_some_and(|o| o.generation == generation)
-            && self.read_watch(true).is_err()
-        {
-            self.close_previous_watch();
+    fn retry_watch_if_useful(&mut self) {
+        if !self.watch.retry.is_at_maximum() {
+            self.retry_watch();
         }
     }
 
@@ -290,103 +249,65 @@
     /// Processes what the agent has sent so far. Danger: an agent that sends without pause must not keep clients from their
     /// answers, so the rest is left to the next round after a while.
     pub fn read_watches(&mut self) {
-        let generations: Vec<u64> =
-            self.watch.current.iter().chain(&self.watch.previous).map(|o| o.generation).collect();
-        generations.into_iter().for_each(|generation| self.watch_ready(generation));
+        let ids: Vec<RequestId> = self.watch.connections.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.read_watch(id));
     }
 
-    fn read_watch(&mut self, previous: bool) -> Result<(), String> {
+    fn read_watch(&mut self, id: RequestId) {
+        if let Err(why) = self.try_read_watch(id) {
+            self.break_watch(id, &why);
+        }
+    }
+
+    fn try_read_watch(&mut self, id: RequestId) -> Result<(), String> {
         let began = Instant::now();
-        loop {
-            let watch = if previous { &mut self.watch.previous } else { &mut self.watch.current };
-            let Some(connection) = watch else { return Ok(()) };
-            while !connection.request.is_empty() {
-                match (&*connection.stream).write(&connection.request) {
-                    Ok(written) => drop(connection.request.drain(..written)),
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    Err(e) if is_transient(&e) || e.kind() == io::ErrorKind::NotConnected => {
-                        // Either not connected yet, or the dial has failed and the socket holds its error.
-                        let failed = connection.stream.take_error().ok().flatten();
-                        self.retry_watch();
-                        return failed.map_or(Ok(()), |e| Err(e.to_string()));
-                    }
-                    Err(e) => return Err(e.to_string()),
-                }
-            }
-            let read = match (&*connection.stream).read(&mut self.scratch[..READ_SIZE]) {
-                Ok(0) => return Err("closed by discovery".into()),
-                Ok(read) => read,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) if is_transient(&e) => {
+        while let Some(connection) = self.watch.connections.get_mut(&id) {
+            match connection.step(self.now, &mut self.scratch[..READ_SIZE])? {
+                ReadStep::Idle => break,
+                ReadStep::Retry => {
                     self.retry_watch();
-                    return Ok(());
+                    break;
                 }
-                Err(e) => return Err(e.to_string()),
-            };
-            let last_arrival = self.now - time_since_last_receive(&connection.stream);
-            self.watch.retry.reset();
-            self.watch.reads += 1;
-            let first_bytes = !std::mem::replace(&mut connection.received_any, true);
-            let (body, value_begun) =
-                (connection.watched.body_bytes(), connection.watched.has_partial_value());
-            let mut values = Vec::new();
-            let fed = connection.watched.feed(&self.scratch[..read], &mut values);
-            let ended = connection.watched.ended();
-            // Danger: bytes of a response head or of a value that never becomes complete do not show that the watch works.
-            let made_progress = connection.watched.body_bytes() > body
-                && !(value_begun && connection.watched.has_partial_value());
-            let awaits_list = connection.full && !connection.list_received;
-            let alive =
-                !values.is_empty() || !awaits_list && (made_progress || first_bytes && !connection.overdue);
-            if !previous && alive {
-                self.deadlines.set(Due::Watch, last_arrival + MAX_SILENCE);
-            } else if !previous && self.deadlines.time(Due::Watch).is_none() {
-                // Danger: an overdue answer that begins before the next request keeps its watch, and may stall after these
-                // bytes. So it needs a deadline of its own.
-                self.deadlines.set(Due::Watch, self.now + RESPONSE_TIMEOUT);
-            }
-            if !previous && body == 0 && made_progress && !awaits_list && values.is_empty() {
-                // Nothing has changed and the watch works, which ends the module's backoff.
-                self.members_changed(false, &[]);
-            }
-            for value in values {
-                let list = parse_list(&value).map_err(|why| self.request_full_list(previous, why))?;
-                self.apply_value(previous, list)?;
-            }
-            fed.map_err(|why| self.request_full_list(previous, why))?;
-            if ended {
-                return Err("ended by discovery".into());
+                ReadStep::Read(input) => self.handle_watch_input(id, input)?,
             }
             if began.elapsed() > READ_TIME {
                 self.watch.postponed = true;
-                return Ok(());
+                break;
             }
         }
+        Ok(())
     }
 
-    /// Applies a list or a change from a watch. Danger: an older version would undo later changes, such as a drain, so it is
-    /// rejected. If the agent has restarted its version numbers, the full list that is requested next has an older version
-    /// again and is accepted.
-    fn apply_value(&mut self, previous: bool, list: MemberList) -> Result<(), String> {
-        let watch = if previous { &mut self.watch.previous } else { &mut self.watch.current };
-        let Some(connection) = watch else { return Ok(()) };
-        let version_before = if previous { connection.version } else { self.watch.version };
-        let confirmed =
-            list.whole && connection.full && !connection.list_received && self.watch.version_regressed;
-        if list.version < version_before && !confirmed {
-            self.watch.version_regressed |= !previous;
-            return Err(
-                self.request_full_list(previous, format!("version {} after {version_before}", list.version))
-            );
+    fn handle_watch_input(&mut self, id: RequestId, input: Input) -> Result<(), String> {
+        self.watch.retry.reset();
+        self.watch.reads += 1;
+        let effect = self.watch.requests.input_received(id, input.progress);
+        self.close_watches(effect.closes);
+        if effect.nothing_changed {
+            // The watch works, which ends the module's backoff.
+            self.members_changed(false, &[]);
+        }
+        for value in input.values {
+            self.handle_list_value(id, input.progress.at, &value)?;
+        }
+        self.set_watch_deadline();
+        if let Some(why) = input.failure {
+            self.watch.requests.invalid_value_received(id);
+            return Err(why);
         }
-        (connection.version, connection.list_received) = (list.version, true);
-        if !previous {
-            // Danger: if the flag were cleared when the request is sent, a watch that breaks before its list arrives would
-            // lose the request for the full list.
-            self.watch.request_full &= !connection.full;
-            (self.watch.version, self.watch.version_regressed) = (list.version, false);
-            self.close_previous_watch();
+        if input.ended { Err("ended by discovery".into()) } else { Ok(()) }
+    }
+
+    /// Applies a list or a change from a watch, unless it cannot be used or a newer one is in use.
+    fn handle_list_value(&mut self, id: RequestId, at: Tenths, value: &[u8]) -> Result<(), String> {
+        let list = parse_list(value).inspect_err(|_| self.watch.requests.invalid_value_received(id))?;
+        let accepted = self
+            .watch
+            .requests
+            .list_received(id, at, list.version, list.whole)
+            .map_err(|older| format!("version {} after {}", list.version, older.in_use))?;
+        self.close_watches(accepted.closes);
+        if accepted.is_current {
             match self.watch.known_at_start.take() {
                 Some(known_at_start) if !list.whole => self.apply_list(known_at_start),
                 _ => {}
@@ -397,12 +318,6 @@
         Ok(())
     }
 
-    /// Handles a value that cannot be used: the current list stays, and the next watch requests the full list.
-    fn request_full_list(&mut self, previous: bool, why: String) -> String {
-        self.watch.request_full |= !previous;
-        why
-    }
-
     /// Applies a list or a change, from the watch or from the configuration.
     pub fn apply_list(&mut self, list: MemberList) {
         for why in &list.row_errors {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod decide;
 mod fair_share;
 mod interface;
+mod list_requests;
 mod member_clock;
 mod progress;
 mod roles;
@@ -16,3 +17,6 @@
 pub use decide::Router;
 pub use fair_share::{FairShare, RoundUsage, may_continue};
 pub use interface::*;
+pub use list_requests::{
+    AcceptedList, InputEffect, ListInput, ListRequests, ListTimeout, NewRequest, OlderVersion, RequestId,
+};
