Router: a watch that has fallen silent is read until another has brought the list

Callers saw: a change that takes more than 3 s on the standing watch, in pieces, was thrown away halfway; where the next answer was as slow, or never came, a draining member got commands beyond the 6 s.

`handle_timeout` had the host close it after 3 s without progress (bytes of a value that stays incomplete are none), with what was under way. The list was then requested from nothing.

Change: the silent watch is superseded like one before a reload: still read, its changes are applied in the order of their versions, and it holds back no request. It is closed once another has brought the list.

--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -148,7 +148,11 @@
     /// Handles a watch that has been silent, or a request that has not been answered, for too long.
     pub fn handle_watch_timeout(&mut self) {
         match self.watch.requests.handle_timeout(self.now) {
-            Some(ListTimeout::Silent { id }) => self.break_watch(id, "silence"),
+            Some(ListTimeout::Silent { id }) => {
+                log!("watch broken: silence; request {id} is read until there is another list");
+                self.counters.watches_broken += 1;
+                self.schedule_list_request();
+            }
             Some(ListTimeout::NotAnswered { id, waited }) => {
                 let received = self.watch.connections.get(&id).map(Connection::received);
                 let (began, bytes) = received.unwrap_or_default();
--- a/crates/router/tests/slow_discovery.rs
+++ b/crates/router/tests/slow_discovery.rs
@@ -238,3 +238,28 @@
     handover.assert_in_use_within(&router, Instant::now(), Duration::from_secs(1));
     assert!(watches[4].wait_for_close() && watches[5].wait_for_close(), "the first one is the watch");
 }
+
+/// Guards against a change that comes in pieces over a longer time than a watch may be silent, and that is given up halfway.
+#[rstest]
+#[case::next_list_is_as_slow(Pieces { last: 4_500 })]
+#[case::next_request_is_never_answered(Never)]
+fn change_that_comes_slowly_on_the_watch_is_used(#[case] next: Response) {
+    let handover = Handover::new();
+    let (before, after) = (handover.old_list(), handover.new_list(43, true));
+    let discovery = Discovery::with_handler(move |number, watch| match number {
+        0 => {
+            watch.raw("HTTP/1.1 200 OK\r\n\r\n");
+            watch.raw(&before);
+        }
+        _ => respond(watch, next, &after),
+    });
+    let router = router(discovery, "null");
+    let mut watch = router.discovery.next_watch();
+    let changed = Instant::now();
+    let change = handover.new_list(43, false);
+    spawn(move || {
+        send_in_pieces(&mut watch, &change, 4_500);
+        sleep(WAIT);
+    });
+    handover.assert_in_use_within(&router, changed, KNOWN_AFTER);
+}
--- a/src/list_requests.rs
+++ b/src/list_requests.rs
@@ -61,7 +61,7 @@
 /// A list or change that is to be applied.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AcceptedList {
-    /// Whether it came on the current watch, rather than on the watch of the address before a reload.
+    /// Whether it came on the current watch, rather than on one that is read until there is another.
     pub is_current: bool,
     /// Connections that are not needed any more.
     pub closes: Vec<RequestId>,
@@ -78,7 +78,7 @@
 pub enum ListTimeout {
     /// The request is kept.
     NotAnswered { id: RequestId, waited: Tenths },
-    /// The watch has to be closed.
+    /// The watch is read until another one has brought a list.
     Silent { id: RequestId },
 }
 
@@ -100,8 +100,16 @@
 struct WatchState {
     id: RequestId,
     silent_at: Tenths,
-    /// After a reload: the last version received on it. It is read until the new address has sent its list.
-    superseded_at: Option<u64>,
+    superseded: Option<Superseded>,
+}
+
+/// Why the list is requested although there is a watch, which is read until a request has brought the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Superseded {
+    /// It has been silent for too long. A change may still be on its way, in pieces.
+    BySilence,
+    /// Discovery has another address since. This is the last version received on the watch.
+    ByReload { version: u64 },
 }
 
 /// The requests for the member list at one router.
@@ -175,7 +183,8 @@
             return None;
         }
         self.requests_full = true;
-        if let Some(watch) = self.watch.take_if(|watch| watch.superseded_at.is_none()) {
+        if let Some(watch) = self.watch.as_mut().filter(|watch| watch.superseded.is_none()) {
+            watch.superseded = Some(Superseded::BySilence);
             return Some(ListTimeout::Silent { id: watch.id });
         }
         let newest = self.pending.last_mut()?;
@@ -221,14 +230,8 @@
         version: u64,
         is_full_list: bool,
     ) -> Result<AcceptedList, OlderVersion> {
-        if let Some(watch) = self.watch.as_mut().filter(|watch| watch.id == id)
-            && let Some(in_use) = &mut watch.superseded_at
-        {
-            if version < *in_use {
-                return Err(OlderVersion { in_use: *in_use });
-            }
-            *in_use = version;
-            return Ok(AcceptedList { is_current: false, closes: Vec::new() });
+        if self.is_superseded(id) {
+            return self.list_received_on_superseded(version);
         }
         let is_full_request = self.pending.iter().any(|pending| pending.id == id && pending.is_full);
         let is_confirmed =
@@ -244,6 +247,20 @@
         Ok(AcceptedList { is_current: true, closes })
     }
 
+    /// The same on the superseded watch. It tells nothing about the requests that are open.
+    fn list_received_on_superseded(&mut self, version: u64) -> Result<AcceptedList, OlderVersion> {
+        let superseded = self.watch.as_mut().and_then(|watch| watch.superseded.as_mut());
+        let in_use = match superseded {
+            Some(Superseded::ByReload { version }) => version,
+            Some(Superseded::BySilence) | None => &mut self.version,
+        };
+        if version < *in_use {
+            return Err(OlderVersion { in_use: *in_use });
+        }
+        *in_use = version;
+        Ok(AcceptedList { is_current: false, closes: Vec::new() })
+    }
+
     /// A value that cannot be used arrived: the full list is requested next.
     pub fn invalid_value_received(&mut self, id: RequestId) {
         self.requests_full |= !self.is_superseded(id);
@@ -260,22 +277,25 @@
     /// of the new one.
     pub fn change_address(&mut self) -> Vec<RequestId> {
         if let Some(watch) = &mut self.watch {
-            watch.superseded_at.get_or_insert(self.version);
+            let is_reloaded_again = matches!(watch.superseded, Some(Superseded::ByReload { .. }));
+            if !is_reloaded_again {
+                watch.superseded = Some(Superseded::ByReload { version: self.version });
+            }
         }
         (self.version, self.requests_full, self.older_list_after) = (0, true, None);
         self.pending.drain(..).map(|pending| pending.id).collect()
     }
 
     fn is_watching(&self) -> bool {
-        self.watch.is_some_and(|watch| watch.superseded_at.is_none())
+        self.watch.is_some_and(|watch| watch.superseded.is_none())
     }
 
     fn is_current_watch(&self, id: RequestId) -> bool {
-        self.watch.is_some_and(|watch| watch.id == id && watch.superseded_at.is_none())
+        self.watch.is_some_and(|watch| watch.id == id && watch.superseded.is_none())
     }
 
     fn is_superseded(&self, id: RequestId) -> bool {
-        self.watch.is_some_and(|watch| watch.id == id && watch.superseded_at.is_some())
+        self.watch.is_some_and(|watch| watch.id == id && watch.superseded.is_some())
     }
 
     /// Whether a request is open whose answer is not overdue.
@@ -303,7 +323,7 @@
         let before = self.watch.map(|watch| watch.id);
         let others = self.pending.drain(..).map(|pending| pending.id).chain(before);
         let others = others.filter(|other| *other != id).collect();
-        self.watch = Some(WatchState { id, silent_at: at + MAX_SILENCE, superseded_at: None });
+        self.watch = Some(WatchState { id, silent_at: at + MAX_SILENCE, superseded: None });
         others
     }
 
