Soak: a course with agents that answer late, requests never answered, silent watches

Change: a course of its own, so that all others stay as they are. Each agent answers late (1.1 to 2.4 s) or every other request only, some open watches fall silent, and a replica drains for 9.5 s, half of them serving all the same.

--- a/crates/router/tests/soak/disturbances.rs
+++ b/crates/router/tests/soak/disturbances.rs
@@ -1,6 +1,7 @@
 //! Disturbances that overlap in time, drawn from a seed; each starts, lasts for a while and ends.
 
 use super::Course;
+use super::agents::Pace;
 use super::common::draw::Rng;
 use super::common::faults::Fault;
 use super::members::{MEMBERS, MEMBERS_PER_SET, Member, SETS};
@@ -97,6 +98,24 @@
     Disturbance::MassDisconnect,
 ];
 
+/// The disturbances of the course with a slow discovery: those that leave discovery and the connections to it alone, since what
+/// breaks a watch beside a slow answer may leave too little of the time after which a change counts as known.
+const AWAY_FROM_DISCOVERY: [Disturbance; 10] = [
+    Disturbance::StalledRouter,
+    Disturbance::SuspendedProcess,
+    Disturbance::Restart,
+    Disturbance::Kill,
+    Disturbance::HungMembers,
+    Disturbance::SlowMembers,
+    Disturbance::MemberResets,
+    Disturbance::SlowConnects,
+    Disturbance::Failover,
+    Disturbance::MassDisconnect,
+];
+/// How long a replica drains there: longer than the time after which every router knows it. Then it is ready for a while.
+const LONG_DRAIN: Duration = Duration::from_millis(9_500);
+const BETWEEN_LONG_DRAINS: Duration = Duration::from_millis(1_500);
+
 /// Half of the disturbances come from one of these groups, chosen by the seed: those that can make stale data look fresh, those
 /// that stop, restart or reload routers and members, or all.
 const FOCUS: [&[Disturbance]; 3] = [
@@ -184,9 +203,14 @@
                 Course::Usual | Course::FullSpeed => {}
                 Course::Standstills => _ = scope.spawn(|| self.run_standstills(seed, span, begun)),
                 Course::LargeValues => _ = scope.spawn(|| self.run_outages(seed, span, begun)),
+                Course::SlowDiscovery => _ = scope.spawn(|| self.run_slow_discovery(seed, span, begun)),
             }
             while begun.elapsed() < span {
-                let kinds = if rng.below(2) == 0 { &ALL } else { FOCUS[seed as usize % FOCUS.len()] };
+                let kinds: &[Disturbance] = match (course, rng.below(2)) {
+                    (Course::SlowDiscovery, _) => &AWAY_FROM_DISCOVERY,
+                    (_, 0) => &ALL,
+                    _ => FOCUS[seed as usize % FOCUS.len()],
+                };
                 let disturbance = kinds[rng.below(kinds.len() as u64) as usize];
                 let seed_of_it = rng.below(u64::MAX);
                 scope.spawn(move || self.run_one(disturbance, Rng::new(seed_of_it), begun));
@@ -208,6 +232,40 @@
         });
     }
 
+    /// Lets replicas drain for long while agents answer late, some requests never, and watches fall silent.
+    fn run_slow_discovery(&self, seed: u64, span: Duration, begun: Instant) {
+        let mut rng = Rng::new(seed ^ 0x510d);
+        while begun.elapsed() < span {
+            for router in &self.routers {
+                let pace = if rng.below(2) == 0 { Pace::Late } else { Pace::EveryOtherNever };
+                let falls_silent = rng.below(2) == 0;
+                println!(
+                    "{:>6} ms agent {}: {pace:?}, open watches fall silent: {falls_silent}",
+                    begun.elapsed().as_millis(),
+                    router.number
+                );
+                router.agent.set_pace(pace);
+                if falls_silent {
+                    router.agent.silence_open_watches();
+                }
+            }
+            let replicas: Vec<&Arc<Member>> =
+                self.members.iter().filter(|m| !m.number.is_multiple_of(MEMBERS_PER_SET)).collect();
+            let drains = replicas[rng.below(replicas.len() as u64) as usize];
+            drains.faults.serves_while_draining.store(rng.below(2) == 0, Relaxed);
+            let set = |on: bool| {
+                drains.faults.draining.store(on, Relaxed);
+                self.version.fetch_add(1, Relaxed);
+            };
+            println!("{:>6} ms member {} drains", begun.elapsed().as_millis(), drains.number);
+            set(true);
+            thread::sleep(LONG_DRAIN);
+            set(false);
+            thread::sleep(BETWEEN_LONG_DRAINS);
+        }
+        self.routers.iter().for_each(|router| router.agent.set_pace(Pace::AtOnce));
+    }
+
     /// Takes the primaries of all sets away at once, again and again: they go down or hang.
     fn run_outages(&self, seed: u64, span: Duration, begun: Instant) {
         let mut rng = Rng::new(seed ^ 0x01a7);
--- a/crates/router/tests/soak/ledger.rs
+++ b/crates/router/tests/soak/ledger.rs
@@ -324,11 +324,11 @@
 
     // ---- agents ----
 
-    /// A router's agent has received whether a member drains.
-    pub fn draining_announced(&self, router: usize, member: usize, draining: bool) {
+    /// A router's agent has received whether a member drains, which counts as known to the router after this time.
+    pub fn draining_announced(&self, router: usize, member: usize, draining: bool, known_after: Duration) {
         let mut records = self.records();
         if draining {
-            records.draining.entry((router, member)).or_insert_with(Instant::now);
+            records.draining.entry((router, member)).or_insert_with(|| Instant::now() + known_after);
         } else {
             records.draining.remove(&(router, member));
         }
--- a/crates/router/tests/soak/main.rs
+++ b/crates/router/tests/soak/main.rs
@@ -61,6 +61,8 @@
     /// Many clients write values of up to the largest size, also while all sets are without a primary, and routers have the deployment's limits of memory and
     /// descriptors, which the seed draws. Resident memory is judged as the platform does.
     LargeValues,
+    /// Agents answer late, some requests never, and watches fall silent, while replicas drain for long.
+    SlowDiscovery,
     /// Clients send at full speed, read no answers, or send much and leave. Limits and memory as with large values.
     FullSpeed,
 }
@@ -202,11 +204,12 @@
 /// Guards against moments of handling that are taken for those of arrival: signals, commands and time limits that came while
 /// a router stood still.
 #[rstest]
-#[case::usual(Course::Usual)]
-#[case::standstills(Course::Standstills)]
-fn overlapping_faults_break_no_rule(#[case] course: Course) {
+#[case::usual(Course::Usual, "1..3")]
+#[case::standstills(Course::Standstills, "1..3")]
+#[case::slow_discovery(Course::SlowDiscovery, "3..4")]
+fn overlapping_faults_break_no_rule(#[case] course: Course, #[case] default_seeds: &str) {
     let _machine = MACHINE.read().unwrap_or_else(PoisonError::into_inner);
-    run_seeds(seeds("1..3"), number("SOAK_ROUTERS", 8), course);
+    run_seeds(seeds(default_seeds), number("SOAK_ROUTERS", 8), course);
 }
 
 /// Guards against statements, messages and answers that take a router over its memory limit.
--- a/crates/router/tests/soak/members.rs
+++ b/crates/router/tests/soak/members.rs
@@ -30,8 +30,9 @@
     pub resets: AtomicBool,
     /// The member is down: connections are reset.
     pub down: AtomicBool,
-    /// Rejects all commands because it is draining.
+    /// Rejects all commands because it is draining, unless it serves them all the same.
     pub draining: AtomicBool,
+    pub serves_while_draining: AtomicBool,
     /// The delay before the startup of a new connection, in milliseconds.
     pub connect_delay: AtomicU64,
     /// Answers are malformed.
@@ -172,7 +173,7 @@
             .ledger
             .command_delivered(&id, DeliveryInfo { member: self.number, time_left, stale, draining });
         let write = statement.starts_with("INSERT");
-        if draining {
+        if draining && !self.faults.serves_while_draining.load(Relaxed) {
             return Some([error_response("53300"), ready()].concat());
         }
         if self.faults.resets.load(Relaxed) && id.len().is_multiple_of(2) {
