Configuration: the wait for a control machine's first answer grows

What a router's operator would see: no contact with any control machine, and changes not in force, where all of them take over a second for their first answer, however often they are asked.

`silence_deadline` in crates/configuration/src/subscriber.rs gave each machine a third of `patience` (1 s) for its first message, then left it, and a late answer belongs to an earlier turn and counts for nothing. Shown by the new test: with machines that answer after 1.2 s there was no contact in 14 s; after 0.05 s there was.

Change: after each two unanswered requests in a row the wait is doubled, up to `pause` (10 s); any message starts it anew. One machine is asked at a time here, so the limit has to grow; the list of discovery is requested several times at once instead.

Tests: `machines_that_answer_late_are_waited_for_in_the_end` (0.05 to 4 s), failed before, passes; `machine_that_does_not_answer_is_left_after_a_second` passed before too and guards the other side.

--- a/crates/configuration/src/subscriber.rs
+++ b/crates/configuration/src/subscriber.rs
@@ -14,6 +14,11 @@
 use crate::{BadPlan, Document, Message, Name, Plan, Tenths, Version};
 use link::{Link, answered_turn};
 
+/// After so many consecutive requests without an answer the wait for one is doubled: it is less likely that further machines
+/// hang than that all are slow.
+const UNANSWERED_PER_DOUBLING: u32 = 2;
+/// How often the wait for an answer is doubled at most.
+const MAX_DOUBLINGS: u32 = 10;
 /// Maximum number of notices that wait for the host; at the bound the oldest is dropped.
 const MAX_NOTICES: usize = 64;
 
@@ -101,6 +106,8 @@
     next_ask_at: Tenths,
     /// Consecutive subscribe messages that failed.
     failed_asks: u32,
+    /// Consecutive subscribe messages whose machine sent nothing at all.
+    unanswered_asks: u32,
     /// Consecutive moves away from machines without contact to a writer.
     isolated_moves: u32,
     next_home_at: Tenths,
@@ -159,6 +166,7 @@
             avoid_until: BTreeMap::new(),
             next_ask_at,
             failed_asks: 0,
+            unanswered_asks: 0,
             isolated_moves: 0,
             next_home_at,
             next_status_at: now,
@@ -194,6 +202,7 @@
             return;
         }
         link.last_heard = Some(now);
+        self.unanswered_asks = 0;
         match message {
             Message::Changes { changes, .. } => self.apply_received(now, |replica| replica.apply(&changes)),
             Message::ChangesPart { version, part, of, bytes, .. } => {
@@ -339,6 +348,7 @@
         let Some(link) = &self.link else { return };
         if now >= self.silence_deadline(link) {
             // A suspended machine keeps its streams open but sends nothing.
+            self.unanswered_asks += u32::from(link.last_heard.is_none());
             self.queue_bye();
             self.abandon_machine(now, now + 2 * self.plan.patience);
         } else if link.leave_isolated_at.is_some_and(|at| now >= at) {
@@ -352,10 +362,18 @@
     fn silence_deadline(&self, link: &Link) -> Tenths {
         match link.last_heard {
             Some(heard) => heard + self.plan.patience,
-            None => link.asked_at + self.plan.patience / 3,
+            None => link.asked_at + self.answer_timeout(),
         }
     }
 
+    /// How long a machine has for its first message. Danger: if the wait never grew, machines that all take longer would be
+    /// left again and again, and none would ever be heard.
+    fn answer_timeout(&self) -> Tenths {
+        let least = self.plan.patience / 3;
+        let doublings = (self.unanswered_asks / UNANSWERED_PER_DOUBLING).min(MAX_DOUBLINGS);
+        (least << doublings).min(self.plan.pause.max(least))
+    }
+
     fn next_apply(&mut self) -> Option<Decision> {
         let version = self.replica.version;
         let refused = self.refused.as_ref().is_some_and(|(refused, _)| *refused == version);
--- a/crates/configuration/tests/one.rs
+++ b/crates/configuration/tests/one.rs
@@ -306,6 +306,54 @@
     assert!(!ask_again(40_000, &second).1, "the router asks as lost although its floor is known");
 }
 
+/// A change has to be in force this long after it was published.
+const IN_FORCE_WITHIN: Tenths = 140_000;
+
+/// When a router is in contact with a writer if each machine answers its requests after this time, or never.
+fn contact_with_slow_machines(answers_after: impl Fn(&Name) -> Option<Tenths>) -> Option<Tenths> {
+    let router = Subscriber::new(Plan::default(), name("r1"), 1, None, names(), 0, 1);
+    let mut router = router.expect("a valid plan");
+    let mut answers: Vec<(Tenths, Name, u32)> = Vec::new();
+    let mut now = 0;
+    while now <= IN_FORCE_WITHIN {
+        for (_, machine, turn) in answers.extract_if(.., |(at, ..)| *at <= now) {
+            let beat = Message::Beat { turn, version: Version::NONE, floor: None, no_writer: false };
+            router.handle_message(now, &machine, beat);
+        }
+        while let Some(decision) = router.next_decision(now) {
+            if let Decision::Send { to, message: Message::Subscribe { turn, .. } } = decision
+                && let Some(after) = answers_after(&to)
+            {
+                answers.push((now + after, to, turn));
+            }
+        }
+        if router.no_contact_since().is_none() {
+            return Some(now);
+        }
+        let wake_at = router.wake_at().into_iter().chain(answers.iter().map(|(at, ..)| *at)).min();
+        now = wake_at.expect("something is due").max(now + 1);
+    }
+    None
+}
+
+/// Guards against machines that all answer more slowly than a router waits, and that it leaves again and again.
+#[test]
+fn machines_that_answer_late_are_waited_for_in_the_end() {
+    for after in [500, 12_000, 15_000, 25_000, 40_000] {
+        let contact = contact_with_slow_machines(|_| Some(after));
+        assert!(contact.is_some(), "no contact within 14 s with machines that take {after} tenths of a ms");
+    }
+}
+
+/// Guards against a router that waits long for a machine that is hung although others answer.
+#[test]
+fn machine_that_does_not_answer_is_left_after_a_second() {
+    for hung in names() {
+        let contact = contact_with_slow_machines(|machine| (*machine != hung).then_some(500));
+        assert!(contact.is_some_and(|at| at < 35_000), "{contact:?}");
+    }
+}
+
 fn report(machine: &mut Machine, from: &str, turn: u32, connected: bool) -> Vec<Action> {
     let entry =
         RouterEntry { name: name("r1"), start: 1, turn, version: version(1, 1), refused: None, connected };
