--- a/crates/router/tests/slow_discovery.rs
+++ b/crates/router/tests/slow_discovery.rs
@@ -263,3 +263,65 @@
     });
     handover.assert_in_use_within(&router, changed, KNOWN_AFTER);
 }
+
+/// Guards against a standstill in the middle of a slow answer that makes the router give up what arrived meanwhile.
+#[rstest]
+#[case::before_the_list(1_200, 680)]
+#[case::while_the_list_arrives(1_900, 1_400)]
+fn list_that_comes_late_during_a_standstill_is_used(#[case] from_ms: u64, #[case] for_ms: u64) {
+    let handover = Handover::new();
+    let begun = Instant::now();
+    let slow = slow_discovery(&[List { head: 0, list: 2_500 }], handover.new_list(43, true));
+    let router = router(slow, &handover.old_list());
+    wait_until(begun, from_ms);
+    router.signal("-STOP");
+    sleep(Duration::from_millis(for_ms));
+    router.signal("-CONT");
+    handover.assert_in_use_within(&router, begun, Duration::from_millis(from_ms + for_ms).max(KNOWN_AFTER));
+}
+
+/// Guards against a second reload that inherits the waits of the first, or an answer to it.
+#[rstest]
+fn second_of_two_reloads_to_slow_agents_takes_effect() {
+    let handover = Handover::new();
+    let slow = |list| slow_discovery(&[List { head: 0, list: 2_500 }], list);
+    let router = router(slow_discovery(&[List { head: 0, list: 0 }], handover.old_list()), "null");
+    assert_eq!(Client::connect(&router).query(&order("before", 5_000)), Answer::Row("r".into()));
+    let (first, second) = (slow(handover.old_list()), slow(handover.new_list(3, true)));
+    router.reload(&configuration(first.address, 1024, 192, "null"));
+    sleep(Duration::from_millis(700));
+    let reloaded = Instant::now();
+    router.reload(&configuration(second.address, 1024, 192, "null"));
+    handover.assert_in_use_within(&router, reloaded, KNOWN_AFTER_RELOAD);
+}
+
+/// Guards against changes of the watch before a reload that wait for a new list which comes slowly.
+#[rstest]
+fn change_on_the_watch_before_a_reload_is_used_while_the_new_list_comes_slowly() {
+    let handover = Handover::new();
+    let router = router(slow_discovery(&[List { head: 0, list: 0 }], handover.old_list()), "null");
+    assert_eq!(Client::connect(&router).query(&order("before", 5_000)), Answer::Row("r".into()));
+    let mut before = router.discovery.next_watch();
+    let new = slow_discovery(&[Pieces { last: 3_500 }], handover.new_list(3, true));
+    router.reload(&configuration(new.address, 1024, 192, "null"));
+    sleep(Duration::from_millis(500));
+    let changed = Instant::now();
+    before.send(&handover.new_list(42, false));
+    handover.assert_in_use_within(&router, changed, Duration::from_millis(500));
+    assert!(before.wait_for_close(), "the new list has arrived");
+}
+
+/// Guards against a further request that fails for want of a descriptor and takes the open ones with it.
+#[rstest]
+fn open_requests_outlive_one_that_gets_no_descriptor() {
+    let handover = Handover::new();
+    let router = router(slow_discovery(&[Never], String::new()), &handover.old_list());
+    let mut watches: Vec<Watch> = (0..3).map(|_| router.discovery.next_watch()).collect();
+    // The limit is below the number of descriptors in use.
+    router.limit_descriptors(4);
+    router.wait_for_log("watch broken: Too many open files");
+    router.limit_descriptors(64);
+    watches[0].send_head();
+    watches[0].send(&handover.new_list(43, true));
+    handover.assert_in_use_within(&router, Instant::now(), Duration::from_secs(1));
+}
