Soak: the listen address of a router stays reserved while none of its processes listens

Cause: `Router::start` found a free port by a listener that it closed at once. From then on, and each time the router is down, the system may assign the port to any other socket: the courses run beside each other, each opens some hundred listeners, and one that is assigned the port keeps it. That another listener had it follows from what is missing: `run` reported no router that accepts no connections, so somebody accepted them. Which one was not logged. Shown by a trial: of 19,995 listeners on port 0 one is assigned a port that was closed; of 19,994 none a port that stays bound without listening, on which another socket with SO_REUSEADDR, as the router's, can listen. Ruled out: the router, whose 8 s of retries are as documented.

Change: the test keeps the port bound (`RefusingPort`, now with SO_REUSEADDR). No check changes.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -356,13 +356,15 @@
     }
 }
 
-/// A bound port that refuses connections until it is opened.
+/// A bound port that refuses connections until it is opened, or until a router listens on it. Danger: a port that was found free
+/// and then closed may be assigned to any other socket.
 pub struct RefusingPort(socket2::Socket);
 
 impl RefusingPort {
     pub fn start() -> RefusingPort {
         let socket =
             socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.set_reuse_address(true).expect("an option");
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
         RefusingPort(socket)
     }
--- a/crates/router/tests/soak/routers.rs
+++ b/crates/router/tests/soak/routers.rs
@@ -3,11 +3,11 @@
 
 use super::agents::Agent;
 use super::common::faults::Faults;
-use super::common::{configuration, resident_memory, with_replacements};
+use super::common::{RefusingPort, configuration, resident_memory, with_replacements};
 use super::ledger::Ledger;
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -85,6 +85,8 @@
 pub struct Router {
     pub number: usize,
     pub address: SocketAddr,
+    /// Keeps the address from being assigned to another socket while no process of the router listens on it.
+    _reserved: RefusingPort,
     pub agent: Arc<Agent>,
     pub faults: Faults,
     pub limits: Limits,
@@ -110,13 +112,14 @@
         agent: Arc<Agent>,
         ledger: Arc<Ledger>,
     ) -> Arc<Router> {
-        let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+        let reserved = RefusingPort::start();
         // Numbered across runs, because two runs of the soak may share one process.
         static STARTED: AtomicU32 = AtomicU32::new(0);
         let name = format!("vetchkeel-soak-{}-{}", std::process::id(), STARTED.fetch_add(1, Relaxed));
         let router = Arc::new(Router {
             number,
-            address: free,
+            address: reserved.address(),
+            _reserved: reserved,
             agent,
             faults: Faults::new(seed * 1_000 + number as u64),
             limits,
